--- /dev/null
+++ b/coordination/src/journal.rs
@@ -0,0 +1,112 @@
+//! The journal of a generation: the tokens delivered so far, and what may be delivered next.
+//!
+//! ```
+//! use medlarfall_coordination::journal::{Journal, Verdict};
+//!
+//! let mut journal = Journal::new();
+//! let first = journal.begin_attempt();
+//! assert_eq!(journal.accept(first, 0, " a".into()), Verdict::Deliver);
+//! let second = journal.begin_attempt();
+//! assert_eq!(journal.accept(first, 1, " b".into()), Verdict::Stale);
+//! assert_eq!(journal.accept(second, 1, " b".into()), Verdict::Deliver);
+//! assert_eq!(journal.text(), " a b");
+//! ```
+
+use std::sync::Arc;
+
+/// Number of an attempt at a generation; it grows with each attempt.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Attempt(pub u64);
+
+/// What is to be done with a token.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Verdict {
+    /// The token is the next one and has been written to the journal: deliver it.
+    Deliver,
+    /// The token was delivered before: drop it.
+    Repeated,
+    /// The token comes from an attempt that is no longer current: drop it.
+    Stale,
+    /// Tokens are missing before this one: end the attempt and resume.
+    Gap,
+    /// The answer was whole before this token came: drop it.
+    Ended,
+}
+
+/// What is to be done with the end of an attempt's stream.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Ending {
+    /// The answer is whole.
+    Whole,
+    /// Tokens are missing: end the attempt and resume.
+    Short,
+    /// The end comes from an attempt that is no longer current: ignore it.
+    Stale,
+}
+
+/// The journal of one generation.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Journal {
+    tokens: Vec<Arc<str>>,
+    attempt: u64,
+    ended: bool,
+}
+
+impl Journal {
+    /// Returns the journal of a generation of which nothing was delivered.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Begins an attempt, which makes every earlier one stale.
+    pub fn begin_attempt(&mut self) -> Attempt {
+        self.attempt += 1;
+        Attempt(self.attempt)
+    }
+
+    /// Judges a token, and writes it down if it is to be delivered.
+    pub fn accept(&mut self, attempt: Attempt, index: u64, token: Arc<str>) -> Verdict {
+        let next = self.next_index();
+        match index {
+            _ if attempt.0 != self.attempt => Verdict::Stale,
+            _ if self.ended => Verdict::Ended,
+            _ if index < next => Verdict::Repeated,
+            _ if index > next => Verdict::Gap,
+            _ => {
+                self.tokens.push(token);
+                Verdict::Deliver
+            }
+        }
+    }
+
+    /// Judges the end of an attempt that says that the whole answer has `length` tokens.
+    pub fn end(&mut self, attempt: Attempt, length: u64) -> Ending {
+        match length {
+            _ if attempt.0 != self.attempt => Ending::Stale,
+            _ if length != self.next_index() => Ending::Short,
+            _ => {
+                self.ended = true;
+                Ending::Whole
+            }
+        }
+    }
+
+    /// Returns the index of the next token to deliver.
+    #[must_use]
+    pub fn next_index(&self) -> u64 {
+        self.tokens.len() as u64
+    }
+
+    /// Returns the tokens delivered so far.
+    #[must_use]
+    pub fn tokens(&self) -> &[Arc<str>] {
+        &self.tokens
+    }
+
+    /// Returns the text delivered so far.
+    #[must_use]
+    pub fn text(&self) -> String {
+        self.tokens.concat()
+    }
+}
--- /dev/null
+++ b/coordination/src/lib.rs
@@ -0,0 +1,7 @@
+//! Pure coordination state machines.
+//!
+//! Each takes inputs, the present time and, where it draws lots, a seeded generator, and returns
+//! decisions. None owns a socket, a task or a clock, so that a test can drive it through any order
+//! of events. Times are [`std::time::Duration`]s since an arbitrary origin that never goes back.
+
+pub mod journal;
--- /dev/null
+++ b/programs/src/caller.rs
@@ -0,0 +1,271 @@
+//! The client side of the callers' port.
+
+use std::net::SocketAddr;
+
+use bytes::{Bytes, BytesMut};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::{Method, Request, Response};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use serde::{Deserialize, Serialize};
+use snafu::Snafu;
+
+/// Why a call failed.
+#[derive(Clone, Debug, Eq, PartialEq, Snafu)]
+pub enum Error {
+    /// The entry could not be reached, or the connection was lost.
+    #[snafu(display("the entry cannot be reached or was lost: {reason}; try another entry"))]
+    Lost {
+        /// What happened.
+        reason: String,
+    },
+    /// The entry answered with an error.
+    #[snafu(display("{body}"))]
+    Refused {
+        /// HTTP status.
+        status: u16,
+        /// The error as JSON.
+        body: String,
+    },
+}
+
+/// A request for a generation.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+pub struct Completion {
+    /// Service that is asked.
+    pub model: String,
+    /// The prompt.
+    pub prompt: String,
+    /// Most tokens of the whole answer.
+    pub max_tokens: u64,
+    /// Whether the answer is streamed.
+    pub stream: bool,
+}
+
+/// A part of an answer, or a whole one.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Chunk {
+    /// Version that answered.
+    pub version: String,
+    /// The text, one choice.
+    pub choices: Vec<Choice>,
+}
+
+/// The text of a chunk.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Choice {
+    /// The text.
+    pub text: String,
+    /// Index of the token.
+    pub token_index: Option<u64>,
+    /// Why the answer ended, on its last chunk.
+    pub finish_reason: Option<String>,
+}
+
+/// A whole answer to a plain call.
+#[derive(Clone, Debug)]
+pub struct Reply {
+    /// HTTP status.
+    pub status: u16,
+    /// Value of the header `medlarfall-run`.
+    pub run: String,
+    /// Body.
+    pub body: String,
+}
+
+/// A client account's connection to one entry.
+#[derive(Clone, Debug)]
+pub struct Caller {
+    client: Client<HttpConnector, Full<Bytes>>,
+    entry: SocketAddr,
+    key: String,
+}
+
+/// A streamed answer.
+#[derive(Debug)]
+pub struct Stream {
+    body: Incoming,
+    buffer: BytesMut,
+}
+
+impl Caller {
+    /// Returns a caller that talks to `entry` with `key`.
+    #[must_use]
+    pub fn new(entry: SocketAddr, key: &str) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        Self {
+            client: Client::builder(TokioExecutor::new()).build(connector),
+            entry,
+            key: key.to_owned(),
+        }
+    }
+
+    /// Asks for a generation and returns its stream.
+    ///
+    /// # Errors
+    ///
+    /// Returns the entry's error, or that it was lost.
+    pub async fn stream(&self, completion: &Completion) -> Result<Stream, Error> {
+        let completion = Completion {
+            stream: true,
+            ..completion.clone()
+        };
+        let response = self.complete(&completion).await?;
+        Ok(Stream {
+            body: response.into_body(),
+            buffer: BytesMut::new(),
+        })
+    }
+
+    /// Asks for a generation and returns the text of the whole answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns the entry's error, or that it was lost.
+    pub async fn whole(&self, completion: &Completion) -> Result<String, Error> {
+        let response = self.complete(completion).await?;
+        let body = read(response.into_body()).await?;
+        let chunk: Chunk = serde_json::from_slice(&body).map_err(lost)?;
+        Ok(chunk
+            .choices
+            .into_iter()
+            .map(|choice| choice.text)
+            .collect())
+    }
+
+    /// Calls a plain service; `path` starts with `/s/`.
+    ///
+    /// # Errors
+    ///
+    /// Returns that the entry was lost; its refusals are replies.
+    pub async fn call(&self, method: Method, path: &str, body: &str) -> Result<Reply, Error> {
+        let response = self.send(method, path, body.to_owned()).await?;
+        let status = response.status().as_u16();
+        let run = response
+            .headers()
+            .get("medlarfall-run")
+            .and_then(|value| value.to_str().ok());
+        let run = run.unwrap_or_default().to_owned();
+        let body = read(response.into_body()).await?;
+        Ok(Reply {
+            status,
+            run,
+            body: String::from_utf8_lossy(&body).into_owned(),
+        })
+    }
+
+    /// Sends a request for a generation.
+    async fn complete(&self, completion: &Completion) -> Result<Response<Incoming>, Error> {
+        let body = serde_json::to_string(completion).map_err(lost)?;
+        let response = self.send(Method::POST, "/v1/completions", body).await?;
+        if response.status().is_success() {
+            return Ok(response);
+        }
+        let status = response.status().as_u16();
+        let body = read(response.into_body()).await?;
+        Err(Error::Refused {
+            status,
+            body: String::from_utf8_lossy(&body).into_owned(),
+        })
+    }
+
+    /// Sends a request.
+    async fn send(
+        &self,
+        method: Method,
+        path: &str,
+        body: String,
+    ) -> Result<Response<Incoming>, Error> {
+        let request = Request::builder()
+            .method(method)
+            .uri(format!("http://{}{path}", self.entry))
+            .header("authorization", format!("Bearer {}", self.key))
+            .header("content-type", "application/json")
+            .body(Full::new(Bytes::from(body)))
+            .map_err(lost)?;
+        self.client.request(request).await.map_err(lost)
+    }
+}
+
+impl Stream {
+    /// Returns the next chunk, or nothing when the answer is whole.
+    ///
+    /// # Errors
+    ///
+    /// Returns the entry's error, or that the stream was lost.
+    pub async fn next(&mut self) -> Result<Option<Chunk>, Error> {
+        loop {
+            if let Some(end) = self.buffer.windows(2).position(|pair| pair == b"\n\n") {
+                let event = self.buffer.split_to(end + 2);
+                if let Some(chunk) = parse(&String::from_utf8_lossy(&event))? {
+                    return Ok(Some(chunk));
+                }
+                continue;
+            }
+            match self.body.frame().await {
+                Some(Ok(frame)) => self
+                    .buffer
+                    .extend_from_slice(frame.data_ref().map_or(&[], |data| data)),
+                Some(Err(error)) => return Err(lost(error)),
+                None => return Ok(None),
+            }
+        }
+    }
+
+    /// Reads the rest of the answer and returns its text and whether it was whole.
+    ///
+    /// # Errors
+    ///
+    /// Returns the entry's error, or that the stream was lost.
+    pub async fn text(&mut self) -> Result<(String, bool), Error> {
+        let mut text = String::new();
+        let mut whole = false;
+        while let Some(chunk) = self.next().await? {
+            for choice in chunk.choices {
+                text.push_str(&choice.text);
+                whole |= choice.finish_reason.is_some();
+            }
+        }
+        Ok((text, whole))
+    }
+}
+
+/// Returns the chunk in a server-sent event, or nothing for a comment.
+fn parse(event: &str) -> Result<Option<Chunk>, Error> {
+    let failed = event
+        .lines()
+        .any(|line| line == "event: error" || line == "event:error");
+    let data: String = event
+        .lines()
+        .filter_map(|line| line.strip_prefix("data:"))
+        .map(str::trim_start)
+        .collect();
+    match data.as_str() {
+        "" => Ok(None),
+        _ if failed => Err(Error::Refused {
+            status: 200,
+            body: data,
+        }),
+        data => serde_json::from_str(data).map(Some).map_err(lost),
+    }
+}
+
+/// Reads a body.
+async fn read(body: Incoming) -> Result<Bytes, Error> {
+    body.collect()
+        .await
+        .map(http_body_util::Collected::to_bytes)
+        .map_err(lost)
+}
+
+/// Returns the error of a lost entry.
+fn lost(error: impl std::error::Error) -> Error {
+    let mut reason = error.to_string();
+    if let Some(source) = error.source() {
+        reason = format!("{reason}: {source}");
+    }
+    Error::Lost { reason }
+}
--- /dev/null
+++ b/programs/src/commands.rs
@@ -0,0 +1,140 @@
+//! The subcommands of the command line.
+
+use std::error::Error;
+use std::fs;
+use std::net::SocketAddr;
+use std::path::Path;
+
+use medlarfall_schema::declaration::Service;
+use medlarfall_serving::configs::Settings;
+
+use crate::caller::{Caller, Completion};
+use crate::operator::Operator;
+
+/// What a subcommand returns.
+pub type Result = std::result::Result<(), Box<dyn Error>>;
+
+/// Checks a settings file.
+///
+/// # Errors
+///
+/// Returns what is wrong with it.
+pub fn check(path: &Path, json: bool) -> Result {
+    let settings = Settings::load(path)?;
+    if json {
+        let name = settings.entry.name.as_ref();
+        println!("{}", serde_json::json!({ "ok": true, "entry": name }));
+    } else {
+        println!("{}: ok", path.display());
+    }
+    Ok(())
+}
+
+/// Declares the service in a TOML file.
+///
+/// # Errors
+///
+/// Returns what is wrong with the file, or the entry's refusal.
+pub async fn apply(entry: SocketAddr, key: &str, path: &Path, json: bool) -> Result {
+    let text = fs::read_to_string(path)
+        .map_err(|error| format!("{}: cannot be read: {error}", path.display()))?;
+    let service = parse(&text, path)?;
+    let stored = Operator::new(entry, key)?
+        .apply(service)
+        .await
+        .map_err(|status| message(&status))?;
+    if json {
+        println!("{}", serde_json::to_string(&stored)?);
+    } else {
+        println!("{}: stored as revision {}", stored.name, stored.revision);
+    }
+    Ok(())
+}
+
+/// Prints the declarations in force at an entry.
+///
+/// # Errors
+///
+/// Returns the entry's refusal.
+pub async fn list(entry: SocketAddr, key: &str, json: bool) -> Result {
+    for service in Operator::new(entry, key)?
+        .list()
+        .await
+        .map_err(|status| message(&status))?
+    {
+        if json {
+            println!("{}", serde_json::to_string(&service)?);
+        } else {
+            println!(
+                "{} version {} revision {}",
+                service.name, service.version, service.revision
+            );
+        }
+    }
+    Ok(())
+}
+
+/// Prints what an entry knows of the system.
+///
+/// # Errors
+///
+/// Returns the entry's refusal.
+pub async fn status(entry: SocketAddr, key: &str) -> Result {
+    let status = Operator::new(entry, key)?
+        .status()
+        .await
+        .map_err(|status| message(&status))?;
+    println!(
+        "entry {}; store reachable: {}",
+        status.entry, status.store_reachable
+    );
+    for server in status.backend_servers {
+        let leaving = if server.leaving { ", leaving" } else { "" };
+        println!(
+            "{} service {} version {} in {}{leaving}",
+            server.name, server.service, server.version, server.failure_domain
+        );
+    }
+    Ok(())
+}
+
+/// Asks for a generation and prints it as it comes.
+///
+/// # Errors
+///
+/// Returns the entry's error.
+pub async fn generate(entry: SocketAddr, key: &str, completion: &Completion) -> Result {
+    let mut stream = Caller::new(entry, key).stream(completion).await?;
+    while let Some(chunk) = stream.next().await? {
+        chunk
+            .choices
+            .iter()
+            .for_each(|choice| print!("{}", choice.text));
+    }
+    println!();
+    Ok(())
+}
+
+/// Reads a declaration; unknown keys are refused.
+fn parse(text: &str, path: &Path) -> std::result::Result<Service, Box<dyn Error>> {
+    let mut unknown = Vec::new();
+    let source =
+        toml::Deserializer::parse(text).map_err(|error| format!("{}: {error}", path.display()))?;
+    let service = serde_ignored::deserialize(source, |key| unknown.push(key.to_string()))
+        .map_err(|error| format!("{}: {error}", path.display()))?;
+    match unknown.first() {
+        None => Ok(service),
+        Some(key) => {
+            let message = format!(
+                "{}: `{key}` is no key of a declaration; see docs/OPERATORS.md",
+                path.display()
+            );
+            Err(message.into())
+        }
+    }
+}
+
+/// Returns the message of a refusal.
+fn message(status: &tonic::Status) -> String {
+    status.message().to_owned()
+}
--- /dev/null
+++ b/programs/src/main.rs
@@ -0,0 +1,115 @@
+//! The command line for operators and callers.
+
+use std::process::ExitCode;
+
+use medlarfall::caller::Completion;
+use medlarfall::{bench, commands, demo};
+
+/// Arguments, parsed by `xflags`, which writes the code without comments.
+#[allow(missing_docs)]
+mod flags {
+    use std::net::SocketAddr;
+    use std::path::PathBuf;
+
+    xflags::xflags! {
+        /// Serves long generations on engines that fail.
+        cmd medlarfall {
+            /// Prints JSON instead of text.
+            optional --json
+            /// Runs entries and stand-ins in this process, kills an engine and prints what happened.
+            cmd demo {
+                /// Keeps the cluster up until interrupted.
+                optional --stay
+            }
+            /// Runs a load experiment on an embedded cluster and prints its figures.
+        cmd bench {
+            /// Name of the scenario.
+            required scenario: String
+            /// Seed of the requests and faults; 1 by default.
+            optional --seed seed: u64
+        }
+        /// Checks a settings file.
+            cmd check {
+                /// Settings file, in TOML.
+                required file: PathBuf
+            }
+            /// Declares the service in a TOML file.
+            cmd apply {
+                /// Operators' address of an entry.
+                required --entry entry: SocketAddr
+                /// Declaration of a service, in TOML.
+                required file: PathBuf
+            }
+            /// Prints the declarations in force at an entry.
+            cmd list {
+                /// Operators' address of an entry.
+                required --entry entry: SocketAddr
+            }
+            /// Prints what an entry knows of the system.
+            cmd status {
+                /// Operators' address of an entry.
+                required --entry entry: SocketAddr
+            }
+            /// Asks for a generation and prints it as it comes.
+            cmd generate {
+                /// Callers' address of an entry.
+                required --entry entry: SocketAddr
+                /// Service that is asked.
+                required --model model: String
+                /// The prompt.
+                required --prompt prompt: String
+                /// Most tokens of the answer.
+                optional --max-tokens max_tokens: u64
+            }
+        }
+    }
+}
+
+/// Environment variable that holds the operators' or the caller's key.
+const KEY_VARIABLE: &str = "MEDLARFALL_KEY";
+
+/// Most tokens of an answer where the caller names none.
+const DEFAULT_MAX_TOKENS: u64 = 256;
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let flags = flags::Medlarfall::from_env_or_exit();
+    match run(flags).await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("medlarfall: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// Runs the subcommand.
+async fn run(flags: flags::Medlarfall) -> commands::Result {
+    let json = flags.json;
+    match flags.subcommand {
+        flags::MedlarfallCmd::Demo(flags) => demo::run(flags.stay).await,
+        flags::MedlarfallCmd::Bench(flags) => {
+            bench::run(&flags.scenario, flags.seed.unwrap_or(1), json).await
+        }
+        flags::MedlarfallCmd::Check(flags) => commands::check(&flags.file, json),
+        flags::MedlarfallCmd::Apply(flags) => {
+            commands::apply(flags.entry, &key()?, &flags.file, json).await
+        }
+        flags::MedlarfallCmd::List(flags) => commands::list(flags.entry, &key()?, json).await,
+        flags::MedlarfallCmd::Status(flags) => commands::status(flags.entry, &key()?).await,
+        flags::MedlarfallCmd::Generate(flags) => {
+            let completion = Completion {
+                model: flags.model,
+                prompt: flags.prompt,
+                max_tokens: flags.max_tokens.unwrap_or(DEFAULT_MAX_TOKENS),
+                stream: true,
+            };
+            commands::generate(flags.entry, &key()?, &completion).await
+        }
+    }
+}
+
+/// Reads the key from the environment.
+fn key() -> Result<String, String> {
+    std::env::var(KEY_VARIABLE).map_err(|_| format!("set {KEY_VARIABLE} to your key"))
+}
--- /dev/null
+++ b/programs/src/operator.rs
@@ -0,0 +1,92 @@
+//! The client side of the operators' port.
+
+use std::net::SocketAddr;
+
+use medlarfall_schema::declaration::Service;
+use medlarfall_schema::operator as rpc;
+use medlarfall_schema::operator::operator_client::OperatorClient;
+use tonic::metadata::{Ascii, MetadataValue};
+use tonic::service::Interceptor;
+use tonic::service::interceptor::InterceptedService;
+use tonic::transport::{Channel, Endpoint};
+use tonic::{Request, Status};
+use uuid::Uuid;
+
+/// Adds the operators' key to each call.
+#[derive(Clone, Debug)]
+pub struct Key(MetadataValue<Ascii>);
+
+impl Interceptor for Key {
+    fn call(&mut self, mut request: Request<()>) -> Result<Request<()>, Status> {
+        request
+            .metadata_mut()
+            .insert("authorization", self.0.clone());
+        Ok(request)
+    }
+}
+
+/// An operator's connection to one entry.
+#[derive(Clone, Debug)]
+pub struct Operator {
+    client: OperatorClient<InterceptedService<Channel, Key>>,
+}
+
+impl Operator {
+    /// Returns an operator that talks to `entry` with `key`.
+    ///
+    /// # Errors
+    ///
+    /// Returns a status if the key cannot be sent or the address is malformed.
+    pub fn new(entry: SocketAddr, key: &str) -> Result<Self, Status> {
+        let value = format!("Bearer {key}").parse();
+        let value = value.map_err(|_| {
+            Status::invalid_argument("the key holds characters that cannot be sent")
+        })?;
+        let endpoint = Endpoint::from_shared(format!("http://{entry}"));
+        let endpoint = endpoint.map_err(|error| Status::invalid_argument(error.to_string()))?;
+        let client = OperatorClient::with_interceptor(endpoint.connect_lazy(), Key(value));
+        Ok(Self { client })
+    }
+
+    /// Declares a service and returns the declaration as stored.
+    ///
+    /// # Errors
+    ///
+    /// Returns the entry's refusal.
+    pub async fn apply(&mut self, service: Service) -> Result<Service, Status> {
+        let change_id = Uuid::now_v7().to_string();
+        let request = rpc::ApplyRequest {
+            service: Some(service),
+            change_id,
+        };
+        let reply = self.client.apply(request).await?.into_inner();
+        Ok(reply.service.unwrap_or_default())
+    }
+
+    /// Returns the declarations in force at the entry.
+    ///
+    /// # Errors
+    ///
+    /// Returns the entry's refusal.
+    pub async fn list(&mut self) -> Result<Vec<Service>, Status> {
+        Ok(self
+            .client
+            .list(rpc::ListRequest {})
+            .await?
+            .into_inner()
+            .services)
+    }
+
+    /// Returns what the entry knows of the system.
+    ///
+    /// # Errors
+    ///
+    /// Returns the entry's refusal.
+    pub async fn status(&mut self) -> Result<rpc::StatusReply, Status> {
+        Ok(self
+            .client
+            .status(rpc::StatusRequest {})
+            .await?
+            .into_inner())
+    }
+}
--- /dev/null
+++ b/serving/src/configs.rs
@@ -0,0 +1,116 @@
+//! Checked settings of an entry, with their defaults.
+//!
+//! [`Settings::load`] reads a TOML file into the messages of the schema and checks them; each
+//! section has a module of its own that holds its defaults.
+
+use std::fs;
+use std::path::Path;
+
+use medlarfall_schema::settings as raw;
+use snafu::{ResultExt, Snafu};
+
+pub mod callers;
+pub mod entry;
+pub mod generation;
+pub mod keys;
+pub mod listen;
+pub mod log;
+pub mod platform;
+pub mod services;
+mod value;
+
+pub use value::Problem;
+
+/// Why settings were refused.
+#[derive(Debug, Snafu)]
+pub enum Error {
+    /// The file cannot be read.
+    #[snafu(display("{file}: cannot be read: {source}; check the path and its permissions"))]
+    Read {
+        /// Path of the file.
+        file: String,
+        /// Error of the operating system.
+        source: std::io::Error,
+    },
+    /// The file is not TOML, or holds a key that no setting has.
+    #[snafu(display("{file}: {source}see docs/SETTINGS.md for the keys of each section"))]
+    Syntax {
+        /// Path of the file.
+        file: String,
+        /// What the parser found, with line and column.
+        source: Box<toml::de::Error>,
+    },
+    /// A value is missing, malformed or contradicts another.
+    #[snafu(display("{file}: {source}"))]
+    Value {
+        /// Path of the file.
+        file: String,
+        /// What is wrong with the value.
+        source: Problem,
+    },
+}
+
+/// Checked settings of one entry instance.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Who this entry is and where it stands.
+    pub entry: entry::Entry,
+    /// Addresses that this entry listens on.
+    pub listen: listen::Listen,
+    /// The platform's key-value service and instance list.
+    pub platform: platform::Platform,
+    /// Keys of callers, operators, peers and resume tokens.
+    pub keys: keys::Keys,
+    /// Bounds on callers' requests.
+    pub callers: callers::Callers,
+    /// How generations are followed and resumed.
+    pub generation: generation::Generation,
+    /// How plain services are called.
+    pub services: services::Services,
+    /// Logs.
+    pub log: log::Log,
+}
+
+impl Settings {
+    /// Reads and checks the settings in a file.
+    ///
+    /// # Errors
+    ///
+    /// Returns what is wrong, with the file, the key, the value and the remedy.
+    pub fn load(path: &Path) -> Result<Self, Error> {
+        let file = path.display().to_string();
+        let text = fs::read_to_string(path).context(ReadSnafu {
+            file: file.as_str(),
+        })?;
+        Self::parse(&text, &file)
+    }
+
+    /// Checks settings in TOML; `file` names them in errors.
+    ///
+    /// # Errors
+    ///
+    /// Returns what is wrong, with the file, the key, the value and the remedy.
+    pub fn parse(text: &str, file: &str) -> Result<Self, Error> {
+        let raw: raw::Settings = toml::from_str(text)
+            .map_err(Box::new)
+            .context(SyntaxSnafu { file })?;
+        Self::try_from(raw).context(ValueSnafu { file })
+    }
+}
+
+impl TryFrom<raw::Settings> for Settings {
+    type Error = Problem;
+
+    fn try_from(raw: raw::Settings) -> Result<Self, Problem> {
+        Ok(Self {
+            entry: raw.entry.unwrap_or_default().try_into()?,
+            listen: raw.listen.unwrap_or_default().try_into()?,
+            platform: raw.platform.unwrap_or_default().try_into()?,
+            keys: raw.keys.unwrap_or_default().try_into()?,
+            callers: raw.callers.unwrap_or_default().try_into()?,
+            generation: raw.generation.unwrap_or_default().try_into()?,
+            services: raw.services.unwrap_or_default().try_into()?,
+            log: raw.log.unwrap_or_default().try_into()?,
+        })
+    }
+}
--- /dev/null
+++ b/serving/src/configs/callers.rs
@@ -0,0 +1,70 @@
+//! Bounds on callers' requests.
+
+use std::time::Duration;
+
+use medlarfall_schema::settings as raw;
+
+use super::value::{self, Problem};
+
+/// Section `[callers]`.
+#[derive(Clone, Copy, Debug)]
+pub struct Callers {
+    /// Largest body of a request, in bytes.
+    pub body_limit: usize,
+    /// Largest header section of a request, in bytes.
+    pub header_limit: usize,
+    /// Longest time in which a caller must have sent its request.
+    pub request_timeout: Duration,
+    /// Most callers' connections open at once.
+    pub connections: usize,
+    /// Longest time until the whole answer has been given.
+    pub answer_timeout: Duration,
+}
+
+impl Default for Callers {
+    fn default() -> Self {
+        Self {
+            body_limit: 4 << 20,
+            header_limit: 32 << 10,
+            request_timeout: Duration::from_secs(10),
+            connections: 10_000,
+            answer_timeout: Duration::from_mins(30),
+        }
+    }
+}
+
+impl TryFrom<raw::Callers> for Callers {
+    type Error = Problem;
+
+    fn try_from(raw: raw::Callers) -> Result<Self, Problem> {
+        let default = Self::default();
+        let callers = Self {
+            body_limit: value::size("callers.body_limit", raw.body_limit, default.body_limit)?,
+            header_limit: value::size(
+                "callers.header_limit",
+                raw.header_limit,
+                default.header_limit,
+            )?,
+            request_timeout: value::duration(
+                "callers.request_timeout",
+                raw.request_timeout,
+                default.request_timeout,
+            )?,
+            connections: value::count("callers.connections", raw.connections, default.connections)?,
+            answer_timeout: value::duration(
+                "callers.answer_timeout",
+                raw.answer_timeout,
+                default.answer_timeout,
+            )?,
+        };
+        if callers.answer_timeout < callers.request_timeout {
+            let value = humantime::format_duration(callers.answer_timeout);
+            return Err(value::invalid(
+                "callers.answer_timeout",
+                &value,
+                "write at least as much as `callers.request_timeout`",
+            ));
+        }
+        Ok(callers)
+    }
+}
--- /dev/null
+++ b/serving/src/entry.rs
@@ -0,0 +1,111 @@
+//! A whole entry instance: its ports and tasks.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use serde::Serialize;
+use snafu::{ResultExt, Snafu};
+use tokio_util::sync::CancellationToken;
+
+use crate::backend;
+use crate::clock::Clock;
+use crate::configs::Settings;
+use crate::context::Context;
+use crate::modules::{callers, declarations, directory, metrics, operators};
+use crate::platform;
+
+/// Why an entry could not start.
+#[derive(Debug, Snafu)]
+pub enum Error {
+    /// A port cannot be bound.
+    #[snafu(display(
+        "{port} cannot listen on {address}: {source}; free the address or change the setting"
+    ))]
+    Bind {
+        /// Setting that names the address.
+        port: &'static str,
+        /// The address.
+        address: SocketAddr,
+        /// Error of the operating system.
+        source: std::io::Error,
+    },
+}
+
+/// Addresses that an entry listens on.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub struct Addresses {
+    /// Callers' port.
+    pub callers: SocketAddr,
+    /// Operators' port.
+    pub operators: SocketAddr,
+    /// Metrics and health port.
+    pub metrics: SocketAddr,
+}
+
+/// A running entry.
+#[derive(Clone, Debug)]
+pub struct Entry {
+    /// Addresses that the entry listens on.
+    pub addresses: Addresses,
+    /// What the entry's modules share.
+    pub context: Arc<Context>,
+}
+
+impl Entry {
+    /// Ends the entry's tasks at once, as the death of the process would.
+    pub fn kill(&self) {
+        self.context.stop.cancel();
+    }
+}
+
+/// Starts an entry.
+///
+/// # Errors
+///
+/// Returns which port could not be bound.
+pub async fn start(settings: Settings) -> Result<Entry, Error> {
+    let listen = settings.listen;
+    let platform = platform::http::Client::new(
+        settings.platform.address,
+        Arc::clone(&settings.entry.name),
+        settings.platform.call_timeout,
+    );
+    let stop = CancellationToken::new();
+    let metrics = metrics::Metrics::new();
+    let context = Arc::new(Context {
+        clock: Clock::start(),
+        backend: backend::http::Client::new(),
+        declarations: declarations::start(platform.clone(), settings.platform, stop.clone()),
+        directory: directory::start(platform.clone(), settings.platform, stop.clone()),
+        metrics,
+        platform,
+        settings,
+        stop,
+    });
+    let callers = callers::start(Arc::clone(&context))
+        .await
+        .context(BindSnafu {
+            port: "listen.callers",
+            address: listen.callers,
+        })?;
+    let operators = operators::start(Arc::clone(&context))
+        .await
+        .context(BindSnafu {
+            port: "listen.operators",
+            address: listen.operators,
+        })?;
+    let metrics = metrics::start(Arc::clone(&context))
+        .await
+        .context(BindSnafu {
+            port: "listen.metrics",
+            address: listen.metrics,
+        })?;
+    Ok(Entry {
+        addresses: Addresses {
+            callers,
+            operators,
+            metrics,
+        },
+        context,
+    })
+}
--- /dev/null
+++ b/serving/src/modules.rs
@@ -0,0 +1,9 @@
+//! The features of an entry, one module each.
+
+pub mod callers;
+pub mod declarations;
+pub mod directory;
+pub mod generation;
+pub mod metrics;
+pub mod operators;
+pub mod routing;
--- /dev/null
+++ b/serving/src/modules/callers/problem.rs
@@ -0,0 +1,103 @@
+//! Errors that callers are told: JSON with a typed kind, the remedy and whether the request ran.
+
+use salvo::http::StatusCode;
+use salvo::prelude::*;
+use serde::Serialize;
+
+/// Header that says whether the request ran.
+pub(super) const RUN: &str = "medlarfall-run";
+
+/// Whether a request ran.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub(super) enum Outcome {
+    /// It ran.
+    Ran,
+    /// It truly was not run.
+    NotRun,
+    /// It may have run.
+    Unknown,
+}
+
+impl Outcome {
+    /// Returns the value of the header [`RUN`].
+    pub(super) fn as_str(self) -> &'static str {
+        match self {
+            Self::Ran => "ran",
+            Self::NotRun => "not-run",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
+/// Kind of a problem.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub(super) enum Kind {
+    /// The key is missing or wrong.
+    Unauthenticated,
+    /// The request cannot be read.
+    BadRequest,
+    /// The body is larger than the limit.
+    TooLarge,
+    /// The body did not come in time.
+    TooSlow,
+    /// No such service is declared.
+    UnknownService,
+    /// No backend server can take the request.
+    Unavailable,
+    /// The answer was lost on the way.
+    AnswerLost,
+}
+
+impl Kind {
+    /// Returns the HTTP status of the kind.
+    fn status(self) -> StatusCode {
+        match self {
+            Self::Unauthenticated => StatusCode::UNAUTHORIZED,
+            Self::BadRequest => StatusCode::BAD_REQUEST,
+            Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::TooSlow => StatusCode::REQUEST_TIMEOUT,
+            Self::UnknownService => StatusCode::NOT_FOUND,
+            Self::Unavailable => StatusCode::SERVICE_UNAVAILABLE,
+            Self::AnswerLost => StatusCode::BAD_GATEWAY,
+        }
+    }
+}
+
+/// A problem that a caller is told.
+#[derive(Clone, Debug, Serialize)]
+pub(super) struct Problem {
+    kind: Kind,
+    run: Outcome,
+    message: String,
+}
+
+/// The JSON of an error.
+#[derive(Serialize)]
+struct Body<'a> {
+    error: &'a Problem,
+}
+
+impl Problem {
+    /// Returns a problem; `message` names the remedy.
+    pub(super) fn new(kind: Kind, run: Outcome, message: impl Into<String>) -> Self {
+        Self {
+            kind,
+            run,
+            message: message.into(),
+        }
+    }
+
+    /// Writes the problem as the whole answer.
+    pub(super) fn render(&self, response: &mut Response) {
+        response.status_code(self.kind.status());
+        let _ = response.add_header(RUN, self.run.as_str(), true);
+        response.render(Json(Body { error: self }));
+    }
+
+    /// Returns the problem as JSON, for an answer that has begun.
+    pub(super) fn json(&self) -> String {
+        serde_json::to_string(&Body { error: self }).unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/serving/src/modules/metrics.rs
@@ -0,0 +1,137 @@
+//! Metrics and health of an entry.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::registry::Registry;
+use salvo::conn::TcpListener;
+use salvo::http::StatusCode;
+use salvo::prelude::*;
+
+use crate::context::Context;
+
+/// Labels of a request.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct Request {
+    /// Service that was asked.
+    pub service: String,
+    /// `ran`, `not-run` or `unknown`.
+    pub run: String,
+}
+
+/// Metrics of one entry.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    /// Requests by service and outcome.
+    pub requests: Family<Request, Counter>,
+    /// Attempts of generations that were lost.
+    pub attempts_lost: Counter,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Metrics {
+    /// Returns metrics that count from zero.
+    #[must_use]
+    pub fn new() -> Self {
+        let mut registry = Registry::with_prefix("medlarfall");
+        let requests = Family::default();
+        registry.register(
+            "requests",
+            "Requests by service and outcome",
+            requests.clone(),
+        );
+        let attempts_lost = Counter::default();
+        registry.register(
+            "attempts_lost",
+            "Attempts of generations that were lost",
+            attempts_lost.clone(),
+        );
+        Self {
+            registry,
+            requests,
+            attempts_lost,
+        }
+    }
+
+    /// Returns the metrics in the text format of `OpenMetrics`.
+    #[must_use]
+    pub fn text(&self) -> String {
+        let mut text = String::new();
+        // Writing to a string cannot fail.
+        let _ = encode(&mut text, &self.registry);
+        text
+    }
+}
+
+/// Serves one path of the metrics port.
+struct Handle {
+    context: Arc<Context>,
+    answer: fn(&Context) -> (StatusCode, String),
+}
+
+#[async_trait]
+impl Handler for Handle {
+    async fn handle(
+        &self,
+        _: &mut salvo::Request,
+        _: &mut Depot,
+        response: &mut Response,
+        _: &mut FlowCtrl,
+    ) {
+        let (status, text) = (self.answer)(&self.context);
+        response.status_code(status);
+        response.render(Text::Plain(text));
+    }
+}
+
+/// Starts the metrics port and returns its address.
+///
+/// # Errors
+///
+/// Returns the error of the operating system if the address cannot be bound.
+pub async fn start(context: Arc<Context>) -> std::io::Result<SocketAddr> {
+    let listener = TcpListener::new(context.settings.listen.metrics)
+        .try_bind()
+        .await;
+    let acceptor = listener.map_err(std::io::Error::other)?;
+    let address = acceptor.local_addr()?;
+    let handle = |answer| Handle {
+        context: Arc::clone(&context),
+        answer,
+    };
+    let router = Router::new()
+        .push(
+            Router::with_path("metrics")
+                .get(handle(|context| (StatusCode::OK, context.metrics.text()))),
+        )
+        .push(Router::with_path("healthz").get(handle(|_| (StatusCode::OK, "ok\n".to_owned()))))
+        .push(Router::with_path("readyz").get(handle(ready)));
+    let stop = context.stop.clone();
+    tokio::spawn(async move {
+        tokio::select! {
+            () = stop.cancelled() => {}
+            () = Server::new(acceptor).serve(router) => {}
+        }
+    });
+    Ok(address)
+}
+
+/// Answers whether the entry can take requests.
+fn ready(context: &Context) -> (StatusCode, String) {
+    if context.declarations.borrow().loaded {
+        return (StatusCode::OK, "ready\n".to_owned());
+    }
+    let reason =
+        "not ready: no declarations have been read yet; check that the platform can be reached\n";
+    (StatusCode::SERVICE_UNAVAILABLE, reason.to_owned())
+}
--- /dev/null
+++ b/serving/src/modules/operators.rs
@@ -0,0 +1,98 @@
+//! The operators' port: remote procedure calls for declarations and status.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use medlarfall_schema::operator as rpc;
+use medlarfall_schema::operator::operator_server::{Operator, OperatorServer};
+use tokio::net::TcpListener;
+use tokio_stream::wrappers::TcpListenerStream;
+use tonic::{Request, Response, Status};
+
+use crate::context::Context;
+
+mod apply;
+
+/// Answers operators.
+struct Handle {
+    context: Arc<Context>,
+}
+
+/// Starts the operators' port and returns its address.
+///
+/// # Errors
+///
+/// Returns the error of the operating system if the address cannot be bound.
+pub async fn start(context: Arc<Context>) -> std::io::Result<SocketAddr> {
+    let listener = TcpListener::bind(context.settings.listen.operators).await?;
+    let address = listener.local_addr()?;
+    let stop = context.stop.clone();
+    let key = context.settings.keys.operators.clone();
+    let authenticate = move |request: Request<()>| {
+        let value = request
+            .metadata()
+            .get("authorization")
+            .and_then(|value| value.to_str().ok());
+        match value.and_then(|value| value.strip_prefix("Bearer ")) {
+            Some(candidate) if key.matches(candidate) => Ok(request),
+            _ => Err(Status::unauthenticated(
+                "send the operators' key as `authorization: Bearer KEY`",
+            )),
+        }
+    };
+    let service = OperatorServer::with_interceptor(Handle { context }, authenticate);
+    let server = tonic::transport::Server::builder()
+        .add_service(service)
+        .serve_with_incoming_shutdown(TcpListenerStream::new(listener), stop.cancelled_owned());
+    tokio::spawn(async move {
+        if let Err(error) = server.await {
+            log::error!(error = error.to_string().as_str(); "the operators' port has ended");
+        }
+    });
+    Ok(address)
+}
+
+#[tonic::async_trait]
+impl Operator for Handle {
+    async fn apply(
+        &self,
+        request: Request<rpc::ApplyRequest>,
+    ) -> Result<Response<rpc::ApplyReply>, Status> {
+        let request = request.into_inner();
+        let change = apply::Change::try_from(request)?;
+        let stored = apply::store(&self.context.platform, change).await?;
+        Ok(Response::new(rpc::ApplyReply {
+            service: Some(stored),
+        }))
+    }
+
+    async fn list(&self, _: Request<rpc::ListRequest>) -> Result<Response<rpc::ListReply>, Status> {
+        let declarations = Arc::clone(&self.context.declarations.borrow());
+        let services = declarations
+            .services
+            .values()
+            .map(|service| service.as_ref().clone());
+        Ok(Response::new(rpc::ListReply {
+            services: services.collect(),
+        }))
+    }
+
+    async fn status(
+        &self,
+        _: Request<rpc::StatusRequest>,
+    ) -> Result<Response<rpc::StatusReply>, Status> {
+        let directory = Arc::clone(&self.context.directory.borrow());
+        let backend_servers = directory.iter().map(|server| rpc::BackendServer {
+            name: server.name.to_string(),
+            service: server.service.to_string(),
+            version: server.version.to_string(),
+            failure_domain: server.failure_domain.to_string(),
+            leaving: server.leaving,
+        });
+        Ok(Response::new(rpc::StatusReply {
+            entry: self.context.settings.entry.name.to_string(),
+            backend_servers: backend_servers.collect(),
+            store_reachable: self.context.declarations.borrow().store_reachable,
+        }))
+    }
+}
--- /dev/null
+++ b/serving/src/platform/http.rs
@@ -0,0 +1,214 @@
+//! The adapter to the platform's HTTP protocol.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::{Method, StatusCode};
+use serde::Deserialize;
+use serde::de::DeserializeOwned;
+
+use super::{Changes, Error, Instance, Item, Lease, Listing, Store};
+use crate::utils::http::{self, Failure, Pool};
+
+/// Header by which an entry names itself to the platform.
+const CALLER: &str = "medlarfall-caller";
+
+/// A client of the platform.
+#[derive(Clone, Debug)]
+pub struct Client {
+    pool: Pool,
+    address: SocketAddr,
+    caller: Arc<str>,
+    timeout: Duration,
+}
+
+/// Answer to a write.
+#[derive(Deserialize)]
+struct Written {
+    revision: u64,
+}
+
+/// Answer to a write that was refused.
+#[derive(Deserialize)]
+struct Refused {
+    current: Option<Item>,
+}
+
+/// Answer to a lease call.
+#[derive(Deserialize)]
+struct Granted {
+    lease: Lease,
+}
+
+impl Client {
+    /// Returns a client of the platform at `address` that names itself `caller`.
+    #[must_use]
+    pub fn new(address: SocketAddr, caller: Arc<str>, timeout: Duration) -> Self {
+        Self {
+            pool: Pool::new(),
+            address,
+            caller,
+            timeout,
+        }
+    }
+
+    /// Sends a call and returns its status and body.
+    async fn call(
+        &self,
+        method: Method,
+        path: &str,
+        body: String,
+        timeout: Duration,
+    ) -> Result<(StatusCode, Bytes), Error> {
+        let request = hyper::Request::builder()
+            .method(method)
+            .uri(format!("http://{}{path}", self.address))
+            .header(CALLER, self.caller.as_ref());
+        let request = http::body(request, body).map_err(|error| unavailable(&error))?;
+        let answer = tokio::time::timeout(timeout, self.pool.send_whole(request)).await;
+        match answer {
+            Ok(Ok((parts, body))) => Ok((parts.status, body)),
+            Ok(Err(Failure::NotSent { reason })) => Err(Error::Unavailable { reason }),
+            Ok(Err(Failure::Lost { reason })) => Err(Error::Lost { reason }),
+            Err(_) => Err(Error::Lost {
+                reason: format!("no answer within {} ms", timeout.as_millis()),
+            }),
+        }
+    }
+
+    /// Sends a write and returns the new revision.
+    async fn write(&self, method: Method, path: &str, value: String) -> Result<u64, Error> {
+        let (status, body) = self.call(method, path, value, self.timeout).await?;
+        match status {
+            StatusCode::OK => parse::<Written>(&body).map(|written| written.revision),
+            StatusCode::CONFLICT => Err(Error::Conflict {
+                current: parse::<Refused>(&body)?.current,
+            }),
+            status => Err(refused(status)),
+        }
+    }
+
+    /// Sends a read and returns its answer.
+    async fn read<T: DeserializeOwned>(&self, path: &str, timeout: Duration) -> Result<T, Error> {
+        let (status, body) = self.call(Method::GET, path, String::new(), timeout).await?;
+        match status {
+            StatusCode::OK => parse(&body),
+            status => Err(refused(status)),
+        }
+    }
+
+    /// Sends a lease call.
+    async fn lease(&self, method: Method, path: &str) -> Result<Lease, Error> {
+        let (status, body) = self.call(method, path, String::new(), self.timeout).await?;
+        match status {
+            StatusCode::OK => parse::<Granted>(&body).map(|granted| granted.lease),
+            status => Err(refused(status)),
+        }
+    }
+}
+
+impl Store for Client {
+    async fn get(&self, key: &str) -> Result<Option<Item>, Error> {
+        let (status, body) = self
+            .call(
+                Method::GET,
+                &format!("/kv/{key}"),
+                String::new(),
+                self.timeout,
+            )
+            .await?;
+        match status {
+            StatusCode::OK => parse(&body).map(Some),
+            StatusCode::NOT_FOUND => Ok(None),
+            status => Err(refused(status)),
+        }
+    }
+
+    async fn put(
+        &self,
+        key: &str,
+        value: String,
+        expected: u64,
+        lease: Option<Lease>,
+    ) -> Result<u64, Error> {
+        let lease = lease
+            .map(|lease| format!("&lease={}", lease.0))
+            .unwrap_or_default();
+        self.write(
+            Method::PUT,
+            &format!("/kv/{key}?expected={expected}{lease}"),
+            value,
+        )
+        .await
+    }
+
+    async fn delete(&self, key: &str, expected: u64) -> Result<u64, Error> {
+        self.write(
+            Method::DELETE,
+            &format!("/kv/{key}?expected={expected}"),
+            String::new(),
+        )
+        .await
+    }
+
+    async fn list(&self, prefix: &str) -> Result<Listing, Error> {
+        self.read(&format!("/list?prefix={prefix}"), self.timeout)
+            .await
+    }
+
+    async fn watch(&self, prefix: &str, after: u64, timeout: Duration) -> Result<Changes, Error> {
+        let path = format!(
+            "/watch?prefix={prefix}&after={after}&timeout_ms={}",
+            timeout.as_millis()
+        );
+        self.read(&path, timeout + self.timeout).await
+    }
+
+    async fn grant(&self, ttl: Duration) -> Result<Lease, Error> {
+        self.lease(Method::POST, &format!("/leases?ttl_ms={}", ttl.as_millis()))
+            .await
+    }
+
+    async fn renew(&self, lease: Lease) -> Result<(), Error> {
+        self.lease(Method::POST, &format!("/leases/{}", lease.0))
+            .await
+            .map(drop)
+    }
+
+    async fn revoke(&self, lease: Lease) -> Result<(), Error> {
+        self.lease(Method::DELETE, &format!("/leases/{}", lease.0))
+            .await
+            .map(drop)
+    }
+
+    async fn instances(&self) -> Result<Vec<Instance>, Error> {
+        self.read("/instances", self.timeout).await
+    }
+}
+
+/// Returns the error of a call that was refused with `status`.
+fn refused(status: StatusCode) -> Error {
+    match status {
+        StatusCode::GONE => Error::LeaseEnded,
+        StatusCode::PAYLOAD_TOO_LARGE => Error::TooLarge,
+        status => Error::Unavailable {
+            reason: format!("it answered {status}"),
+        },
+    }
+}
+
+/// Returns the error of a call that could not be written.
+fn unavailable(error: &hyper::http::Error) -> Error {
+    Error::Unavailable {
+        reason: error.to_string(),
+    }
+}
+
+/// Reads an answer; one that cannot be read counts as lost.
+fn parse<T: DeserializeOwned>(body: &[u8]) -> Result<T, Error> {
+    serde_json::from_slice(body).map_err(|error| Error::Lost {
+        reason: format!("its answer could not be read: {error}"),
+    })
+}
--- /dev/null
+++ b/serving/src/utils.rs
@@ -0,0 +1,3 @@
+//! Helpers that several modules share.
+
+pub mod http;
--- /dev/null
+++ b/serving/src/utils/http.rs
@@ -0,0 +1,118 @@
+//! An HTTP client that says whether a failed request may have reached the other side.
+
+use std::error::Error as _;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::http::request::Builder;
+use hyper::http::response::Parts;
+use hyper::{Request, Response};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+use snafu::Snafu;
+
+/// Longest time to connect.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// How long an idle connection is kept.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Largest answer that is read as a whole, in bytes.
+const WHOLE_LIMIT: usize = 32 << 20;
+
+/// Why a request got no answer.
+#[derive(Clone, Debug, Eq, PartialEq, Snafu)]
+pub enum Failure {
+    /// No byte of the request was sent.
+    #[snafu(display("not sent: {reason}"))]
+    NotSent {
+        /// What happened.
+        reason: String,
+    },
+    /// The request may have been received and carried out.
+    #[snafu(display("answer lost: {reason}"))]
+    Lost {
+        /// What happened.
+        reason: String,
+    },
+}
+
+/// A pool of connections.
+#[derive(Clone, Debug)]
+pub struct Pool {
+    client: Client<HttpConnector, Full<Bytes>>,
+}
+
+impl Default for Pool {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Pool {
+    /// Returns a pool without connections.
+    #[must_use]
+    pub fn new() -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+        let client = Client::builder(TokioExecutor::new())
+            .pool_idle_timeout(IDLE_TIMEOUT)
+            .pool_timer(TokioTimer::new())
+            .retry_canceled_requests(false)
+            .build(connector);
+        Self { client }
+    }
+
+    /// Sends a request and returns the answer, whose body is still to be read.
+    ///
+    /// # Errors
+    ///
+    /// Returns whether the request may have reached the other side.
+    pub async fn send(&self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, Failure> {
+        self.client.request(request).await.map_err(|error| {
+            let reason = error
+                .source()
+                .map_or_else(|| error.to_string(), ToString::to_string);
+            if error.is_connect() {
+                Failure::NotSent { reason }
+            } else {
+                Failure::Lost { reason }
+            }
+        })
+    }
+
+    /// Sends a request and returns the whole answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns whether the request may have reached the other side.
+    pub async fn send_whole(
+        &self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<(Parts, Bytes), Failure> {
+        let (parts, body) = self.send(request).await?.into_parts();
+        let body = Limited::new(body, WHOLE_LIMIT).collect().await;
+        match body {
+            Ok(body) => Ok((parts, body.to_bytes())),
+            Err(error) => Err(Failure::Lost {
+                reason: error.to_string(),
+            }),
+        }
+    }
+}
+
+/// Ends a request with its body.
+///
+/// # Errors
+///
+/// Returns the error of a malformed address or header.
+pub fn body(
+    builder: Builder,
+    body: impl Into<Bytes>,
+) -> Result<Request<Full<Bytes>>, hyper::http::Error> {
+    builder.body(Full::new(body.into()))
+}
--- /dev/null
+++ b/standin/src/faults.rs
@@ -0,0 +1,107 @@
+//! Faults that every stand-in shares: death, pauses, slowness and lost answers.
+
+use std::process;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::{Response, StatusCode};
+use serde::{Deserialize, Serialize};
+use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
+
+use crate::http::{self, Body, Cut};
+
+/// Exit code of a stand-in process that died as its faults say.
+const DEATH_EXIT_CODE: i32 = 86;
+
+/// What death means for a stand-in.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Death {
+    /// The process ends.
+    Process,
+    /// Only the stand-in's tasks end; for stand-ins embedded in another process.
+    #[default]
+    Tasks,
+}
+
+/// An order on the control endpoint `POST /control/process`.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Order {
+    /// Dies at once.
+    pub die: bool,
+    /// Pauses for this long, in milliseconds: nothing is read, computed or answered.
+    pub pause_ms: Option<u64>,
+}
+
+/// The life of a stand-in: running, paused or dead.
+#[derive(Clone, Debug)]
+pub struct Life {
+    death: Death,
+    stop: CancellationToken,
+    paused: Arc<watch::Sender<bool>>,
+}
+
+impl Life {
+    /// Returns the life of a stand-in that has just started.
+    #[must_use]
+    pub fn new(death: Death) -> Self {
+        Self {
+            death,
+            stop: CancellationToken::new(),
+            paused: Arc::new(watch::Sender::new(false)),
+        }
+    }
+
+    /// Returns the token that is cancelled when the stand-in dies.
+    #[must_use]
+    pub fn stop(&self) -> CancellationToken {
+        self.stop.clone()
+    }
+
+    /// Dies at once.
+    pub fn die(&self) {
+        self.stop.cancel();
+        if self.death == Death::Process {
+            process::exit(DEATH_EXIT_CODE);
+        }
+    }
+
+    /// Returns whether the stand-in has died.
+    #[must_use]
+    pub fn dead(&self) -> bool {
+        self.stop.is_cancelled()
+    }
+
+    /// Pauses for `duration`.
+    pub fn pause(&self, duration: Duration) {
+        self.paused.send_replace(true);
+        let paused = Arc::clone(&self.paused);
+        tokio::spawn(async move {
+            tokio::time::sleep(duration).await;
+            paused.send_replace(false);
+        });
+    }
+
+    /// Waits until the stand-in is not paused.
+    pub async fn running(&self) {
+        let mut paused = self.paused.subscribe();
+        let _ = paused.wait_for(|paused| !paused).await;
+    }
+
+    /// Carries out an order of the control endpoint.
+    ///
+    /// # Errors
+    ///
+    /// Cuts the connection if the order was to die.
+    pub fn obey(&self, order: Order) -> Result<Response<Body>, Cut> {
+        if order.die {
+            self.die();
+            return Err(Cut);
+        }
+        if let Some(pause) = order.pause_ms {
+            self.pause(Duration::from_millis(pause));
+        }
+        Ok(http::json(StatusCode::OK, &serde_json::json!({})))
+    }
+}
--- /dev/null
+++ b/standin/src/service.rs
@@ -0,0 +1,239 @@
+//! The stand-in plain service: records that are read and actions that are counted.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use hyper::body::Incoming;
+use hyper::{Method, Request, Response, StatusCode};
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+
+use crate::faults::{Death, Life};
+use crate::http::{self, Body, Cut, Server};
+use crate::oracle;
+
+/// Header that carries the request's identifier, echoed on the answer.
+pub const REQUEST_ID: &str = "medlarfall-request-id";
+
+/// Header that carries the number of the attempt, echoed on the answer.
+pub const ATTEMPT: &str = "medlarfall-attempt";
+
+/// Faults of the service, set on `POST /control/faults`; each call replaces them all.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Faults {
+    /// How many of the next actions run while their answer is lost.
+    pub drop_answers: u64,
+    /// How many of the next answers carry another request's identifier.
+    pub cross_answers: u64,
+    /// How many of the next requests are refused with 503 before they run.
+    pub refuse: u64,
+    /// Delay before each action runs, in milliseconds.
+    pub slow_ms: u64,
+    /// Path prefix that alone fails with 500 before it runs; empty for none.
+    pub fail_path: String,
+}
+
+/// How a service is started.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// Address to listen on.
+    pub listen: SocketAddr,
+    /// Version that the service runs.
+    pub version: String,
+    /// Time that each request takes.
+    pub work: Duration,
+    /// What death means.
+    pub death: Death,
+}
+
+impl Default for Config {
+    fn default() -> Self {
+        Self {
+            listen: SocketAddr::from(([127, 0, 0, 1], 0)),
+            version: "v1".to_owned(),
+            work: Duration::from_millis(1),
+            death: Death::Tasks,
+        }
+    }
+}
+
+/// What the service holds.
+#[derive(Debug, Default)]
+struct State {
+    faults: Faults,
+    runs: BTreeMap<String, u64>,
+}
+
+/// A running stand-in service.
+#[derive(Clone, Debug)]
+pub struct Service {
+    config: Arc<Config>,
+    state: Arc<Mutex<State>>,
+    life: Life,
+}
+
+/// Starts a service.
+///
+/// # Errors
+///
+/// Returns the error of the operating system if the address cannot be bound.
+pub async fn start(config: Config) -> std::io::Result<(Service, Server)> {
+    let life = Life::new(config.death);
+    let listen = config.listen;
+    let service = Service {
+        config: Arc::new(config),
+        state: Arc::default(),
+        life: life.clone(),
+    };
+    let handler = service.clone();
+    let server = http::serve(listen, life.stop(), move |request| {
+        let service = handler.clone();
+        async move { service.answer(request).await }
+    })
+    .await?;
+    Ok((service, server))
+}
+
+/// Returns the record that the service holds under `path`.
+#[must_use]
+pub fn record(path: &str) -> String {
+    (0..8)
+        .map(|index| oracle::token("record", path, index))
+        .collect()
+}
+
+impl Service {
+    /// Replaces the faults.
+    pub fn set_faults(&self, faults: Faults) {
+        self.lock().faults = faults;
+    }
+
+    /// Returns how often each action ran, by the action's name in the request body.
+    #[must_use]
+    pub fn runs(&self) -> BTreeMap<String, u64> {
+        self.lock().runs.clone()
+    }
+
+    /// Returns the life of the service, which can be paused and ended.
+    #[must_use]
+    pub fn life(&self) -> &Life {
+        &self.life
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Answers one request.
+    async fn answer(&self, request: Request<Incoming>) -> Result<Response<Body>, Cut> {
+        let path = request.uri().path().to_owned();
+        if let Some(control) = path.strip_prefix("/control/") {
+            return self.control(control, request).await;
+        }
+        self.life.running().await;
+        let faults = self.lock().faults.clone();
+        tokio::time::sleep(self.config.work + Duration::from_millis(faults.slow_ms)).await;
+        self.life.running().await;
+        let request_id = header(&request, REQUEST_ID);
+        let attempt = header(&request, ATTEMPT);
+        if let Some(response) = self.refusal(&path) {
+            return Ok(echo(response, &request_id, &attempt));
+        }
+        let response = self.respond(&path, request).await?;
+        Ok(echo(response, &self.crossed(request_id), &attempt))
+    }
+
+    /// Returns the refusal that the faults ask for.
+    fn refusal(&self, path: &str) -> Option<Response<Body>> {
+        let mut state = self.lock();
+        if state.faults.refuse > 0 {
+            state.faults.refuse -= 1;
+            let mut response =
+                http::problem(StatusCode::SERVICE_UNAVAILABLE, "refused before it ran");
+            response.headers_mut().insert(
+                "medlarfall-run",
+                hyper::header::HeaderValue::from_static("not-run"),
+            );
+            return Some(response);
+        }
+        let fails = !state.faults.fail_path.is_empty() && path.starts_with(&state.faults.fail_path);
+        fails.then(|| http::problem(StatusCode::INTERNAL_SERVER_ERROR, "this route fails"))
+    }
+
+    /// Reads a record, or runs an action and counts it.
+    async fn respond(&self, path: &str, request: Request<Incoming>) -> Result<Response<Body>, Cut> {
+        let version = &self.config.version;
+        if request.method() == Method::GET {
+            let value = record(path);
+            return Ok(http::json(
+                StatusCode::OK,
+                &json!({ "record": value, "version": version }),
+            ));
+        }
+        let Some(body) = http::read(request).await else {
+            return Err(Cut);
+        };
+        let action = String::from_utf8_lossy(&body).into_owned();
+        let mut state = self.lock();
+        let runs = state.runs.entry(action.clone()).or_default();
+        *runs += 1;
+        let runs = *runs;
+        if state.faults.drop_answers > 0 {
+            state.faults.drop_answers -= 1;
+            return Err(Cut);
+        }
+        let answer = json!({ "action": action, "path": path, "runs": runs, "version": version });
+        Ok(http::json(StatusCode::OK, &answer))
+    }
+
+    /// Returns the identifier to echo: the request's, or another's if the faults ask for it.
+    fn crossed(&self, request_id: String) -> String {
+        let mut state = self.lock();
+        if state.faults.cross_answers == 0 {
+            return request_id;
+        }
+        state.faults.cross_answers -= 1;
+        format!("{request_id}-other")
+    }
+
+    /// Answers a request on the control endpoint.
+    async fn control(&self, path: &str, request: Request<Incoming>) -> Result<Response<Body>, Cut> {
+        match path {
+            "faults" => match http::read_json(request).await {
+                Some(faults) => {
+                    self.set_faults(faults);
+                    Ok(http::json(StatusCode::OK, &json!({})))
+                }
+                None => Ok(http::problem(StatusCode::BAD_REQUEST, "faults expected")),
+            },
+            "process" => match http::read_json(request).await {
+                Some(order) => self.life.obey(order),
+                None => Ok(http::problem(StatusCode::BAD_REQUEST, "an order expected")),
+            },
+            "runs" => Ok(http::json(StatusCode::OK, &self.runs())),
+            _ => Ok(http::problem(StatusCode::NOT_FOUND, "no such control")),
+        }
+    }
+}
+
+/// Returns a header's value, or nothing.
+fn header(request: &Request<Incoming>, name: &str) -> String {
+    let value = request
+        .headers()
+        .get(name)
+        .and_then(|value| value.to_str().ok());
+    value.unwrap_or_default().to_owned()
+}
+
+/// Echoes the request's identifier and attempt on the answer.
+fn echo(mut response: Response<Body>, request_id: &str, attempt: &str) -> Response<Body> {
+    for (name, value) in [(REQUEST_ID, request_id), (ATTEMPT, attempt)] {
+        if let Ok(value) = value.parse() {
+            response.headers_mut().insert(name, value);
+        }
+    }
+    response
+}
