feat(peers): authenticated peers' port over tarpc

Cause: claims, configuration and moves need entries to ask each other. Ruled out: a key in each call (a stranger's bytes would reach the decoder); bincode (entries of neighbouring releases could not read each other). Change: mutual challenge and response by the peers' key before any call, a pool with one connection per peer, byte counts in both directions. Conclusion: other modules add one method each to the Peer trait.

--- a/serving/src/context.rs
+++ b/serving/src/context.rs
@@ -11,6 +11,7 @@
 use crate::modules::declarations::Declarations;
 use crate::modules::directory::Directory;
 use crate::modules::metrics::Metrics;
+use crate::modules::peers::{Identity, Peers};
 use crate::platform;
 
 /// The context of one entry instance.
@@ -24,6 +25,10 @@
     pub metrics: Metrics,
     /// The platform.
     pub platform: platform::http::Client,
+    /// What this entry says of itself to its peers.
+    pub identity: Identity,
+    /// Connections to the other entries.
+    pub peers: Peers,
     /// Backend servers.
     pub backend: backend::http::Client,
     /// Declarations in force at this entry.
--- a/serving/src/entry.rs
+++ b/serving/src/entry.rs
@@ -6,12 +6,14 @@
 use serde::Serialize;
 use snafu::{ResultExt, Snafu};
 use tokio_util::sync::CancellationToken;
+use uuid::Uuid;
 
 use crate::backend;
 use crate::clock::Clock;
 use crate::configs::Settings;
 use crate::context::Context;
-use crate::modules::{callers, declarations, directory, metrics, operators};
+use crate::modules::peers::{Identity, Peers};
+use crate::modules::{callers, declarations, directory, metrics, operators, peers};
 use crate::platform;
 
 /// Why an entry could not start.
@@ -38,6 +40,8 @@
     pub callers: SocketAddr,
     /// Operators' port.
     pub operators: SocketAddr,
+    /// Peers' port.
+    pub peers: SocketAddr,
     /// Metrics and health port.
     pub metrics: SocketAddr,
 }
@@ -74,6 +78,12 @@
     let metrics = metrics::Metrics::new();
     let context = Arc::new(Context {
         clock: Clock::start(),
+        identity: Identity {
+            name: Arc::clone(&settings.entry.name),
+            incarnation: Arc::from(Uuid::now_v7().to_string()),
+            failure_domain: Arc::clone(&settings.entry.failure_domain),
+        },
+        peers: Peers::new(settings.keys.peers.clone()),
         backend: backend::http::Client::new(),
         declarations: declarations::start(platform.clone(), settings.platform, stop.clone()),
         directory: directory::start(platform.clone(), settings.platform, stop.clone()),
@@ -94,6 +104,12 @@
             port: "listen.operators",
             address: listen.operators,
         })?;
+    let peers = peers::start(Arc::clone(&context))
+        .await
+        .context(BindSnafu {
+            port: "listen.peers",
+            address: listen.peers,
+        })?;
     let metrics = metrics::start(Arc::clone(&context))
         .await
         .context(BindSnafu {
@@ -104,6 +120,7 @@
         addresses: Addresses {
             callers,
             operators,
+            peers,
             metrics,
         },
         context,
--- a/serving/src/modules.rs
+++ b/serving/src/modules.rs
@@ -6,4 +6,5 @@
 pub mod generation;
 pub mod metrics;
 pub mod operators;
+pub mod peers;
 pub mod routing;
--- /dev/null
+++ b/serving/src/modules/peers.rs
@@ -0,0 +1,289 @@
+//! The peers' port: remote procedure calls between entries.
+//!
+//! A connection is authenticated by [`handshake`] in both directions before any call is read.
+//! Calls are JSON, so that entries of neighbouring releases read each other's messages: a new field
+//! is optional and a new method is answered with an error by an older entry.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use futures::StreamExt;
+use serde::{Deserialize, Serialize};
+use snafu::Snafu;
+use tarpc::context;
+use tarpc::serde_transport;
+use tarpc::server::{BaseChannel, Channel};
+use tarpc::tokio_serde::formats::Json;
+use tarpc::tokio_util::codec::LengthDelimitedCodec;
+use tokio::io::{AsyncRead, AsyncWrite};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinSet;
+use tokio_util::io::{InspectReader, InspectWriter};
+
+use crate::configs::keys::Secret;
+use crate::context::Context;
+
+mod handshake;
+
+/// Longest time to connect to a peer and authenticate.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Default deadline of a call.
+pub const CALL_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Longest message, in bytes.
+const MESSAGE_LIMIT: usize = 4 << 20;
+
+/// Calls that one connection runs at once.
+const CONCURRENT_CALLS: usize = 64;
+
+/// What an entry says of itself.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(default)]
+pub struct Identity {
+    /// Name of the entry.
+    pub name: Arc<str>,
+    /// Identifier of this run of the entry; it grows with each restart.
+    pub incarnation: Arc<str>,
+    /// Failure domain that the entry runs in.
+    pub failure_domain: Arc<str>,
+}
+
+/// What entries ask of each other.
+#[tarpc::service]
+pub trait Peer {
+    /// Returns what the entry says of itself.
+    async fn identity() -> Identity;
+}
+
+/// Why a peer could not be asked.
+#[derive(Clone, Debug, Eq, PartialEq, Snafu)]
+pub enum Error {
+    /// The connection could not be set up; nothing was asked.
+    #[snafu(display(
+        "the peer at {address} cannot be reached: {reason}; check its address and the peers' key"
+    ))]
+    Unreachable {
+        /// Address of the peer.
+        address: SocketAddr,
+        /// What happened.
+        reason: String,
+    },
+    /// The call failed or its answer was lost.
+    #[snafu(display(
+        "the peer at {address} gave no answer: {reason}; it may have acted on the call"
+    ))]
+    NoAnswer {
+        /// Address of the peer.
+        address: SocketAddr,
+        /// What happened.
+        reason: String,
+    },
+}
+
+/// Bytes exchanged with peers.
+#[derive(Debug, Default)]
+pub struct Traffic {
+    received: AtomicU64,
+    sent: AtomicU64,
+}
+
+impl Traffic {
+    /// Returns the bytes received and sent so far.
+    #[must_use]
+    pub fn bytes(&self) -> (u64, u64) {
+        (
+            self.received.load(Ordering::Relaxed),
+            self.sent.load(Ordering::Relaxed),
+        )
+    }
+}
+
+/// Connections to peers, one per address.
+#[derive(Clone, Debug)]
+pub struct Peers {
+    key: Secret,
+    clients: Arc<Mutex<HashMap<SocketAddr, PeerClient>>>,
+    traffic: Arc<Traffic>,
+}
+
+impl Peers {
+    /// Returns a pool without connections.
+    #[must_use]
+    pub fn new(key: Secret) -> Self {
+        Self {
+            key,
+            clients: Arc::default(),
+            traffic: Arc::default(),
+        }
+    }
+
+    /// Returns the bytes exchanged with peers, on connections in both directions.
+    #[must_use]
+    pub fn traffic(&self) -> &Arc<Traffic> {
+        &self.traffic
+    }
+
+    /// Makes a call to the peer at `address`, over a connection that is kept.
+    ///
+    /// # Errors
+    ///
+    /// Returns whether the peer may have acted on the call.
+    pub async fn call<T, F>(
+        &self,
+        address: SocketAddr,
+        timeout: Duration,
+        call: impl FnOnce(PeerClient, context::Context) -> F,
+    ) -> Result<T, Error>
+    where
+        F: Future<Output = Result<T, tarpc::client::RpcError>>,
+    {
+        let client = self.client(address).await?;
+        let mut context = context::current();
+        context.deadline = Instant::now() + timeout;
+        let answer = call(client, context).await;
+        answer.map_err(|error| {
+            self.forget(address);
+            Error::NoAnswer {
+                address,
+                reason: error.to_string(),
+            }
+        })
+    }
+
+    /// Returns the connection to a peer, or sets one up.
+    async fn client(&self, address: SocketAddr) -> Result<PeerClient, Error> {
+        let held = self.lock().get(&address).cloned();
+        if let Some(client) = held {
+            return Ok(client);
+        }
+        let unreachable = |reason: String| Error::Unreachable { address, reason };
+        let stream = tokio::time::timeout(CONNECT_TIMEOUT, self.connect(address)).await;
+        let stream = match stream {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(error)) => return Err(unreachable(error.to_string())),
+            Err(_) => return Err(unreachable("timeout".to_owned())),
+        };
+        let transport = transport(stream, Arc::clone(&self.traffic));
+        let client = PeerClient::new(tarpc::client::Config::default(), transport).spawn();
+        self.lock().insert(address, client.clone());
+        Ok(client)
+    }
+
+    /// Connects to a peer and authenticates both sides.
+    async fn connect(&self, address: SocketAddr) -> std::io::Result<TcpStream> {
+        let mut stream = TcpStream::connect(address).await?;
+        stream.set_nodelay(true)?;
+        handshake::connect(&mut stream, &self.key).await?;
+        Ok(stream)
+    }
+
+    /// Drops the connection to a peer, so that the next call sets up a new one.
+    fn forget(&self, address: SocketAddr) {
+        self.lock().remove(&address);
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<SocketAddr, PeerClient>> {
+        self.clients.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Answers peers.
+#[derive(Clone)]
+struct Handle {
+    context: Arc<Context>,
+}
+
+impl Peer for Handle {
+    async fn identity(self, _: context::Context) -> Identity {
+        self.context.identity.clone()
+    }
+}
+
+/// Starts the peers' port and returns its address.
+///
+/// # Errors
+///
+/// Returns the error of the operating system if the address cannot be bound.
+pub async fn start(context: Arc<Context>) -> std::io::Result<SocketAddr> {
+    let listener = TcpListener::bind(context.settings.listen.peers).await?;
+    let address = listener.local_addr()?;
+    let stop = context.stop.clone();
+    tokio::spawn(async move {
+        tokio::select! {
+            () = stop.cancelled() => {}
+            () = accept(listener, context) => {}
+        }
+    });
+    Ok(address)
+}
+
+/// Accepts connections for ever; they end with this future.
+async fn accept(listener: TcpListener, context: Arc<Context>) {
+    let mut connections = JoinSet::new();
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => {
+                if let Ok((stream, _)) = accepted {
+                    connections.spawn(connection(stream, Arc::clone(&context)));
+                }
+            }
+            Some(_) = connections.join_next() => {}
+        }
+    }
+}
+
+/// Serves one connection once the other side has shown the peers' key.
+async fn connection(mut stream: TcpStream, context: Arc<Context>) {
+    let _ = stream.set_nodelay(true);
+    let key = &context.settings.keys.peers;
+    let shaken = tokio::time::timeout(CONNECT_TIMEOUT, handshake::accept(&mut stream, key)).await;
+    let refused = match shaken {
+        Ok(Ok(())) => None,
+        Ok(Err(error)) => Some(error.to_string()),
+        Err(_) => Some("timeout".to_owned()),
+    };
+    if let Some(reason) = refused {
+        log::warn!(reason = reason.as_str(); "a connection on the peers' port was refused");
+        return;
+    }
+    let transport = transport(stream, Arc::clone(context.peers.traffic()));
+    let handle = Handle { context };
+    BaseChannel::with_defaults(transport)
+        .execute(handle.serve())
+        .for_each_concurrent(CONCURRENT_CALLS, |call| call)
+        .await;
+}
+
+/// A transport of JSON messages over the byte stream `S`.
+type Transport<S, Item, SinkItem> =
+    serde_transport::Transport<S, Item, SinkItem, Json<Item, SinkItem>>;
+
+/// Returns a transport over an authenticated connection.
+fn transport<Item, SinkItem>(
+    stream: TcpStream,
+    traffic: Arc<Traffic>,
+) -> Transport<impl AsyncRead + AsyncWrite + Send + Unpin, Item, SinkItem>
+where
+    Item: for<'de> Deserialize<'de>,
+    SinkItem: Serialize,
+{
+    let (reader, writer) = stream.into_split();
+    let (received, sent) = (Arc::clone(&traffic), traffic);
+    let reader = InspectReader::new(reader, move |bytes| {
+        received
+            .received
+            .fetch_add(bytes.len() as u64, Ordering::Relaxed);
+    });
+    let writer = InspectWriter::new(writer, move |bytes| {
+        sent.sent.fetch_add(bytes.len() as u64, Ordering::Relaxed);
+    });
+    let connection = tokio::io::join(reader, writer);
+    let framed = LengthDelimitedCodec::builder()
+        .max_frame_length(MESSAGE_LIMIT)
+        .new_framed(connection);
+    serde_transport::new(framed, Json::default())
+}
--- a/serving/src/utils.rs
+++ b/serving/src/utils.rs
@@ -1,3 +1,4 @@
 //! Helpers that several modules share.
 
 pub mod http;
+pub mod mac;
