feat(admission): memory shares, fair queue, placement and ejection

Cause: a backend server falls over when what it holds outgrows its memory, and one account could starve the others; the thin path picked at random. Ruled out: reserving by load reports (they lag); one owner per server (it rests on membership being right). Change: a task that reserves prompt plus longest output in this entry's share before a request is sent, a weighted fair queue per client account, placement by proximity, prefix and bounded load, bounded ejection. routing.rs is gone. A server off the instance list keeps its reservations until they end. Conclusion: the sum over entries stays under the limit as long as no more entries live than admission.entries says; lending is not wired up yet.

--- a/coordination/src/lib.rs
+++ b/coordination/src/lib.rs
@@ -4,4 +4,8 @@
 //! decisions. None owns a socket, a task or a clock, so that a test can drive it through any order
 //! of events. Times are [`std::time::Duration`]s since an arbitrary origin that never goes back.
 
+pub mod ejection;
+pub mod fair_queue;
 pub mod journal;
+pub mod memory;
+pub mod placement;
--- /dev/null
+++ b/coordination/src/memory.rs
@@ -0,0 +1,210 @@
+//! Shares of backend servers' memory, so that several entries together never overrun one.
+//!
+//! Each entry owns a share of every server's memory and reserves in it before it sends. What it does
+//! not use it lends to peers for a bounded time. A loan needs no agreement: the lender counts it as
+//! used until it is returned or has expired, whatever becomes of the answer or the borrower, and the
+//! borrower counts its time from before it asked, so that its end comes first.
+//!
+//! ```
+//! use std::time::Duration;
+//! use medlarfall_coordination::memory::Ledger;
+//!
+//! let mut ledger = Ledger::new();
+//! let engine = ledger.add(1_000);
+//! let first = ledger.reserve(engine, 700).expect("it fits");
+//! assert!(ledger.reserve(engine, 400).is_none());
+//! ledger.release(first);
+//! let now = Duration::ZERO;
+//! let lent = ledger.lend(engine, 600, now, Duration::from_secs(10)).expect("it is free");
+//! assert_eq!(ledger.free(engine), 400);
+//! ledger.expire(Duration::from_secs(10));
+//! assert_eq!(ledger.free(engine), 1_000);
+//! ledger.take_back(lent); // Returned after it had expired: nothing changes.
+//! ```
+
+use std::time::Duration;
+
+use slotmap::{SlotMap, new_key_type};
+
+new_key_type! {
+    /// Names a backend server.
+    pub struct ServerKey;
+    /// Names a reservation.
+    pub struct ReservationKey;
+    /// Names a loan to a peer.
+    pub struct LoanKey;
+}
+
+/// Memory of one server that this entry may use.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+struct Account {
+    /// Tokens of this entry's share.
+    share: u64,
+    /// Tokens reserved in the share.
+    reserved: u64,
+    /// Tokens of the share lent to peers.
+    lent: u64,
+    /// Tokens reserved in memory borrowed from peers.
+    borrowed: u64,
+}
+
+/// A reservation in the share, or in memory borrowed from a peer.
+#[derive(Clone, Copy, Debug)]
+struct Reservation {
+    server: ServerKey,
+    tokens: u64,
+    borrowed_until: Option<Duration>,
+}
+
+/// Memory lent to a peer.
+#[derive(Clone, Copy, Debug)]
+struct Loan {
+    server: ServerKey,
+    tokens: u64,
+    until: Duration,
+}
+
+/// What one entry has reserved, lent and borrowed.
+#[derive(Clone, Debug, Default)]
+pub struct Ledger {
+    accounts: SlotMap<ServerKey, Account>,
+    reservations: SlotMap<ReservationKey, Reservation>,
+    loans: SlotMap<LoanKey, Loan>,
+}
+
+impl Ledger {
+    /// Returns a ledger without servers.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Adds a server of whose memory this entry may use `share` tokens.
+    pub fn add(&mut self, share: u64) -> ServerKey {
+        self.accounts.insert(Account {
+            share,
+            ..Account::default()
+        })
+    }
+
+    /// Changes this entry's share of a server's memory, in tokens.
+    ///
+    /// A share smaller than what is in use takes effect as reservations end.
+    pub fn set_share(&mut self, server: ServerKey, share: u64) {
+        if let Some(account) = self.accounts.get_mut(server) {
+            account.share = share;
+        }
+    }
+
+    /// Removes a server; what ends later on it is ignored.
+    pub fn remove(&mut self, server: ServerKey) {
+        self.accounts.remove(server);
+    }
+
+    /// Returns the tokens of a server's share that are neither reserved nor lent.
+    #[must_use]
+    pub fn free(&self, server: ServerKey) -> u64 {
+        let Some(account) = self.accounts.get(server) else {
+            return 0;
+        };
+        account
+            .share
+            .saturating_sub(account.reserved + account.lent)
+    }
+
+    /// Returns the tokens that this entry has reserved on a server, borrowed ones included.
+    #[must_use]
+    pub fn reserved(&self, server: ServerKey) -> u64 {
+        self.accounts
+            .get(server)
+            .map_or(0, |account| account.reserved + account.borrowed)
+    }
+
+    /// Reserves `tokens` in the share of a server, or returns nothing if they do not fit.
+    pub fn reserve(&mut self, server: ServerKey, tokens: u64) -> Option<ReservationKey> {
+        if self.free(server) < tokens {
+            return None;
+        }
+        self.accounts.get_mut(server)?.reserved += tokens;
+        Some(self.reservations.insert(Reservation {
+            server,
+            tokens,
+            borrowed_until: None,
+        }))
+    }
+
+    /// Reserves `tokens` that a peer has lent until `until`.
+    pub fn reserve_borrowed(
+        &mut self,
+        server: ServerKey,
+        tokens: u64,
+        until: Duration,
+    ) -> Option<ReservationKey> {
+        self.accounts.get_mut(server)?.borrowed += tokens;
+        Some(self.reservations.insert(Reservation {
+            server,
+            tokens,
+            borrowed_until: Some(until),
+        }))
+    }
+
+    /// Returns when a reservation must have ended, if its memory is borrowed.
+    #[must_use]
+    pub fn ends(&self, key: ReservationKey) -> Option<Duration> {
+        self.reservations.get(key)?.borrowed_until
+    }
+
+    /// Ends a reservation; one that has ended before is ignored.
+    pub fn release(&mut self, key: ReservationKey) {
+        let Some(held) = self.reservations.remove(key) else {
+            return;
+        };
+        match self.accounts.get_mut(held.server) {
+            Some(account) if held.borrowed_until.is_none() => account.reserved -= held.tokens,
+            Some(account) => account.borrowed -= held.tokens,
+            None => {}
+        }
+    }
+
+    /// Lends `tokens` of a server's share for `duration`, or returns nothing if they are not free.
+    pub fn lend(
+        &mut self,
+        server: ServerKey,
+        tokens: u64,
+        now: Duration,
+        duration: Duration,
+    ) -> Option<LoanKey> {
+        if self.free(server) < tokens {
+            return None;
+        }
+        self.accounts.get_mut(server)?.lent += tokens;
+        Some(self.loans.insert(Loan {
+            server,
+            tokens,
+            until: now + duration,
+        }))
+    }
+
+    /// Ends a loan that its borrower has returned; one that has ended before is ignored.
+    pub fn take_back(&mut self, key: LoanKey) {
+        let Some(loan) = self.loans.remove(key) else {
+            return;
+        };
+        if let Some(account) = self.accounts.get_mut(loan.server) {
+            account.lent -= loan.tokens;
+        }
+    }
+
+    /// Ends the loans that have expired at `now`.
+    pub fn expire(&mut self, now: Duration) {
+        let expired: Vec<LoanKey> = self
+            .loans
+            .iter()
+            .filter(|(_, loan)| loan.until <= now)
+            .map(|(key, _)| key)
+            .collect();
+        for key in expired {
+            self.take_back(key);
+        }
+    }
+}
--- /dev/null
+++ b/coordination/src/placement.rs
@@ -0,0 +1,106 @@
+//! Which backend server a request is offered to.
+//!
+//! Servers are grouped by proximity (own failure domain, own region, anywhere); within a group the
+//! choice is that of rendezvous hashing on the prompt's prefix, so that prompts that share a prefix
+//! meet the same cache, and a server above the bounded load goes behind the others of its group.
+//!
+//! ```
+//! use medlarfall_coordination::placement::{Candidate, Proximity, choose};
+//!
+//! let near = Candidate { hash: 1, proximity: Proximity::FailureDomain, used: 10, capacity: 100, fits: true };
+//! let far = Candidate { hash: 2, proximity: Proximity::Region, used: 0, capacity: 100, fits: true };
+//! assert_eq!(choose(&[far, near], 7), Some(1));
+//! let full = Candidate { fits: false, ..near };
+//! assert_eq!(choose(&[far, full], 7), Some(0));
+//! ```
+
+use std::cmp::Reverse;
+
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+/// A server may have this much more in use than its group's average, in percent, before it is put
+/// behind the others. Source: V. Mirrokni, M. Thorup, M. Zadimoghaddam, "Consistent Hashing with
+/// Bounded Loads", 2018.
+const BOUND_PERCENT: u128 = 125;
+
+/// Words of a prompt that count as its prefix.
+const PREFIX_WORDS: usize = 16;
+
+/// How near a server is.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub enum Proximity {
+    /// In the entry's own failure domain.
+    FailureDomain,
+    /// In the entry's own region.
+    Region,
+    /// Anywhere else.
+    Anywhere,
+}
+
+/// A server that may take the request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Candidate {
+    /// Hash of the server's name, from [`name_hash`].
+    pub hash: u64,
+    /// How near the server is.
+    pub proximity: Proximity,
+    /// Memory in use as far as this entry knows, in tokens.
+    pub used: u64,
+    /// Memory that can be used, in tokens.
+    pub capacity: u64,
+    /// Whether the request can be sent there now.
+    pub fits: bool,
+}
+
+/// Returns the hash of a server's name.
+#[must_use]
+pub fn name_hash(name: &str) -> u64 {
+    xxh3_64(name.as_bytes())
+}
+
+/// Returns the hash of a prompt's prefix.
+#[must_use]
+pub fn prefix_hash(prompt: &str) -> u64 {
+    prompt
+        .split_whitespace()
+        .take(PREFIX_WORDS)
+        .fold(0, |hash, word| xxh3_64_with_seed(word.as_bytes(), hash))
+}
+
+/// Returns the index of the candidate to send the request to, if any fits.
+#[must_use]
+pub fn choose(candidates: &[Candidate], prefix: u64) -> Option<usize> {
+    let mut groups = [(0_u128, 0_u128); 3];
+    for candidate in candidates {
+        let (used, capacity) = &mut groups[candidate.proximity as usize];
+        *used += u128::from(candidate.used);
+        *capacity += u128::from(candidate.capacity);
+    }
+    candidates
+        .iter()
+        .enumerate()
+        .filter(|(_, candidate)| candidate.fits)
+        .min_by_key(|(_, candidate)| {
+            let group = groups[candidate.proximity as usize];
+            let weight = mix(candidate.hash ^ prefix);
+            (
+                candidate.proximity,
+                above_bound(candidate, group),
+                Reverse(weight),
+            )
+        })
+        .map(|(index, _)| index)
+}
+
+/// Returns whether a candidate has more in use than the bound on its group's average.
+fn above_bound(candidate: &Candidate, (used, capacity): (u128, u128)) -> bool {
+    let own = u128::from(candidate.used) * capacity * 100;
+    own > used * u128::from(candidate.capacity) * BOUND_PERCENT
+}
+
+/// Mixes the bits of a hash. Source: `fmix64` of A. Appleby's `MurmurHash3`.
+fn mix(hash: u64) -> u64 {
+    let hash = (hash ^ (hash >> 33)).wrapping_mul(0xff51_afd7_ed55_8ccd);
+    let hash = (hash ^ (hash >> 33)).wrapping_mul(0xc4ce_b9fe_1a85_ec53);
+    hash ^ (hash >> 33)
+}
--- a/programs/src/cluster.rs
+++ b/programs/src/cluster.rs
@@ -299,6 +299,7 @@
             keys: keys(),
             callers: configs::callers::Callers::default(),
             generation: configs::generation::Generation::default(),
+            admission: configs::admission::Admission::default(),
             services: configs::services::Services::default(),
             log: configs::log::Log::default(),
         }
--- a/serving/src/backend.rs
+++ b/serving/src/backend.rs
@@ -48,6 +48,12 @@
     pub leaving: bool,
 }
 
+/// Returns the number of tokens of a prompt, as engines count them: its words.
+#[must_use]
+pub fn prompt_tokens(prompt: &str) -> u64 {
+    prompt.split_whitespace().count().max(1) as u64
+}
+
 /// A request to generate.
 #[derive(Clone, Debug, Serialize)]
 pub struct Generate {
--- a/serving/src/configs.rs
+++ b/serving/src/configs.rs
@@ -9,6 +9,7 @@
 use medlarfall_schema::settings as raw;
 use snafu::{ResultExt, Snafu};
 
+pub mod admission;
 pub mod callers;
 pub mod entry;
 pub mod generation;
@@ -65,6 +66,8 @@
     pub callers: callers::Callers,
     /// How generations are followed and resumed.
     pub generation: generation::Generation,
+    /// How requests are admitted to backend servers.
+    pub admission: admission::Admission,
     /// How plain services are called.
     pub services: services::Services,
     /// Logs.
@@ -109,6 +112,7 @@
             keys: raw.keys.unwrap_or_default().try_into()?,
             callers: raw.callers.unwrap_or_default().try_into()?,
             generation: raw.generation.unwrap_or_default().try_into()?,
+            admission: raw.admission.unwrap_or_default().try_into()?,
             services: raw.services.unwrap_or_default().try_into()?,
             log: raw.log.unwrap_or_default().try_into()?,
         })
--- a/serving/src/context.rs
+++ b/serving/src/context.rs
@@ -8,6 +8,7 @@
 use crate::backend;
 use crate::clock::Clock;
 use crate::configs::Settings;
+use crate::modules::admission::Admission;
 use crate::modules::declarations::Declarations;
 use crate::modules::directory::Directory;
 use crate::modules::metrics::Metrics;
@@ -35,6 +36,8 @@
     pub declarations: watch::Receiver<Arc<Declarations>>,
     /// Backend servers that this entry knows of.
     pub directory: watch::Receiver<Arc<Directory>>,
+    /// Admission of requests to backend servers.
+    pub admission: Admission,
     /// Cancelled when the entry stops.
     pub stop: CancellationToken,
 }
--- a/serving/src/entry.rs
+++ b/serving/src/entry.rs
@@ -13,7 +13,7 @@
 use crate::configs::Settings;
 use crate::context::Context;
 use crate::modules::peers::{Identity, Peers};
-use crate::modules::{callers, declarations, directory, metrics, operators, peers};
+use crate::modules::{admission, callers, declarations, directory, metrics, operators, peers};
 use crate::platform;
 
 /// Why an entry could not start.
@@ -76,8 +76,11 @@
     );
     let stop = CancellationToken::new();
     let metrics = metrics::Metrics::new();
+    let clock = Clock::start();
+    let directory = directory::start(platform.clone(), settings.platform, stop.clone());
     let context = Arc::new(Context {
-        clock: Clock::start(),
+        admission: admission::start(&settings, clock, directory.clone(), stop.clone()),
+        clock,
         identity: Identity {
             name: Arc::clone(&settings.entry.name),
             incarnation: Arc::from(Uuid::now_v7().to_string()),
@@ -86,7 +89,7 @@
         peers: Peers::new(settings.keys.peers.clone()),
         backend: backend::http::Client::new(),
         declarations: declarations::start(platform.clone(), settings.platform, stop.clone()),
-        directory: directory::start(platform.clone(), settings.platform, stop.clone()),
+        directory,
         metrics,
         platform,
         settings,
--- a/serving/src/modules.rs
+++ b/serving/src/modules.rs
@@ -1,5 +1,6 @@
 //! The features of an entry, one module each.
 
+pub mod admission;
 pub mod callers;
 pub mod declarations;
 pub mod directory;
@@ -7,4 +8,3 @@
 pub mod metrics;
 pub mod operators;
 pub mod peers;
-pub mod routing;
--- a/serving/src/modules/callers/completions.rs
+++ b/serving/src/modules/callers/completions.rs
@@ -117,6 +117,7 @@
             .ok_or_else(|| services::unknown(&completion.model))?;
         let order = Order {
             request_id: Arc::clone(&caller.request_id),
+            account: Arc::clone(&caller.account),
             service: Arc::from(service.name.as_str()),
             version: Arc::from(service.version.as_str()),
             prompt: Arc::from(completion.prompt),
--- a/serving/src/modules/callers/services.rs
+++ b/serving/src/modules/callers/services.rs
@@ -6,12 +6,13 @@
 use medlarfall_schema::declaration::{Kind as ServiceKind, Service};
 use salvo::http::StatusCode;
 use salvo::prelude::*;
+use uuid::Uuid;
 
 use super::Caller;
 use super::problem::{Kind, Outcome, Problem, RUN};
 use crate::backend::{self, Call, Reply, Service as _};
 use crate::context::Context;
-use crate::modules::routing;
+use crate::modules::admission::{Need, Permit, Refusal};
 
 /// Answers calls to plain services.
 pub(super) struct Handle {
@@ -59,7 +60,7 @@
             body,
             traceparent: request.header::<String>("traceparent").map(Arc::from),
         };
-        self.call(&service, call).await
+        self.call(&service, call, caller).await
     }
 
     /// Returns the declaration of a plain service.
@@ -72,8 +73,34 @@
             .ok_or_else(|| unknown(name))
     }
 
+    /// Waits for a backend server that can take a call.
+    async fn admit(
+        &self,
+        service: &Service,
+        caller: &Caller,
+        tried: &[Arc<str>],
+    ) -> Result<Permit, Refusal> {
+        let need = Need {
+            service: Arc::from(service.name.as_str()),
+            version: Arc::from(service.version.as_str()),
+            account: Arc::clone(&caller.account),
+            weight: 1,
+            priority: 0,
+            tokens: 1,
+            prefix: Uuid::now_v7().as_u64_pair().1,
+            deadline: self.context.clock.now() + self.context.settings.services.call_timeout,
+            excluded: tried.to_vec(),
+        };
+        self.context.admission.ask(need).await
+    }
+
     /// Makes attempts while the call was truly not run, or may be repeated.
-    async fn call(&self, service: &Service, mut call: Call) -> Result<Reply, Problem> {
+    async fn call(
+        &self,
+        service: &Service,
+        mut call: Call,
+        caller: &Caller,
+    ) -> Result<Reply, Problem> {
         let repeatable = idempotent(service, &call);
         let bounds = self.context.settings.services;
         let mut tried = Vec::new();
@@ -83,10 +110,19 @@
             "no backend server can take the call; try again",
         );
         while tried.len() < bounds.attempts {
-            let picked = routing::pick(&self.context, &service.name, &service.version, &tried);
-            let Some(server) = picked else {
-                break;
+            let admitted = self.admit(service, caller, &tried).await;
+            let permit = match admitted {
+                Ok(permit) => permit,
+                Err(refusal) if tried.is_empty() => {
+                    return Err(Problem::new(
+                        Kind::Unavailable,
+                        Outcome::NotRun,
+                        refusal.to_string(),
+                    ));
+                }
+                Err(_) => break,
             };
+            let server = Arc::clone(&permit.server);
             tried.push(Arc::clone(&server.name));
             call.attempt += 1;
             let answer = tokio::time::timeout(
--- a/serving/src/modules/generation.rs
+++ b/serving/src/modules/generation.rs
@@ -1,20 +1,30 @@
 //! The task that owns a generation: its journal, its attempts and its delivery to the caller.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use medlarfall_coordination::journal::{Attempt, Ending, Journal, Verdict};
+use medlarfall_coordination::placement::prefix_hash;
 use snafu::Snafu;
 use tokio::sync::mpsc;
 
-use crate::backend::{Engine, Frame, Frames, Generate, Reference, Server};
+use crate::backend::{Engine, Frame, Frames, Generate, Reference, prompt_tokens};
 use crate::context::Context;
-use crate::modules::routing;
+use crate::modules::admission::{Need, Outcome as Report, Permit, Refusal};
+
+/// Longest time that a generation waits for a backend server.
+const ADMISSION_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Longest time that an engine goes on with a generation that nobody reads.
+const ORPHAN_GRACE: Duration = Duration::from_secs(5);
 
 /// A generation that a caller asked for.
 #[derive(Clone, Debug)]
 pub struct Order {
     /// Identifier of the request.
     pub request_id: Arc<str>,
+    /// Client account of the caller.
+    pub account: Arc<str>,
     /// Service that was asked.
     pub service: Arc<str>,
     /// Version that answers.
@@ -104,17 +114,12 @@
     async fn run(mut self) {
         let mut tried = Vec::new();
         for _ in 0..self.context.settings.generation.attempts {
-            let server = routing::pick(
-                &self.context,
-                &self.order.service,
-                &self.order.version,
-                &tried,
-            );
-            let Some(server) = server else {
+            let Ok(permit) = self.admit(&tried).await else {
                 break;
             };
+            let server = Arc::clone(&permit.server);
             tried.push(Arc::clone(&server.name));
-            match self.attempt(&server).await {
+            match self.attempt(permit).await {
                 Outcome::Whole(reason) => return self.finish(reason).await,
                 Outcome::CallerGone => return,
                 Outcome::Lost(reason) => {
@@ -130,6 +135,23 @@
             .await;
     }
 
+    /// Waits for a backend server that can go on with the generation.
+    async fn admit(&self, tried: &[Arc<str>]) -> Result<Permit, Refusal> {
+        let order = &self.order;
+        let need = Need {
+            service: Arc::clone(&order.service),
+            version: Arc::clone(&order.version),
+            account: Arc::clone(&order.account),
+            weight: 1,
+            priority: order.priority,
+            tokens: prompt_tokens(&order.prompt) + order.max_tokens,
+            prefix: prefix_hash(&order.prompt),
+            deadline: self.context.clock.now() + ADMISSION_TIMEOUT,
+            excluded: tried.to_vec(),
+        };
+        self.context.admission.ask(need).await
+    }
+
     /// Tells the caller that the answer is whole.
     async fn finish(&self, reason: Arc<str>) {
         let tokens = self.journal.next_index();
@@ -137,7 +159,8 @@
     }
 
     /// Makes one attempt.
-    async fn attempt(&mut self, server: &Server) -> Outcome {
+    async fn attempt(&mut self, permit: Permit) -> Outcome {
+        let server = Arc::clone(&permit.server);
         let attempt = self.journal.begin_attempt();
         let generate = Generate {
             request_id: Arc::clone(&self.order.request_id),
@@ -148,13 +171,21 @@
             max_tokens: self.order.max_tokens,
             priority: self.order.priority,
         };
-        let mut frames = match self.context.backend.generate(server, &generate).await {
+        let mut frames = match self.context.backend.generate(&server, &generate).await {
             Ok(frames) => frames,
-            Err(error) => return Outcome::Lost(error.to_string()),
+            Err(error) => {
+                permit.report(Report::Failed);
+                return Outcome::Lost(error.to_string());
+            }
         };
         let outcome = self.follow(attempt, &mut frames).await;
-        if !matches!(outcome, Outcome::Whole(_)) {
-            self.cancel(server, attempt);
+        match outcome {
+            Outcome::Whole(_) => permit.report(Report::Answered),
+            Outcome::Lost(_) => {
+                permit.report(Report::Failed);
+                self.cancel(permit, attempt);
+            }
+            Outcome::CallerGone => self.cancel(permit, attempt),
         }
         outcome
     }
@@ -207,17 +238,20 @@
         sent.is_err().then_some(Outcome::CallerGone)
     }
 
-    /// Cancels an attempt without waiting for the answer.
-    fn cancel(&self, server: &Server, attempt: Attempt) {
+    /// Cancels an attempt without waiting for the answer; its memory stays reserved until the engine
+    /// has answered or has given the generation up by itself.
+    fn cancel(&self, permit: Permit, attempt: Attempt) {
         let backend = self.context.backend.clone();
-        let server = server.clone();
         let reference = Reference {
             request_id: Arc::clone(&self.order.request_id),
             attempt: attempt.0,
             from: 0,
         };
         tokio::spawn(async move {
-            let _ = backend.cancel(&server, &reference).await;
+            if backend.cancel(&permit.server, &reference).await.is_err() {
+                tokio::time::sleep(ORPHAN_GRACE).await;
+            }
+            drop(permit);
         });
     }
 }
