--- a/programs/src/bench.rs
+++ b/programs/src/bench.rs
@@ -3,15 +3,19 @@
 use std::collections::BTreeMap;
 use std::error::Error;
 
+use medlarfall_serving::backend::Server;
+use medlarfall_standin::platform::Instance;
 use serde_json::Value;
 
 mod baseline;
+mod routing;
+mod stopwatch;
 
 /// Figures of a run, by name.
 pub type Figures = BTreeMap<&'static str, Value>;
 
 /// Names of the scenarios.
-pub const SCENARIOS: [&str; 1] = ["baseline"];
+pub const SCENARIOS: [&str; 2] = ["baseline", "routing"];
 
 /// Runs a scenario and prints its figures: as a table, or as one JSON object on the last line.
 ///
@@ -35,6 +39,7 @@
 async fn figures(scenario: &str, seed: u64) -> Result<Figures, Box<dyn Error>> {
     match scenario {
         "baseline" => baseline::run(seed).await,
+        "routing" => routing::run(seed).await,
         _ => Err(format!(
             "no scenario `{scenario}`: write one of {}",
             SCENARIOS.join(", ")
@@ -48,3 +53,20 @@
     let text = format!("{}.{:03}", microseconds / 1_000, microseconds % 1_000);
     text.parse::<f64>().map_or(Value::Null, Value::from)
 }
+
+/// Returns a stand-in's place on the instance list as a backend server.
+fn server(instance: &Instance) -> Option<Server> {
+    let json = serde_json::to_value(instance).ok()?;
+    let instance: medlarfall_serving::platform::Instance = serde_json::from_value(json).ok()?;
+    Server::try_from(instance).ok()
+}
+
+/// Returns `part / whole`, or 0 if there is no whole.
+fn ratio(part: u64, whole: u64) -> f64 {
+    let as_float = |value: u64| u32::try_from(value).map_or(f64::from(u32::MAX), f64::from);
+    if whole == 0 {
+        0.0
+    } else {
+        as_float(part) / as_float(whole)
+    }
+}
--- a/programs/src/bench/baseline.rs
+++ b/programs/src/bench/baseline.rs
@@ -6,12 +6,13 @@
 
 use hdrhistogram::Histogram;
 use medlarfall_serving::backend::http::Client;
-use medlarfall_serving::backend::{Engine as _, Frames as _, Generate, Server};
+use medlarfall_serving::backend::{Engine as _, Frames as _, Generate};
 use medlarfall_standin::oracle;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use super::{Figures, milliseconds};
+use super::stopwatch::{Sample, Stopwatch};
+use super::{Figures, milliseconds, server};
 use crate::caller::Completion;
 use crate::cluster::{BRIEFS, Cluster, Plan};
 
@@ -32,14 +33,6 @@
     wrong: u64,
 }
 
-/// What one generation measured.
-#[derive(Default)]
-struct Sample {
-    first: u64,
-    between: Vec<u64>,
-    wrong: bool,
-}
-
 /// Runs the scenario.
 pub(super) async fn run(seed: u64) -> Result<Figures, Box<dyn Error>> {
     let cluster = Arc::new(Cluster::start(Plan::default()).await?);
@@ -144,12 +137,7 @@
 
 /// Sends a prompt straight to an engine.
 async fn straight(cluster: Arc<Cluster>, index: usize, prompt: String) -> Option<Sample> {
-    let instance = cluster.engines[index % cluster.engines.len()]
-        .instance
-        .clone();
-    let json = serde_json::to_value(&instance).ok()?;
-    let instance: medlarfall_serving::platform::Instance = serde_json::from_value(json).ok()?;
-    let server = Server::try_from(instance).ok()?;
+    let server = server(&cluster.engines[index % cluster.engines.len()].instance)?;
     let expected = oracle::answer("v1", &prompt, MAX_TOKENS);
     let generate = Generate {
         request_id: Arc::from(format!("direct-{index}")),
@@ -169,41 +157,3 @@
     }
     Some(clock.sample(text != expected))
 }
-
-/// Measures the times of one generation's tokens.
-struct Stopwatch {
-    started: Instant,
-    last: Option<Instant>,
-    sample: Sample,
-}
-
-impl Stopwatch {
-    /// Starts measuring.
-    fn start() -> Self {
-        Self {
-            started: Instant::now(),
-            last: None,
-            sample: Sample::default(),
-        }
-    }
-
-    /// Notes a token.
-    fn token(&mut self) {
-        let now = Instant::now();
-        match self.last.replace(now) {
-            None => self.sample.first = microseconds(now - self.started),
-            Some(last) => self.sample.between.push(microseconds(now - last)),
-        }
-    }
-
-    /// Returns what was measured.
-    fn sample(mut self, wrong: bool) -> Sample {
-        self.sample.wrong = wrong;
-        self.sample
-    }
-}
-
-/// Returns a duration in whole microseconds.
-fn microseconds(duration: std::time::Duration) -> u64 {
-    u64::try_from(duration.as_micros()).unwrap_or(u64::MAX)
-}
--- a/serving/src/entry.rs
+++ b/serving/src/entry.rs
@@ -79,7 +79,13 @@
     let clock = Clock::start();
     let directory = directory::start(platform.clone(), settings.platform, stop.clone());
     let context = Arc::new(Context {
-        admission: admission::start(&settings, clock, directory.clone(), stop.clone()),
+        admission: admission::start(
+            &settings,
+            metrics.admitted.clone(),
+            clock,
+            directory.clone(),
+            stop.clone(),
+        ),
         clock,
         identity: Identity {
             name: Arc::clone(&settings.entry.name),
--- a/serving/src/modules/admission.rs
+++ b/serving/src/modules/admission.rs
@@ -16,6 +16,7 @@
 use crate::clock::Clock;
 use crate::configs::Settings;
 use crate::modules::directory::Directory;
+use crate::modules::metrics::Admissions;
 
 mod desk;
 mod pool;
@@ -145,13 +146,14 @@
 #[must_use]
 pub fn start(
     settings: &Settings,
+    admitted: Admissions,
     clock: Clock,
     mut directory: watch::Receiver<Arc<Directory>>,
     stop: CancellationToken,
 ) -> Admission {
     let (sender, mut asks) = mpsc::channel(MAILBOX);
     let (releases, mut ended) = mpsc::unbounded_channel();
-    let mut desk = desk::Desk::new(settings, releases);
+    let mut desk = desk::Desk::new(settings, admitted, releases);
     tokio::spawn(async move {
         loop {
             let wake = desk.next_deadline().map(|deadline| clock.instant(deadline));
--- a/serving/src/modules/admission/desk.rs
+++ b/serving/src/modules/admission/desk.rs
@@ -16,6 +16,7 @@
 use crate::configs::admission::Admission;
 use crate::configs::entry::Entry;
 use crate::modules::directory::Directory;
+use crate::modules::metrics::Admissions;
 
 /// Service and version.
 type PoolName = (Arc<str>, Arc<str>);
@@ -30,6 +31,7 @@
 pub(super) struct Desk {
     bounds: Admission,
     entry: Entry,
+    admitted: Admissions,
     ledger: Ledger,
     pools: HashMap<PoolName, Pool>,
     members: HashMap<Arc<str>, Member>,
@@ -39,10 +41,15 @@
 
 impl Desk {
     /// Returns a desk that knows no server.
-    pub(super) fn new(settings: &Settings, releases: mpsc::UnboundedSender<Message>) -> Self {
+    pub(super) fn new(
+        settings: &Settings,
+        admitted: Admissions,
+        releases: mpsc::UnboundedSender<Message>,
+    ) -> Self {
         Self {
             bounds: settings.admission,
             entry: settings.entry.clone(),
+            admitted,
             ledger: Ledger::new(),
             pools: HashMap::new(),
             members: HashMap::new(),
@@ -198,6 +205,8 @@
         let Some(key) = self.ledger.reserve(key, need.tokens) else {
             return;
         };
+        self.admitted
+            .count(server.failure_domain == self.entry.failure_domain);
         // A permit whose caller has gone is dropped here, which releases the reservation.
         let _ = waiting.reply.send(Ok(Permit {
             server,
--- a/serving/src/modules/metrics.rs
+++ b/serving/src/modules/metrics.rs
@@ -23,12 +23,48 @@
     pub run: String,
 }
 
+/// Labels of an admitted request.
+#[derive(Clone, Copy, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct Admitted {
+    /// Whether the backend server is in the entry's own failure domain.
+    pub own_failure_domain: bool,
+}
+
+/// Requests that were admitted, by where their backend server is.
+#[derive(Clone, Debug, Default)]
+pub struct Admissions(Family<Admitted, Counter>);
+
+impl Admissions {
+    /// Counts a request admitted to a server in the own failure domain, or to another.
+    pub fn count(&self, own_failure_domain: bool) {
+        self.0.get_or_create(&Admitted { own_failure_domain }).inc();
+    }
+
+    /// Returns the requests admitted in the own failure domain.
+    #[must_use]
+    pub fn near(&self) -> u64 {
+        self.value(true)
+    }
+
+    /// Returns the requests admitted elsewhere.
+    #[must_use]
+    pub fn far(&self) -> u64 {
+        self.value(false)
+    }
+
+    fn value(&self, own_failure_domain: bool) -> u64 {
+        self.0.get_or_create(&Admitted { own_failure_domain }).get()
+    }
+}
+
 /// Metrics of one entry.
 #[derive(Debug)]
 pub struct Metrics {
     registry: Registry,
     /// Requests by service and outcome.
     pub requests: Family<Request, Counter>,
+    /// Requests admitted, by where their backend server is.
+    pub admitted: Admissions,
     /// Attempts of generations that were lost.
     pub attempts_lost: Counter,
 }
@@ -50,6 +86,12 @@
             "Requests by service and outcome",
             requests.clone(),
         );
+        let admitted = Admissions::default();
+        registry.register(
+            "admitted",
+            "Requests admitted to a backend server",
+            admitted.0.clone(),
+        );
         let attempts_lost = Counter::default();
         registry.register(
             "attempts_lost",
@@ -59,6 +101,7 @@
         Self {
             registry,
             requests,
+            admitted,
             attempts_lost,
         }
     }
