feat(admission): memory grants that follow demand

Cause: shares of a twelfth could never hold a long manifest, and every server was full for its entry, so affinity and the own failure domain were lost. Ruled out: lending by peers alone (one lender holds too little for a long prompt); shares divided by membership (it would rest on membership being right). Change: one record per server in the platform's store says what each run of each entry may use; compare-and-swap keeps the sum under the limit; a grant is used after it is stored and given up before it is returned; holders that are off the instance list for a grace are reclaimed.

--- a/coordination/src/fair_queue.rs
+++ b/coordination/src/fair_queue.rs
@@ -20,6 +20,12 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 
+/// Items of one account that are tried where the first does not fit.
+const LOOKAHEAD: usize = 16;
+
+/// How often an item may be passed over by others of its account.
+const PASSED_OVER_LIMIT: u32 = 256;
+
 /// Virtual time that one unit of cost takes at weight 1.
 const SCALE: u64 = 1 << 10;
 
@@ -41,10 +47,17 @@
 /// Order of an account's items: higher priority first, then first come, first served.
 type Rank = (Reverse<i32>, u64);
 
+/// An item and how often others of its account were taken before it.
+#[derive(Debug)]
+struct Queued<T> {
+    item: Item<T>,
+    passed_over: u32,
+}
+
 /// Items of one account.
 #[derive(Debug)]
 struct Account<T> {
-    items: BTreeMap<Rank, Item<T>>,
+    items: BTreeMap<Rank, Queued<T>>,
     tag: u64,
 }
 
@@ -58,6 +71,21 @@
     arrivals: u64,
 }
 
+impl<T> Account<T> {
+    /// Returns the rank of the first item that fits, within the bounds on passing over.
+    fn first_fit(&self, fits: &mut impl FnMut(&Item<T>) -> bool) -> Option<Rank> {
+        for (rank, queued) in self.items.iter().take(LOOKAHEAD) {
+            if fits(&queued.item) {
+                return Some(*rank);
+            }
+            if queued.passed_over >= PASSED_OVER_LIMIT {
+                return None;
+            }
+        }
+        None
+    }
+}
+
 impl<T> Default for FairQueue<T> {
     fn default() -> Self {
         Self::new()
@@ -97,6 +125,7 @@
         self.accounts
             .values()
             .flat_map(|account| account.items.values())
+            .map(|queued| &queued.item)
     }
 
     /// Adds an item.
@@ -104,29 +133,32 @@
         self.arrivals += 1;
         let rank = (Reverse(item.priority), self.arrivals);
         let name = Arc::clone(&item.account);
+        let queued = Queued {
+            item,
+            passed_over: 0,
+        };
         if let Some(account) = self.accounts.get_mut(&name) {
-            account.items.insert(rank, item);
+            account.items.insert(rank, queued);
             return;
         }
         let finished = self.finished.remove(&name).unwrap_or(0);
         let tag = finished.max(self.virtual_time);
         self.order.insert((tag, Arc::clone(&name)));
-        let items = BTreeMap::from([(rank, item)]);
+        let items = BTreeMap::from([(rank, queued)]);
         self.accounts.insert(name, Account { items, tag });
     }
 
-    /// Takes the next item, in fair order, that `fits`; an account whose first item does not fit is
-    /// passed over and keeps its turn.
+    /// Takes the next item, in fair order, that `fits`.
+    ///
+    /// Where an account's first item does not fit, a few behind it are tried, but none is passed
+    /// over for ever; an account of which nothing fits keeps its turn.
     pub fn pop(&mut self, mut fits: impl FnMut(&Item<T>) -> bool) -> Option<Item<T>> {
-        let name = self.order.iter().map(|(_, name)| name).find(|name| {
-            let first = self
-                .accounts
-                .get(*name)
-                .and_then(|account| account.items.values().next());
-            first.is_some_and(&mut fits)
+        let found = self.order.iter().find_map(|(_, name)| {
+            let rank = self.accounts.get(name)?.first_fit(&mut fits)?;
+            Some((Arc::clone(name), rank))
         });
-        let name = Arc::clone(name?);
-        self.take(&name)
+        let (name, rank) = found?;
+        self.take(&name, rank)
     }
 
     /// Removes the items that `keep` does not keep, and returns them.
@@ -136,10 +168,11 @@
             let ranks: Vec<Rank> = account
                 .items
                 .iter()
-                .filter(|(_, item)| !keep(item))
+                .filter(|(_, queued)| !keep(&queued.item))
                 .map(|(rank, _)| *rank)
                 .collect();
-            removed.extend(ranks.iter().filter_map(|rank| account.items.remove(rank)));
+            let taken = ranks.iter().filter_map(|rank| account.items.remove(rank));
+            removed.extend(taken.map(|queued| queued.item));
         }
         let empty: Vec<Arc<str>> = self
             .accounts
@@ -153,10 +186,13 @@
         removed
     }
 
-    /// Takes the first item of an account and moves the account on by the item's cost.
-    fn take(&mut self, name: &Arc<str>) -> Option<Item<T>> {
+    /// Takes an item of an account and moves the account on by the item's cost.
+    fn take(&mut self, name: &Arc<str>, rank: Rank) -> Option<Item<T>> {
         let account = self.accounts.get_mut(name)?;
-        let (_, item) = account.items.pop_first()?;
+        let item = account.items.remove(&rank)?.item;
+        for (_, queued) in account.items.range_mut(..rank) {
+            queued.passed_over += 1;
+        }
         self.order.remove(&(account.tag, Arc::clone(name)));
         self.virtual_time = self.virtual_time.max(account.tag);
         account.tag += item.cost.saturating_mul(SCALE) / item.weight.max(1);
--- a/coordination/src/lib.rs
+++ b/coordination/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod ejection;
 pub mod fair_queue;
+pub mod grants;
 pub mod journal;
 pub mod memory;
 pub mod placement;
--- a/coordination/tests/fair_queue.rs
+++ b/coordination/tests/fair_queue.rs
@@ -115,3 +115,15 @@
     assert_eq!(removed, [1, 3, 5, 7, 9]);
     assert_eq!(queue.len(), 5);
 }
+
+#[test]
+fn an_item_that_does_not_fit_holds_up_its_account_only_after_many_were_taken_before_it() {
+    let mut queue = FairQueue::new();
+    queue.push(item("one", 1, 100, 0));
+    for number in 1..=1_000 {
+        queue.push(item("one", 1, 1, number));
+    }
+    let small = std::iter::from_fn(|| queue.pop(|item| item.cost < 50)).count();
+    assert_eq!(small, 256);
+    assert_eq!(queue.pop(|_| true).map(|item| item.value), Some(0));
+}
--- /dev/null
+++ b/coordination/tests/grants.rs
@@ -0,0 +1,77 @@
+//! Entries that race for a server's memory through compare-and-swap never hold more than it has.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bolero::{TypeGenerator, check};
+use medlarfall_coordination::grants::{Mourner, Record, holder};
+
+const LIMIT: u64 = 1_000;
+
+#[derive(Clone, Copy, Debug, TypeGenerator)]
+struct Step {
+    entry: u8,
+    tokens: u16,
+    reads_first: bool,
+    answer_lost: bool,
+}
+
+#[test]
+fn what_entries_use_never_exceeds_the_limit() {
+    check!().with_type::<Vec<Step>>().for_each(|steps| {
+        let mut store = (0_u64, Record::default());
+        let mut seen: BTreeMap<u8, (u64, Record)> = BTreeMap::new();
+        let mut used: BTreeMap<u8, u64> = BTreeMap::new();
+        for step in steps {
+            let (entry, tokens) = (step.entry % 4, u64::from(step.tokens));
+            let name = holder(&entry.to_string(), "run");
+            if step.reads_first {
+                seen.insert(entry, store.clone());
+            }
+            let Some((revision, record)) = seen.get(&entry) else {
+                continue;
+            };
+            let held = used.get(&entry).copied().unwrap_or(0);
+            used.insert(entry, held.min(tokens));
+            let Ok(record) = record.with(&name, tokens, LIMIT) else {
+                continue;
+            };
+            if *revision != store.0 {
+                continue;
+            }
+            store = (store.0 + 1, record);
+            if !step.answer_lost {
+                used.insert(entry, tokens);
+            }
+            let total: u64 = used.values().sum();
+            assert!(total <= LIMIT, "{used:?}");
+        }
+    });
+}
+
+#[test]
+fn a_shrinking_grant_is_taken_even_where_the_limit_has_become_smaller() {
+    let record = Record::default().with("a@1", 900, LIMIT).expect("it fits");
+    assert_eq!(
+        record
+            .with("a@1", 800, 500)
+            .map(|record| record.granted("a@1")),
+        Ok(800)
+    );
+    assert!(record.with("a@1", 950, 500).is_err());
+}
+
+#[test]
+fn a_holder_is_gone_only_after_the_grace() {
+    let holders = [Arc::from("a@1"), Arc::from("b@1")];
+    let grace = Duration::from_secs(30);
+    let at = Duration::from_secs;
+    let mut mourner = Mourner::new();
+    mourner.observe(holders.iter(), |entry| entry == "a", at(0));
+    assert!(!mourner.gone("b@1", grace, at(30)));
+    assert!(mourner.gone("b@1", grace, at(31)));
+    assert!(!mourner.gone("a@1", grace, at(31)));
+    mourner.observe(holders.iter(), |_| true, at(32));
+    assert!(!mourner.gone("b@1", grace, at(100)));
+}
--- a/serving/src/configs/admission.rs
+++ b/serving/src/configs/admission.rs
@@ -1,47 +1,55 @@
 //! How requests are admitted to backend servers.
 
+use std::time::Duration;
+
 use medlarfall_schema::settings as raw;
 
 use super::value::{self, Problem};
 
-/// Largest headroom, in percent.
-const HEADROOM_LIMIT: u64 = 90;
+/// Largest headroom or grant, in percent.
+const PERCENT_LIMIT: u64 = 90;
 
 /// Section `[admission]`.
 #[derive(Clone, Copy, Debug)]
 pub struct Admission {
-    /// Most entries that send to one backend server at once, replaced ones included.
-    pub entries: usize,
     /// Part of an engine's memory that is never reserved, in percent.
     pub headroom_percent: u64,
-    /// Calls that one instance of a plain service may hold from all entries.
+    /// Part of an engine's memory by which this entry's grant grows, in percent.
+    pub grant_percent: u64,
+    /// Calls that this entry may have at one instance of a plain service.
     pub service_calls: usize,
     /// Requests that may wait in this entry.
     pub waiting: usize,
+    /// How long granted memory lies idle before it is returned.
+    pub idle_timeout: Duration,
+    /// How long an entry is off the instance list before others take its grants.
+    pub reclaim_grace: Duration,
 }
 
 impl Default for Admission {
     fn default() -> Self {
         Self {
-            entries: 12,
             headroom_percent: 5,
-            service_calls: 768,
+            grant_percent: 5,
+            service_calls: 64,
             waiting: 10_000,
+            idle_timeout: Duration::from_secs(10),
+            reclaim_grace: Duration::from_secs(30),
         }
     }
 }
 
 impl Admission {
-    /// Returns this entry's share of an engine's memory, in tokens.
+    /// Returns the part of an engine's memory that all entries together may reserve, in tokens.
     #[must_use]
-    pub fn memory_share(&self, memory_tokens: u64) -> u64 {
-        memory_tokens / 100 * (100 - self.headroom_percent) / self.entries as u64
+    pub fn memory_limit(&self, memory_tokens: u64) -> u64 {
+        memory_tokens * (100 - self.headroom_percent) / 100
     }
 
-    /// Returns the calls that this entry may have at one instance of a plain service.
+    /// Returns the step by which a grant grows, in tokens.
     #[must_use]
-    pub fn calls_share(&self) -> u64 {
-        (self.service_calls / self.entries) as u64
+    pub fn grant_step(&self, limit: u64) -> u64 {
+        (limit * self.grant_percent / 100).max(1)
     }
 }
 
@@ -50,32 +58,42 @@
 
     fn try_from(raw: raw::Admission) -> Result<Self, Problem> {
         let default = Self::default();
-        let admission = Self {
-            entries: value::count("admission.entries", raw.entries, default.entries)?,
-            headroom_percent: raw.headroom_percent.unwrap_or(default.headroom_percent),
+        Ok(Self {
+            headroom_percent: percent(
+                "admission.headroom_percent",
+                raw.headroom_percent,
+                default.headroom_percent,
+            )?,
+            grant_percent: percent(
+                "admission.grant_percent",
+                raw.grant_percent,
+                default.grant_percent,
+            )?,
             service_calls: value::count(
                 "admission.service_calls",
                 raw.service_calls,
                 default.service_calls,
             )?,
             waiting: value::count("admission.waiting", raw.waiting, default.waiting)?,
-        };
-        if admission.headroom_percent > HEADROOM_LIMIT {
-            let key = "admission.headroom_percent";
-            return Err(value::invalid(
-                key,
-                &admission.headroom_percent,
-                "write 0 to 90",
-            ));
-        }
-        if admission.service_calls < admission.entries {
-            let key = "admission.service_calls";
-            return Err(value::invalid(
-                key,
-                &admission.service_calls,
-                "write at least as much as `admission.entries`",
-            ));
-        }
-        Ok(admission)
+            idle_timeout: value::duration(
+                "admission.idle_timeout",
+                raw.idle_timeout,
+                default.idle_timeout,
+            )?,
+            reclaim_grace: value::duration(
+                "admission.reclaim_grace",
+                raw.reclaim_grace,
+                default.reclaim_grace,
+            )?,
+        })
+    }
+}
+
+/// Returns a percentage that leaves something of the whole.
+fn percent(key: &'static str, value: Option<u64>, default: u64) -> Result<u64, Problem> {
+    match value {
+        None => Ok(default),
+        Some(value) if value <= PERCENT_LIMIT => Ok(value),
+        Some(value) => Err(value::invalid(key, &value, "write 0 to 90")),
     }
 }
--- a/serving/src/entry.rs
+++ b/serving/src/entry.rs
@@ -78,20 +78,24 @@
     let metrics = metrics::Metrics::new();
     let clock = Clock::start();
     let directory = directory::start(platform.clone(), settings.platform, stop.clone());
+    let identity = Identity {
+        name: Arc::clone(&settings.entry.name),
+        incarnation: Arc::from(Uuid::now_v7().to_string()),
+        failure_domain: Arc::clone(&settings.entry.failure_domain),
+    };
+    let admission = admission::start(admission::Start {
+        settings: &settings,
+        identity: &identity,
+        store: platform.clone(),
+        admitted: metrics.admitted.clone(),
+        clock,
+        directory: directory.clone(),
+        stop: stop.clone(),
+    });
     let context = Arc::new(Context {
-        admission: admission::start(
-            &settings,
-            metrics.admitted.clone(),
-            clock,
-            directory.clone(),
-            stop.clone(),
-        ),
+        admission,
         clock,
-        identity: Identity {
-            name: Arc::clone(&settings.entry.name),
-            incarnation: Arc::from(Uuid::now_v7().to_string()),
-            failure_domain: Arc::clone(&settings.entry.failure_domain),
-        },
+        identity,
         peers: Peers::new(settings.keys.peers.clone()),
         backend: backend::http::Client::new(),
         declarations: declarations::start(platform.clone(), settings.platform, stop.clone()),
--- a/serving/src/modules/admission.rs
+++ b/serving/src/modules/admission.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use medlarfall_coordination::grants::{Mourner, holder};
 use medlarfall_coordination::memory::ReservationKey;
 use snafu::Snafu;
 use tokio::sync::{mpsc, oneshot, watch};
@@ -17,10 +18,19 @@
 use crate::configs::Settings;
 use crate::modules::directory::Directory;
 use crate::modules::metrics::Admissions;
+use crate::modules::peers::Identity;
+use crate::platform::Store;
+
+use desk::{Desk, Outlets};
+use grants::Granter;
 
 mod desk;
+pub mod grants;
 mod pool;
 
+/// Pause between two looks for memory that lies idle.
+const IDLE_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Messages that may wait for the task.
 const MAILBOX: usize = 1_024;
 
@@ -82,6 +92,8 @@
 enum Message {
     /// Asks for a permit.
     Ask(Need, oneshot::Sender<Result<Permit, Refusal>>),
+    /// Tells what this entry may hold on a server, or that no more was granted.
+    Granted(Arc<str>, Option<u64>),
     /// Ends a reservation.
     Release(ReservationKey),
     /// Tells how a request went.
@@ -122,6 +134,7 @@
     fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         formatter.write_str(match self {
             Self::Ask(..) => "Ask",
+            Self::Granted(..) => "Granted",
             Self::Release(_) => "Release",
             Self::Report(..) => "Report",
         })
@@ -142,39 +155,84 @@
     }
 }
 
-/// Starts the task.
+/// What the task is started with.
+#[derive(Debug)]
+pub struct Start<'a, S> {
+    /// Checked settings.
+    pub settings: &'a Settings,
+    /// What this entry says of itself.
+    pub identity: &'a Identity,
+    /// The platform's store.
+    pub store: S,
+    /// Counts of admitted requests.
+    pub admitted: Admissions,
+    /// The entry's clock.
+    pub clock: Clock,
+    /// Backend servers that the entry knows of.
+    pub directory: watch::Receiver<Arc<Directory>>,
+    /// Cancelled when the entry stops.
+    pub stop: CancellationToken,
+}
+
+/// Starts the task, and the one that asks the store for memory.
 #[must_use]
-pub fn start(
-    settings: &Settings,
-    admitted: Admissions,
+pub fn start<S: Store>(start: Start<'_, S>) -> Admission {
+    let (sender, asks) = mpsc::channel(MAILBOX);
+    let (releases, ended) = mpsc::unbounded_channel();
+    let (wishes, wanted) = mpsc::unbounded_channel();
+    let granter = Granter {
+        store: start.store,
+        holder: holder(&start.identity.name, &start.identity.incarnation),
+        reclaim_grace: start.settings.admission.reclaim_grace,
+        clock: start.clock,
+        mourner: Mourner::new(),
+    };
+    let granting = granter.run(wanted, releases.clone());
+    let outlets = Outlets {
+        admitted: start.admitted,
+        releases,
+        wishes,
+    };
+    let desk = Desk::new(start.settings, outlets);
+    let serving = serve(desk, start.clock, start.directory, asks, ended);
+    let stop = start.stop;
+    tokio::spawn(async move {
+        tokio::select! {
+            () = stop.cancelled() => {}
+            () = serving => {}
+            () = granting => {}
+        }
+    });
+    Admission { sender }
+}
+
+/// Serves messages for ever.
+async fn serve(
+    mut desk: Desk,
     clock: Clock,
     mut directory: watch::Receiver<Arc<Directory>>,
-    stop: CancellationToken,
-) -> Admission {
-    let (sender, mut asks) = mpsc::channel(MAILBOX);
-    let (releases, mut ended) = mpsc::unbounded_channel();
-    let mut desk = desk::Desk::new(settings, admitted, releases);
-    tokio::spawn(async move {
-        loop {
-            let wake = desk.next_deadline().map(|deadline| clock.instant(deadline));
-            tokio::select! {
-                biased;
-                () = stop.cancelled() => return,
-                Some(message) = ended.recv() => desk.take(message, clock.now()),
-                changed = directory.changed() => {
-                    if changed.is_err() {
-                        return;
-                    }
-                    let directory = Arc::clone(&directory.borrow_and_update());
-                    desk.set_directory(&directory, clock.now());
+    mut asks: mpsc::Receiver<Message>,
+    mut ended: mpsc::UnboundedReceiver<Message>,
+) {
+    let mut idle = tokio::time::interval(IDLE_INTERVAL);
+    loop {
+        let wake = desk.next_deadline().map(|deadline| clock.instant(deadline));
+        tokio::select! {
+            biased;
+            Some(message) = ended.recv() => desk.take(message, clock.now()),
+            changed = directory.changed() => {
+                if changed.is_err() {
+                    return;
                 }
-                Some(message) = asks.recv() => desk.take(message, clock.now()),
-                () = sleep_until(wake) => {}
+                let directory = Arc::clone(&directory.borrow_and_update());
+                desk.set_directory(&directory, clock.now());
             }
-            desk.refuse_late(clock.now());
+            Some(message) = asks.recv() => desk.take(message, clock.now()),
+            _ = idle.tick() => desk.tick(clock.now()),
+            () = sleep_until(wake) => {}
         }
-    });
-    Admission { sender }
+        desk.refuse_late(clock.now());
+    }
 }
 
 /// Waits until an instant, or for ever.
--- a/serving/src/modules/admission/desk.rs
+++ b/serving/src/modules/admission/desk.rs
@@ -9,7 +9,8 @@
 use medlarfall_coordination::placement::{Proximity, name_hash};
 use tokio::sync::{mpsc, oneshot};
 
-use super::pool::{Member, Pool};
+use super::grants::Wish;
+use super::pool::{Choice, Member, Pool};
 use super::{Message, Need, Outcome, Permit, Refusal};
 use crate::backend::{Role, Server};
 use crate::configs::Settings;
@@ -18,6 +19,8 @@
 use crate::modules::directory::Directory;
 use crate::modules::metrics::Admissions;
 
+mod shares;
+
 /// Service and version.
 type PoolName = (Arc<str>, Arc<str>);
 
@@ -27,34 +30,40 @@
     reply: oneshot::Sender<Result<Permit, Refusal>>,
 }
 
+/// Where the desk sends what it cannot do itself.
+pub(super) struct Outlets {
+    /// Counts of admitted requests.
+    pub(super) admitted: Admissions,
+    /// Reservations that end.
+    pub(super) releases: mpsc::UnboundedSender<Message>,
+    /// Wishes for memory.
+    pub(super) wishes: mpsc::UnboundedSender<Wish>,
+}
+
 /// What the admission task holds.
 pub(super) struct Desk {
     bounds: Admission,
     entry: Entry,
-    admitted: Admissions,
     ledger: Ledger,
     pools: HashMap<PoolName, Pool>,
     members: HashMap<Arc<str>, Member>,
+    shares: HashMap<Arc<str>, shares::Share>,
     queue: FairQueue<Waiting>,
-    releases: mpsc::UnboundedSender<Message>,
+    outlets: Outlets,
 }
 
 impl Desk {
     /// Returns a desk that knows no server.
-    pub(super) fn new(
-        settings: &Settings,
-        admitted: Admissions,
-        releases: mpsc::UnboundedSender<Message>,
-    ) -> Self {
+    pub(super) fn new(settings: &Settings, outlets: Outlets) -> Self {
         Self {
             bounds: settings.admission,
             entry: settings.entry.clone(),
-            admitted,
             ledger: Ledger::new(),
             pools: HashMap::new(),
             members: HashMap::new(),
+            shares: HashMap::new(),
             queue: FairQueue::new(),
-            releases,
+            outlets,
         }
     }
 
@@ -62,6 +71,10 @@
     pub(super) fn take(&mut self, message: Message, now: Duration) {
         match message {
             Message::Ask(need, reply) => self.ask(need, reply, now),
+            Message::Granted(server, tokens) => {
+                self.granted(&server, tokens, now);
+                self.serve_waiting(now);
+            }
             Message::Release(key) => {
                 self.ledger.release(key);
                 self.serve_waiting(now);
@@ -75,38 +88,34 @@
     /// A server that is off the list keeps its reservations until they end, since it may come back
     /// while their requests still run there.
     pub(super) fn set_directory(&mut self, directory: &Directory, now: Duration) {
-        let listed: HashMap<Arc<str>, Arc<Server>> = directory
-            .iter()
-            .map(|server| (Arc::clone(&server.name), Arc::clone(server)))
-            .collect();
-        self.members.retain(|name, member| {
-            let known = listed.contains_key(name);
-            let idle = self.ledger.reserved(member.key) == 0;
-            if !known && idle {
-                self.ledger.remove(member.key);
-            }
-            if !known {
+        for member in self.members.values_mut() {
+            if directory.find(&member.server.name).is_none() {
                 member.server = Arc::new(Server {
                     leaving: true,
                     ..member.server.as_ref().clone()
                 });
             }
-            known || !idle
-        });
-        for (name, server) in listed {
-            let member = self.member(server);
-            self.members.insert(name, member);
+        }
+        for server in directory.iter() {
+            let member = self.member(Arc::clone(server));
+            self.members.insert(Arc::clone(&server.name), member);
         }
         self.rebuild_pools();
         self.serve_waiting(now);
     }
 
+    /// Returns idle memory, and tries again for the requests that wait.
+    pub(super) fn tick(&mut self, now: Duration) {
+        self.return_idle(now);
+        self.serve_waiting(now);
+    }
+
     /// Refuses the requests that cannot wait any longer.
     pub(super) fn refuse_late(&mut self, now: Duration) {
-        for item in self
+        let late = self
             .queue
-            .remove(|item| item.value.need.deadline > now && !item.value.reply.is_closed())
-        {
+            .remove(|item| item.value.need.deadline > now && !item.value.reply.is_closed());
+        for item in late {
             let _ = item.value.reply.send(Err(Refusal::Deadline));
         }
     }
@@ -118,20 +127,25 @@
 
     /// Returns the member for a server, with the ledger's record of it if there is one.
     fn member(&mut self, server: Arc<Server>) -> Member {
-        let share = match server.role {
-            Role::Engine => self.bounds.memory_share(server.memory_tokens),
-            Role::Service => self.bounds.calls_share(),
+        let limit = match server.role {
+            Role::Engine => self.bounds.memory_limit(server.memory_tokens),
+            Role::Service => self.bounds.service_calls as u64,
         };
-        let key = match self.members.get(&server.name) {
+        let held = self.members.get(&server.name);
+        let denied_until = held.map_or(Duration::ZERO, |held| held.denied_until);
+        let key = match held {
             Some(held) => held.key,
-            None => self.ledger.add(share),
+            None => self.ledger.add(0),
         };
-        self.ledger.set_share(key, share);
+        if server.role == Role::Service {
+            self.ledger.set_share(key, limit);
+        }
         Member {
             key,
             hash: name_hash(&server.name),
             proximity: proximity(&self.entry, &server),
-            share,
+            limit,
+            denied_until,
             server,
         }
     }
@@ -139,25 +153,19 @@
     /// Groups the servers by service and version.
     fn rebuild_pools(&mut self) {
         for pool in self.pools.values_mut() {
-            pool.members.clear();
+            pool.names.clear();
         }
-        for member in self.members.values() {
-            let server = &member.server;
-            let name = (Arc::clone(&server.service), Arc::clone(&server.version));
-            self.pools
-                .entry(name)
-                .or_default()
-                .members
-                .push(member.clone());
+        for (server, member) in &self.members {
+            let name = pool_name(&member.server.service, &member.server.version);
+            let pool = self.pools.entry(name).or_default();
+            pool.names.push(Arc::clone(server));
         }
-        self.pools.retain(|_, pool| !pool.members.is_empty());
+        self.pools.retain(|_, pool| !pool.names.is_empty());
     }
 
     /// Admits a request, lets it wait, or refuses it.
     fn ask(&mut self, need: Need, reply: oneshot::Sender<Result<Permit, Refusal>>, now: Duration) {
-        let pool = self.pools.get(&pool_name(&need));
-        let too_large = pool.is_some_and(|pool| !pool.could_hold(&need));
-        if too_large {
+        if self.too_large(&need) {
             let _ = reply.send(Err(Refusal::TooLarge {
                 tokens: need.tokens,
             }));
@@ -177,48 +185,86 @@
         self.serve_waiting(now);
     }
 
-    /// Admits the requests that wait, in fair order, as long as one fits.
+    /// Returns whether the servers of a request's pool could never hold it.
+    fn too_large(&self, need: &Need) -> bool {
+        let Some(pool) = self.pools.get(&pool_name(&need.service, &need.version)) else {
+            return false;
+        };
+        let mut limits = pool
+            .names
+            .iter()
+            .filter_map(|name| self.members.get(name))
+            .map(|member| member.limit);
+        limits.all(|limit| limit < need.tokens)
+    }
+
+    /// Admits the requests that wait, in fair order, as long as one fits, and wishes for memory for
+    /// those that do not.
     fn serve_waiting(&mut self, now: Duration) {
         loop {
-            let (pools, ledger) = (&self.pools, &self.ledger);
-            let fits = |item: &Item<Waiting>| {
-                let need = &item.value.need;
-                let pool = pools.get(&pool_name(need));
-                pool.is_some_and(|pool| pool.choose(need, ledger, now).is_some())
-            };
-            let Some(item) = self.queue.pop(fits) else {
-                return;
-            };
-            self.admit(item.value, now);
+            let mut lacking = Vec::new();
+            let mut queue = std::mem::take(&mut self.queue);
+            let item = queue.pop(|item| match self.choose(&item.value.need, now) {
+                Some(choice) if choice.ready => true,
+                Some(choice) => {
+                    lacking.push((
+                        Arc::clone(&choice.member.server.name),
+                        item.value.need.tokens,
+                    ));
+                    false
+                }
+                None => false,
+            });
+            self.queue = queue;
+            for (server, tokens) in lacking {
+                self.lacks(&server, tokens);
+            }
+            match item {
+                Some(item) => self.admit(item.value, now),
+                None => return,
+            }
         }
     }
 
+    /// Returns the server that takes a request, if any can.
+    fn choose(&self, need: &Need, now: Duration) -> Option<Choice<'_>> {
+        let pool = self.pools.get(&pool_name(&need.service, &need.version))?;
+        let members: Vec<&Member> = pool
+            .names
+            .iter()
+            .filter_map(|name| self.members.get(name))
+            .collect();
+        pool.choose(&members, need, &self.ledger, now)
+    }
+
     /// Reserves memory for a request and hands out the permit.
     fn admit(&mut self, waiting: Waiting, now: Duration) {
         let need = &waiting.need;
-        let pool = self.pools.get(&pool_name(need));
-        let member = pool.and_then(|pool| pool.choose(need, &self.ledger, now));
-        let Some((server, key)) = member.map(|member| (Arc::clone(&member.server), member.key))
+        let choice = self.choose(need, now).filter(|choice| choice.ready);
+        let Some((server, key)) =
+            choice.map(|choice| (Arc::clone(&choice.member.server), choice.member.key))
         else {
             return;
         };
         let Some(key) = self.ledger.reserve(key, need.tokens) else {
             return;
         };
-        self.admitted
-            .count(server.failure_domain == self.entry.failure_domain);
+        let near = server.failure_domain == self.entry.failure_domain;
+        self.outlets.admitted.count(near);
         // A permit whose caller has gone is dropped here, which releases the reservation.
         let _ = waiting.reply.send(Ok(Permit {
             server,
             key,
-            sender: self.releases.clone(),
+            sender: self.outlets.releases.clone(),
         }));
     }
 
     /// Notes how a request went at its server.
     fn report(&mut self, server: &Server, outcome: Outcome, now: Duration) {
-        let name = (Arc::clone(&server.service), Arc::clone(&server.version));
-        let Some(pool) = self.pools.get_mut(&name) else {
+        let Some(pool) = self
+            .pools
+            .get_mut(&pool_name(&server.service, &server.version))
+        else {
             return;
         };
         match outcome {
@@ -228,9 +274,9 @@
     }
 }
 
-/// Returns the pool that a request needs.
-fn pool_name(need: &Need) -> PoolName {
-    (Arc::clone(&need.service), Arc::clone(&need.version))
+/// Returns the name of a pool.
+fn pool_name(service: &Arc<str>, version: &Arc<str>) -> PoolName {
+    (Arc::clone(service), Arc::clone(version))
 }
 
 /// Returns how near a server is to the entry.
--- /dev/null
+++ b/serving/src/modules/admission/desk/shares.rs
@@ -0,0 +1,108 @@
+//! This entry's shares of engines' memory: they grow before memory is short and shrink when it
+//! has lain idle.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::super::grants::Wish;
+use super::Desk;
+
+/// How long a share is taken not to grow after the store refused.
+const DENIED_PAUSE: Duration = Duration::from_millis(500);
+
+/// This entry's share of one engine's memory.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Share {
+    /// Tokens that the store has granted and that are in use.
+    held: u64,
+    /// Whether a wish is on its way.
+    wishing: bool,
+    /// Since when a step or more has been idle.
+    idle_since: Option<Duration>,
+}
+
+impl Desk {
+    /// Wishes for memory of a server for a request of `tokens`.
+    pub(super) fn lacks(&mut self, server: &Arc<str>, tokens: u64) {
+        let Some(member) = self.members.get(server) else {
+            return;
+        };
+        let share = self.shares.entry(Arc::clone(server)).or_default();
+        if share.wishing {
+            return;
+        }
+        let step = self.bounds.grant_step(member.limit);
+        let wanted = self.ledger.reserved(member.key) + tokens;
+        let tokens = (wanted.div_ceil(step) * step + step)
+            .min(member.limit)
+            .max(wanted);
+        if tokens <= share.held {
+            return;
+        }
+        share.wishing = true;
+        self.wish(server, tokens, wanted);
+    }
+
+    /// Takes the store's answer to a wish; nothing granted means that it refused or is down.
+    pub(in super::super) fn granted(
+        &mut self,
+        server: &Arc<str>,
+        tokens: Option<u64>,
+        now: Duration,
+    ) {
+        let Some(member) = self.members.get_mut(server) else {
+            return;
+        };
+        let share = self.shares.entry(Arc::clone(server)).or_default();
+        share.wishing = false;
+        match tokens {
+            Some(tokens) => {
+                share.held = tokens;
+                share.idle_since = None;
+                self.ledger.set_share(member.key, tokens);
+            }
+            None => member.denied_until = now + DENIED_PAUSE,
+        }
+    }
+
+    /// Returns the memory that has lain idle for long: it is given up here before the store is told.
+    pub(in super::super) fn return_idle(&mut self, now: Duration) {
+        let mut returned = Vec::new();
+        for (server, share) in &mut self.shares {
+            let Some(member) = self.members.get(server) else {
+                continue;
+            };
+            let step = self.bounds.grant_step(member.limit);
+            let used = self.ledger.reserved(member.key);
+            let kept = if used == 0 { 0 } else { used + step };
+            if share.wishing || share.held <= kept {
+                share.idle_since = None;
+                continue;
+            }
+            let since = *share.idle_since.get_or_insert(now);
+            if now.saturating_sub(since) < self.bounds.idle_timeout {
+                continue;
+            }
+            self.ledger.set_share(member.key, kept);
+            share.held = kept;
+            share.wishing = true;
+            returned.push((Arc::clone(server), kept));
+        }
+        for (server, kept) in returned {
+            self.wish(&server, kept, kept);
+        }
+    }
+
+    /// Sends a wish to the task that asks the store.
+    fn wish(&self, server: &Arc<str>, tokens: u64, least: u64) {
+        let Some(member) = self.members.get(server) else {
+            return;
+        };
+        let _ = self.outlets.wishes.send(Wish {
+            server: Arc::clone(server),
+            tokens,
+            least,
+            limit: member.limit,
+        });
+    }
+}
--- a/serving/src/modules/admission/pool.rs
+++ b/serving/src/modules/admission/pool.rs
@@ -21,50 +21,62 @@
     pub(super) hash: u64,
     /// How near the server is.
     pub(super) proximity: Proximity,
-    /// This entry's share of the server's memory.
-    pub(super) share: u64,
+    /// Tokens that all entries together may hold on the server.
+    pub(super) limit: u64,
+    /// Until when this entry's share is taken not to grow, since the store refused.
+    pub(super) denied_until: Duration,
+}
+
+/// The server that takes a request.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Choice<'a> {
+    /// The server.
+    pub(super) member: &'a Member,
+    /// Whether the request fits into what this entry holds there; otherwise its share must grow.
+    pub(super) ready: bool,
 }
 
 /// The backend servers of one service and version.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Pool {
-    /// The servers.
-    pub(super) members: Vec<Member>,
+    /// Names of the servers.
+    pub(super) names: Vec<Arc<str>>,
     /// Servers that fail.
     pub(super) ejector: Ejector,
 }
 
 impl Pool {
-    /// Returns the server that takes a request now, if any can.
-    pub(super) fn choose(&self, need: &Need, ledger: &Ledger, now: Duration) -> Option<&Member> {
-        let candidates: Vec<Candidate> = self
-            .members
+    /// Returns the server that takes a request, if any can.
+    pub(super) fn choose<'a>(
+        &self,
+        members: &[&'a Member],
+        need: &Need,
+        ledger: &Ledger,
+        now: Duration,
+    ) -> Option<Choice<'a>> {
+        let candidates: Vec<Candidate> = members
             .iter()
             .map(|member| self.candidate(member, need, ledger, now))
             .collect();
-        choose(&candidates, need.prefix).map(|index| &self.members[index])
-    }
-
-    /// Returns whether a server of the pool could hold the request if it were idle.
-    pub(super) fn could_hold(&self, need: &Need) -> bool {
-        self.members
-            .iter()
-            .any(|member| member.share >= need.tokens)
+        let member = members[choose(&candidates, need.prefix)?];
+        let ready = ledger.free(member.key) >= need.tokens;
+        Some(Choice { member, ready })
     }
 
     /// Returns a server as a candidate for a request.
     fn candidate(&self, member: &Member, need: &Need, ledger: &Ledger, now: Duration) -> Candidate {
         let name = &member.server.name;
-        let free = ledger.free(member.key);
+        let used = ledger.reserved(member.key);
+        let grows = now >= member.denied_until && used + need.tokens <= member.limit;
         let open = !member.server.leaving
             && !need.excluded.contains(name)
-            && !self.ejector.ejected(name, self.members.len(), now);
+            && !self.ejector.ejected(name, self.names.len(), now);
         Candidate {
             hash: member.hash,
             proximity: member.proximity,
-            used: ledger.reserved(member.key),
-            capacity: member.share.max(1),
-            fits: open && free >= need.tokens,
+            used,
+            capacity: member.limit.max(1),
+            fits: open && (grows || ledger.free(member.key) >= need.tokens),
         }
     }
 }
