--- a/coordination/src/journal.rs
+++ b/coordination/src/journal.rs
@@ -59,6 +59,17 @@
         Self::default()
     }
 
+    /// Returns the journal of a generation whose `tokens` were delivered and whose last attempt was
+    /// `attempt`, which goes on as the current one.
+    #[must_use]
+    pub fn restore(tokens: Vec<Arc<str>>, attempt: Attempt) -> Self {
+        Self {
+            tokens,
+            attempt: attempt.0,
+            ended: false,
+        }
+    }
+
     /// Begins an attempt, which makes every earlier one stale.
     pub fn begin_attempt(&mut self) -> Attempt {
         self.attempt += 1;
@@ -92,6 +103,14 @@
         }
     }
 
+    /// Strikes the tokens from `length` on, which nobody was given; the current attempt becomes stale.
+    pub fn truncate(&mut self, length: u64) {
+        self.tokens
+            .truncate(usize::try_from(length).unwrap_or(usize::MAX));
+        self.attempt += 1;
+        self.ended = false;
+    }
+
     /// Returns the index of the next token to deliver.
     #[must_use]
     pub fn next_index(&self) -> u64 {
--- /dev/null
+++ b/coordination/tests/detector.rs
@@ -0,0 +1,98 @@
+//! What the failure detector learns, and what it does not.
+
+use std::time::Duration;
+
+use bolero::check;
+use medlarfall_coordination::detector::{Bounds, Detector, Phase, Subject};
+
+const BOUNDS: Bounds = Bounds {
+    floor: Duration::from_millis(100),
+    ceiling: Duration::from_secs(2),
+};
+
+fn subject(server: &str) -> Subject {
+    Subject {
+        service: "briefs".into(),
+        version: "v1".into(),
+        server: server.into(),
+    }
+}
+
+fn learn(detector: &mut Detector, server: &str, phase: Phase, milliseconds: u64) {
+    for _ in 0..200 {
+        detector.observe(&subject(server), phase, Duration::from_millis(milliseconds));
+    }
+}
+
+#[test]
+fn the_bound_stays_between_floor_and_ceiling_and_above_every_recent_gap() {
+    check!().with_type::<Vec<u16>>().for_each(|gaps| {
+        let mut detector = Detector::new(BOUNDS);
+        for gap in gaps {
+            let gap = Duration::from_millis(u64::from(*gap));
+            detector.observe(&subject("engine-0"), Phase::Between, gap);
+            let bound = detector.bound(&subject("engine-0"), Phase::Between);
+            assert!(bound >= BOUNDS.floor && bound <= BOUNDS.ceiling);
+            assert!(bound >= gap.min(BOUNDS.ceiling));
+        }
+    });
+}
+
+#[test]
+fn a_new_server_is_judged_by_its_version_and_a_new_version_by_the_ceiling() {
+    let mut detector = Detector::new(BOUNDS);
+    learn(&mut detector, "engine-0", Phase::Between, 10);
+    assert_eq!(
+        detector.bound(&subject("engine-1"), Phase::Between),
+        BOUNDS.floor
+    );
+    assert_eq!(
+        detector.bound(&subject("engine-1"), Phase::First),
+        BOUNDS.ceiling
+    );
+    let other = Subject {
+        version: "v2".into(),
+        ..subject("engine-0")
+    };
+    assert_eq!(detector.bound(&other, Phase::Between), BOUNDS.ceiling);
+}
+
+#[test]
+fn a_slow_server_is_borne_without_the_quick_ones_waiting_longer() {
+    let mut detector = Detector::new(BOUNDS);
+    learn(&mut detector, "slow", Phase::Between, 300);
+    learn(&mut detector, "quick", Phase::Between, 10);
+    assert!(detector.bound(&subject("slow"), Phase::Between) >= Duration::from_millis(600));
+    assert_eq!(
+        detector.bound(&subject("quick"), Phase::Between),
+        BOUNDS.floor
+    );
+}
+
+#[test]
+fn a_silence_widens_the_bound_of_its_server_only() {
+    let mut detector = Detector::new(BOUNDS);
+    learn(&mut detector, "engine-0", Phase::Between, 10);
+    learn(&mut detector, "engine-1", Phase::Between, 10);
+    detector.fell_silent(&subject("engine-0"), Phase::Between, BOUNDS.floor);
+    let widened = detector.bound(&subject("engine-0"), Phase::Between);
+    assert!(widened > BOUNDS.floor);
+    assert_eq!(
+        detector.bound(&subject("engine-1"), Phase::Between),
+        BOUNDS.floor
+    );
+    learn(&mut detector, "engine-0", Phase::Between, 10);
+    assert!(detector.bound(&subject("engine-0"), Phase::Between) < widened);
+}
+
+#[test]
+fn servers_that_have_gone_are_forgotten() {
+    let mut detector = Detector::new(BOUNDS);
+    learn(&mut detector, "engine-0", Phase::Between, 10);
+    detector.retain(|_| false);
+    assert_eq!(detector.servers(), 0);
+    assert_eq!(
+        detector.bound(&subject("engine-0"), Phase::Between),
+        BOUNDS.ceiling
+    );
+}
