feat: generations go on through any entry and wait for a server

Cause: an attempt was lost only after a fixed 2 s, a server on which one attempt was lost was passed over for ever, a generation without a server failed at once, a cancel was tried once, and nothing brought a caller back whose entry was lost. A full reader held its engine for ever.

Change: the learnt detector bounds each wait (an engine that answers may keep its first token back); servers are passed over for a while only; the generation waits within callers.answer_timeout; cancels are retried; each event carries a resume token and any entry attaches to the engine or resumes from the tokens that the caller holds; without them it generates again and compares hashes. Text for readers is bounded for each generation and for the entry, and a full reader's generation is parked.

Ruled out: cancelling at once when a streaming caller goes, since it may come back through another entry within the engine's grace.

--- a/programs/src/caller.rs
+++ b/programs/src/caller.rs
@@ -1,6 +1,7 @@
 //! The client side of the callers' port.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
@@ -12,6 +13,13 @@
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 
+mod answer;
+
+pub use answer::Answer;
+
+/// Longest time to connect to an entry.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Why a call failed.
 #[derive(Clone, Debug, Eq, PartialEq, Snafu)]
 pub enum Error {
@@ -44,9 +52,20 @@
     pub stream: bool,
 }
 
+/// A request to go on with a generation.
+#[derive(Serialize)]
+struct Return<'a> {
+    #[serde(flatten)]
+    completion: &'a Completion,
+    tokens: &'a [String],
+}
+
 /// A part of an answer, or a whole one.
 #[derive(Clone, Debug, Deserialize)]
 pub struct Chunk {
+    /// Resume token: the `id:` of the event.
+    #[serde(skip)]
+    pub resume_token: Option<String>,
     /// Version that answered.
     pub version: String,
     /// The text, one choice.
@@ -96,6 +115,7 @@
     pub fn new(entry: SocketAddr, key: &str) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
         Self {
             client: Client::builder(TokioExecutor::new()).build(connector),
             entry,
@@ -113,11 +133,32 @@
             stream: true,
             ..completion.clone()
         };
-        let response = self.complete(&completion).await?;
-        Ok(Stream {
-            body: response.into_body(),
-            buffer: BytesMut::new(),
-        })
+        let body = serde_json::to_string(&completion).map_err(lost)?;
+        Ok(Stream::new(self.complete(body, None).await?))
+    }
+
+    /// Goes on with a generation that another entry began, after the event with `resume_token`.
+    /// `tokens` are all those received; without them the entry may have to generate them again.
+    ///
+    /// # Errors
+    ///
+    /// Returns the entry's error, or that it was lost.
+    pub async fn resume(
+        &self,
+        completion: &Completion,
+        resume_token: &str,
+        tokens: Option<&[String]>,
+    ) -> Result<Stream, Error> {
+        let completion = &Completion {
+            stream: true,
+            ..completion.clone()
+        };
+        let body = match tokens {
+            Some(tokens) => serde_json::to_string(&Return { completion, tokens }),
+            None => serde_json::to_string(completion),
+        };
+        let body = body.map_err(lost)?;
+        Ok(Stream::new(self.complete(body, Some(resume_token)).await?))
     }
 
     /// Asks for a generation and returns the text of the whole answer.
@@ -126,7 +167,8 @@
     ///
     /// Returns the entry's error, or that it was lost.
     pub async fn whole(&self, completion: &Completion) -> Result<String, Error> {
-        let response = self.complete(completion).await?;
+        let body = serde_json::to_string(completion).map_err(lost)?;
+        let response = self.complete(body, None).await?;
         let body = read(response.into_body()).await?;
         let chunk: Chunk = serde_json::from_slice(&body).map_err(lost)?;
         Ok(chunk
@@ -142,7 +184,7 @@
     ///
     /// Returns that the entry was lost; its refusals are replies.
     pub async fn call(&self, method: Method, path: &str, body: &str) -> Result<Reply, Error> {
-        let response = self.send(method, path, body.to_owned()).await?;
+        let response = self.send(method, path, body.to_owned(), None).await?;
         let status = response.status().as_u16();
         let run = response
             .headers()
@@ -158,9 +200,13 @@
     }
 
     /// Sends a request for a generation.
-    async fn complete(&self, completion: &Completion) -> Result<Response<Incoming>, Error> {
-        let body = serde_json::to_string(completion).map_err(lost)?;
-        let response = self.send(Method::POST, "/v1/completions", body).await?;
+    async fn complete(
+        &self,
+        body: String,
+        resume_token: Option<&str>,
+    ) -> Result<Response<Incoming>, Error> {
+        let path = "/v1/completions";
+        let response = self.send(Method::POST, path, body, resume_token).await?;
         if response.status().is_success() {
             return Ok(response);
         }
@@ -178,19 +224,30 @@
         method: Method,
         path: &str,
         body: String,
+        resume_token: Option<&str>,
     ) -> Result<Response<Incoming>, Error> {
-        let request = Request::builder()
+        let mut request = Request::builder()
             .method(method)
             .uri(format!("http://{}{path}", self.entry))
             .header("authorization", format!("Bearer {}", self.key))
-            .header("content-type", "application/json")
-            .body(Full::new(Bytes::from(body)))
-            .map_err(lost)?;
+            .header("content-type", "application/json");
+        if let Some(resume_token) = resume_token {
+            request = request.header("last-event-id", resume_token);
+        }
+        let request = request.body(Full::new(Bytes::from(body))).map_err(lost)?;
         self.client.request(request).await.map_err(lost)
     }
 }
 
 impl Stream {
+    /// Returns the stream of an answer that has begun.
+    fn new(response: Response<Incoming>) -> Self {
+        Self {
+            body: response.into_body(),
+            buffer: BytesMut::new(),
+        }
+    }
+
     /// Returns the next chunk, or nothing when the answer is whole.
     ///
     /// # Errors
@@ -249,7 +306,12 @@
             status: 200,
             body: data,
         }),
-        data => serde_json::from_str(data).map(Some).map_err(lost),
+        data => {
+            let mut chunk: Chunk = serde_json::from_str(data).map_err(lost)?;
+            let id = event.lines().find_map(|line| line.strip_prefix("id:"));
+            chunk.resume_token = id.map(|id| id.trim().to_owned());
+            Ok(Some(chunk))
+        }
     }
 }
 
--- a/programs/src/commands.rs
+++ b/programs/src/commands.rs
@@ -2,13 +2,14 @@
 
 use std::error::Error;
 use std::fs;
+use std::io::Write;
 use std::net::SocketAddr;
 use std::path::Path;
 
 use medlarfall_schema::declaration::Service;
 use medlarfall_serving::configs::Settings;
 
-use crate::caller::{Caller, Completion};
+use crate::caller::{Answer, Completion};
 use crate::operator::Operator;
 
 /// What a subcommand returns.
@@ -98,18 +99,18 @@
     Ok(())
 }
 
-/// Asks for a generation and prints it as it comes.
+/// Asks for a generation and prints it as it comes; goes on at another entry when one is lost.
 ///
 /// # Errors
 ///
-/// Returns the entry's error.
-pub async fn generate(entry: SocketAddr, key: &str, completion: &Completion) -> Result {
-    let mut stream = Caller::new(entry, key).stream(completion).await?;
-    while let Some(chunk) = stream.next().await? {
-        chunk
-            .choices
-            .iter()
-            .for_each(|choice| print!("{}", choice.text));
+/// Returns the last entry's error.
+pub async fn generate(entries: &[SocketAddr], key: &str, completion: &Completion) -> Result {
+    let mut answer = Answer::new(entries, key, completion.clone());
+    while let Some(chunk) = answer.next().await? {
+        for choice in chunk.choices {
+            print!("{}", choice.text);
+        }
+        std::io::stdout().flush()?;
     }
     println!();
     Ok(())
--- a/programs/src/main.rs
+++ b/programs/src/main.rs
@@ -52,8 +52,8 @@
             }
             /// Asks for a generation and prints it as it comes.
             cmd generate {
-                /// Callers' address of an entry.
-                required --entry entry: SocketAddr
+                /// Callers' address of an entry; with several the next one goes on when one is lost.
+                repeated --entry entry: SocketAddr
                 /// Service that is asked.
                 required --model model: String
                 /// The prompt.
@@ -104,7 +104,7 @@
                 max_tokens: flags.max_tokens.unwrap_or(DEFAULT_MAX_TOKENS),
                 stream: true,
             };
-            commands::generate(flags.entry, &key()?, &completion).await
+            commands::generate(&flags.entry, &key()?, &completion).await
         }
     }
 }
--- a/serving/src/configs/generation.rs
+++ b/serving/src/configs/generation.rs
@@ -13,10 +13,18 @@
     pub silence_floor: Duration,
     /// Longest silence that is borne before an attempt ends.
     pub silence_ceiling: Duration,
-    /// Most attempts for one generation.
+    /// Most attempts in a row that end without a new token.
     pub attempts: usize,
-    /// Tokens held for a reader before back-pressure starts.
-    pub buffered_tokens: usize,
+    /// Text held for one reader before back-pressure starts, in bytes.
+    pub buffered_bytes: usize,
+    /// Text held for all readers, in bytes; above it the largest idle reader's is given up.
+    pub held_limit: usize,
+    /// How long a full reader holds its engine before the generation is parked.
+    pub park_after: Duration,
+    /// Longest wait for the first token of an attempt while the engine answers.
+    pub first_token_timeout: Duration,
+    /// How long a resume token can be used.
+    pub resume_token_lifetime: Duration,
 }
 
 impl Default for Generation {
@@ -25,7 +33,11 @@
             silence_floor: Duration::from_millis(300),
             silence_ceiling: Duration::from_secs(2),
             attempts: 8,
-            buffered_tokens: 256,
+            buffered_bytes: 64 << 10,
+            held_limit: 64 << 20,
+            park_after: Duration::from_secs(1),
+            first_token_timeout: Duration::from_secs(30),
+            resume_token_lifetime: Duration::from_hours(1),
         }
     }
 }
@@ -47,20 +59,58 @@
                 default.silence_ceiling,
             )?,
             attempts: value::count("generation.attempts", raw.attempts, default.attempts)?,
-            buffered_tokens: value::count(
-                "generation.buffered_tokens",
-                raw.buffered_tokens,
-                default.buffered_tokens,
+            buffered_bytes: value::size(
+                "generation.buffered_bytes",
+                raw.buffered_bytes,
+                default.buffered_bytes,
+            )?,
+            held_limit: value::size("generation.held_limit", raw.held_limit, default.held_limit)?,
+            park_after: value::duration(
+                "generation.park_after",
+                raw.park_after,
+                default.park_after,
+            )?,
+            first_token_timeout: value::duration(
+                "generation.first_token_timeout",
+                raw.first_token_timeout,
+                default.first_token_timeout,
+            )?,
+            resume_token_lifetime: value::duration(
+                "generation.resume_token_lifetime",
+                raw.resume_token_lifetime,
+                default.resume_token_lifetime,
             )?,
         };
-        if generation.silence_floor > generation.silence_ceiling {
-            let value = humantime::format_duration(generation.silence_floor);
+        generation.consistent()
+    }
+}
+
+impl Generation {
+    /// Refuses values that contradict each other.
+    fn consistent(self) -> Result<Self, Problem> {
+        if self.silence_floor > self.silence_ceiling {
+            let value = humantime::format_duration(self.silence_floor);
             return Err(value::invalid(
                 "generation.silence_floor",
                 &value,
                 "write at most as much as `generation.silence_ceiling`",
             ));
         }
-        Ok(generation)
+        if self.first_token_timeout < self.silence_ceiling {
+            let value = humantime::format_duration(self.first_token_timeout);
+            return Err(value::invalid(
+                "generation.first_token_timeout",
+                &value,
+                "write at least as much as `generation.silence_ceiling`",
+            ));
+        }
+        if self.held_limit < self.buffered_bytes {
+            return Err(value::invalid(
+                "generation.held_limit",
+                &self.held_limit,
+                "write at least as much as `generation.buffered_bytes`",
+            ));
+        }
+        Ok(self)
     }
 }
--- a/serving/src/context.rs
+++ b/serving/src/context.rs
@@ -1,7 +1,8 @@
 //! What every module of an entry shares, passed by reference.
 
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 
+use medlarfall_coordination::detector::Detector;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
@@ -10,6 +11,7 @@
 use crate::configs::Settings;
 use crate::modules::declarations::Declarations;
 use crate::modules::directory::Directory;
+use crate::modules::generation::outbox::Ledger;
 use crate::modules::metrics::Metrics;
 use crate::platform;
 
@@ -30,6 +32,10 @@
     pub declarations: watch::Receiver<Arc<Declarations>>,
     /// Backend servers that this entry knows of.
     pub directory: watch::Receiver<Arc<Directory>>,
+    /// What was learnt of the silences of engines.
+    pub detector: Mutex<Detector>,
+    /// Text held for readers of generations.
+    pub held: Arc<Ledger>,
     /// Cancelled when the entry stops.
     pub stop: CancellationToken,
 }
--- a/serving/src/entry.rs
+++ b/serving/src/entry.rs
@@ -11,7 +11,7 @@
 use crate::clock::Clock;
 use crate::configs::Settings;
 use crate::context::Context;
-use crate::modules::{callers, declarations, directory, metrics, operators};
+use crate::modules::{callers, declarations, directory, generation, metrics, operators};
 use crate::platform;
 
 /// Why an entry could not start.
@@ -77,11 +77,14 @@
         backend: backend::http::Client::new(),
         declarations: declarations::start(platform.clone(), settings.platform, stop.clone()),
         directory: directory::start(platform.clone(), settings.platform, stop.clone()),
+        detector: generation::detector(&settings.generation),
+        held: generation::outbox::Ledger::new(settings.generation.held_limit, &metrics),
         metrics,
         platform,
         settings,
         stop,
     });
+    generation::start_upkeep(Arc::clone(&context));
     let callers = callers::start(Arc::clone(&context))
         .await
         .context(BindSnafu {
--- a/serving/src/modules/callers.rs
+++ b/serving/src/modules/callers.rs
@@ -12,6 +12,7 @@
 
 mod completions;
 mod problem;
+mod resumption;
 mod services;
 
 use problem::{Kind, Outcome, Problem};
--- a/serving/src/modules/callers/problem.rs
+++ b/serving/src/modules/callers/problem.rs
@@ -48,6 +48,10 @@
     Unavailable,
     /// The answer was lost on the way.
     AnswerLost,
+    /// The resume token cannot be used.
+    ResumeRefused,
+    /// The answer was not whole when its time was over.
+    Timeout,
 }
 
 impl Kind {
@@ -61,6 +65,8 @@
             Self::UnknownService => StatusCode::NOT_FOUND,
             Self::Unavailable => StatusCode::SERVICE_UNAVAILABLE,
             Self::AnswerLost => StatusCode::BAD_GATEWAY,
+            Self::ResumeRefused => StatusCode::CONFLICT,
+            Self::Timeout => StatusCode::GATEWAY_TIMEOUT,
         }
     }
 }
--- a/serving/src/modules/metrics.rs
+++ b/serving/src/modules/metrics.rs
@@ -7,6 +7,7 @@
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::registry::Registry;
 use salvo::conn::TcpListener;
 use salvo::http::StatusCode;
@@ -31,6 +32,14 @@
     pub requests: Family<Request, Counter>,
     /// Attempts of generations that were lost.
     pub attempts_lost: Counter,
+    /// Text held for readers that have not read it yet, in bytes.
+    pub held_bytes: Gauge,
+    /// Generations taken from their engine because the reader did not read.
+    pub generations_parked: Counter,
+    /// Times that held text was given up because the entry held too much.
+    pub held_given_up: Counter,
+    /// Generations taken over with a resume token.
+    pub generations_resumed: Counter,
 }
 
 impl Default for Metrics {
@@ -56,10 +65,37 @@
             "Attempts of generations that were lost",
             attempts_lost.clone(),
         );
+        let held_bytes = Gauge::default();
+        registry.register(
+            "held_bytes",
+            "Text held for readers that have not read it yet",
+            held_bytes.clone(),
+        );
+        let mut counter = |name: &str, help: &str| {
+            let counter = Counter::default();
+            registry.register(name, help, counter.clone());
+            counter
+        };
+        let generations_parked = counter(
+            "generations_parked",
+            "Generations taken from their engine because the reader did not read",
+        );
+        let held_given_up = counter(
+            "held_given_up",
+            "Times that held text was given up because the entry held too much",
+        );
+        let generations_resumed = counter(
+            "generations_resumed",
+            "Generations taken over with a resume token",
+        );
         Self {
             registry,
             requests,
             attempts_lost,
+            held_bytes,
+            generations_parked,
+            held_given_up,
+            generations_resumed,
         }
     }
 
