--- a/serving/src/context.rs
+++ b/serving/src/context.rs
@@ -13,6 +13,7 @@
 use crate::modules::directory::Directory;
 use crate::modules::generation::outbox::Ledger;
 use crate::modules::metrics::Metrics;
+use crate::modules::peers::{Identity, Peers};
 use crate::platform;
 
 /// The context of one entry instance.
@@ -26,6 +27,10 @@
     pub metrics: Metrics,
     /// The platform.
     pub platform: platform::http::Client,
+    /// What this entry says of itself to its peers.
+    pub identity: Identity,
+    /// Connections to the other entries.
+    pub peers: Peers,
     /// Backend servers.
     pub backend: backend::http::Client,
     /// Declarations in force at this entry.
