test: generations without a server, with one that fails for a while, and across versions

The only server is used again after losses; without one the answer ends in a typed error that counts its tokens; a generation waits for a server that comes; a version never changes within an answer and one without tokens takes the new version.

--- /dev/null
+++ b/programs/tests/generations.rs
@@ -0,0 +1,148 @@
+//! Generations without a server, with one server that fails for a while, and across versions.
+
+use std::time::Duration;
+
+use medlarfall::caller::{Answer, Completion, Error};
+use medlarfall::cluster::{BRIEFS, CALLER_KEY, Cluster, Plan, briefs, wait};
+use medlarfall_serving::configs::Settings;
+use medlarfall_standin::engine::{Config, Faults};
+use medlarfall_standin::oracle;
+
+/// Most tokens of each answer; it has at least half of them.
+const MAX_TOKENS: u64 = 120;
+
+/// Tokens that are received before the fault.
+const BEFORE: usize = 10;
+
+/// Starts one entry and one engine.
+async fn cluster(adjust: fn(usize, &mut Settings)) -> Cluster {
+    let plan = Plan {
+        failure_domains: 1,
+        entries: 1,
+        engines: 1,
+        services: 1,
+        adjust,
+        ..Plan::default()
+    };
+    Cluster::start(plan).await.expect("the cluster is up")
+}
+
+/// Ends every answer after a short time.
+fn impatient(_: usize, settings: &mut Settings) {
+    settings.callers.answer_timeout = Duration::from_secs(2);
+}
+
+fn ask(cluster: &Cluster, prompt: &str) -> Answer {
+    let completion = Completion {
+        model: BRIEFS.to_owned(),
+        prompt: prompt.to_owned(),
+        max_tokens: MAX_TOKENS,
+        stream: true,
+    };
+    let entry = cluster.entries[0].addresses.callers;
+    Answer::new(&[entry], CALLER_KEY, completion)
+}
+
+async fn read(answer: &mut Answer, count: usize) {
+    while answer.tokens().len() < count {
+        let chunk = answer.next().await.expect("a chunk");
+        assert!(chunk.is_some(), "the answer ended early");
+    }
+}
+
+#[tokio::test]
+async fn the_only_server_is_used_again_after_losses() {
+    let cluster = cluster(|_, _| {}).await;
+    let mut answer = ask(&cluster, "again");
+    read(&mut answer, BEFORE).await;
+    let engine = &cluster.engines[0].engine;
+    for cut in [25, 45] {
+        engine.set_faults(Faults {
+            cut_token: Some(cut),
+            ..Faults::default()
+        });
+        let requests = engine.stats().requests;
+        wait("the attempt is made again", || {
+            engine.stats().requests > requests
+        })
+        .await
+        .expect("another attempt");
+    }
+    engine.set_faults(Faults::default());
+    let text = answer.finish().await.expect("the whole answer");
+    assert_eq!(text, oracle::answer("v1", "again", MAX_TOKENS));
+    assert_eq!(answer.losses(), 0);
+}
+
+#[tokio::test]
+async fn without_a_server_the_answer_ends_in_an_error_that_counts_its_tokens() {
+    let cluster = cluster(impatient).await;
+    let mut answer = ask(&cluster, "none");
+    read(&mut answer, BEFORE).await;
+    cluster.engines[0].engine.life().die();
+    let error = answer.finish().await.expect_err("an error");
+    let Error::Refused { body, .. } = error else {
+        panic!("a typed error expected: {error}");
+    };
+    let delivered = answer.tokens().len();
+    assert!(body.contains("\"kind\":\"timeout\""), "{body}");
+    let count = format!("{delivered} tokens were delivered");
+    assert!(body.contains(&count), "{body}");
+}
+
+#[tokio::test]
+async fn a_generation_waits_for_a_server_that_comes() {
+    let mut cluster = cluster(|_, _| {}).await;
+    let mut answer = ask(&cluster, "waits");
+    read(&mut answer, BEFORE).await;
+    cluster.engines[0].engine.life().die();
+    let added = cluster.add_engine(Config::default()).await;
+    added.expect("another engine");
+    let text = answer.finish().await.expect("the whole answer");
+    assert_eq!(text, oracle::answer("v1", "waits", MAX_TOKENS));
+}
+
+/// Kills the only engine of `v1`, starts one of `v2` and declares `v2`.
+async fn change_version(cluster: &mut Cluster) {
+    cluster.engines[0].engine.life().die();
+    let v2 = Config {
+        version: "v2".to_owned(),
+        ..Config::default()
+    };
+    cluster.add_engine(v2).await.expect("an engine of v2");
+    let mut operator = cluster.operator(0).expect("an operator");
+    let mut declared = briefs("v2");
+    let services = operator.list().await.expect("the declarations");
+    let held = services.iter().find(|service| service.name == BRIEFS);
+    declared.revision = held.map_or(0, |service| service.revision);
+    operator.apply(declared).await.expect("v2 is declared");
+}
+
+#[tokio::test]
+async fn a_version_never_changes_within_an_answer() {
+    let mut cluster = cluster(impatient).await;
+    let mut answer = ask(&cluster, "version");
+    read(&mut answer, BEFORE).await;
+    change_version(&mut cluster).await;
+    answer.finish().await.expect_err("no other version goes on");
+    let expected = oracle::answer("v1", "version", MAX_TOKENS);
+    assert!(expected.starts_with(&answer.text()));
+}
+
+#[tokio::test]
+async fn a_generation_without_tokens_takes_the_new_version() {
+    let mut cluster = cluster(|_, _| {}).await;
+    cluster.engines[0].engine.life().die();
+    let mut answer = ask(&cluster, "new version");
+    let asking = tokio::spawn(async move {
+        let text = answer.finish().await;
+        text.expect("the whole answer")
+    });
+    let metrics = &cluster.entries[0].context.metrics;
+    wait("an attempt is lost", || metrics.attempts_lost.get() > 0)
+        .await
+        .expect("a lost attempt");
+    change_version(&mut cluster).await;
+    let text = asking.await.expect("the caller ends");
+    assert_eq!(text, oracle::answer("v2", "new version", MAX_TOKENS));
+}
