--- a/coordination/src/lib.rs
+++ b/coordination/src/lib.rs
@@ -5,5 +5,9 @@
 //! of events. Times are [`std::time::Duration`]s since an arbitrary origin that never goes back.
 
 pub mod detector;
+pub mod ejection;
+pub mod fair_queue;
 pub mod journal;
+pub mod memory;
+pub mod placement;
 pub mod resume_token;
--- a/serving/src/context.rs
+++ b/serving/src/context.rs
@@ -9,6 +9,7 @@
 use crate::backend;
 use crate::clock::Clock;
 use crate::configs::Settings;
+use crate::modules::admission::Admission;
 use crate::modules::declarations::Declarations;
 use crate::modules::directory::Directory;
 use crate::modules::generation::outbox::Ledger;
@@ -41,6 +42,8 @@
     pub detector: Mutex<Detector>,
     /// Text held for readers of generations.
     pub held: Arc<Ledger>,
+    /// Admission of requests to backend servers.
+    pub admission: Admission,
     /// Cancelled when the entry stops.
     pub stop: CancellationToken,
 }
--- a/serving/src/modules/generation.rs
+++ b/serving/src/modules/generation.rs
@@ -5,14 +5,15 @@
 
 use medlarfall_coordination::detector::{Bounds, Detector};
 use medlarfall_coordination::journal::{Attempt, Journal};
+use medlarfall_coordination::placement::prefix_hash;
 use medlarfall_coordination::resume_token::{self, Token};
 use snafu::Snafu;
 use tokio::time;
 
-use crate::backend::{Engine, Generate, Reference, Server};
+use crate::backend::{Engine, Generate, Reference, Server, prompt_tokens};
 use crate::configs;
 use crate::context::Context;
-use crate::modules::routing;
+use crate::modules::admission::{Need, Outcome as Report, Permit, Refusal};
 
 mod attempt;
 mod cancel;
@@ -25,8 +26,8 @@
 use outbox::{Demand, Outbox, Reader};
 use watch::Watch;
 
-/// Pause between two looks for a server while there is none.
-const NO_SERVER_PAUSE: Duration = Duration::from_millis(50);
+/// How long a generation waits for a server on which it lost nothing before it takes another.
+const CHOOSY_WAIT: Duration = Duration::from_millis(250);
 
 /// Pause between two clearances of what was learnt of servers that have gone.
 const UPKEEP_INTERVAL: Duration = Duration::from_secs(30);
@@ -36,6 +37,8 @@
 pub struct Order {
     /// Identifier of the request.
     pub request_id: Arc<str>,
+    /// Client account of the caller.
+    pub account: Arc<str>,
     /// Service that was asked.
     pub service: Arc<str>,
     /// Version that answers.
@@ -130,6 +133,12 @@
         /// Tokens delivered so far.
         delivered: u64,
     },
+    /// It was not admitted, and nothing of it was run.
+    #[snafu(display("{refusal}"))]
+    Refused {
+        /// Why.
+        refusal: Refusal,
+    },
     /// The caller's deadline has passed.
     #[snafu(display(
         "the answer was not whole in time; {delivered} tokens were delivered; come back with the last event's id"
@@ -193,7 +202,7 @@
         let stop = context.stop.clone();
         let mut task = Task::new(context, order, outbox);
         tokio::select! {
-            () = stop.cancelled() => task.fail(|delivered| Error::Stopping { delivered }),
+            () = stop.cancelled() => task.leave(),
             () = task.run() => {}
         }
     });
@@ -211,6 +220,14 @@
     seen: resume_token::Digest,
 }
 
+/// An attempt that runs on an engine.
+struct Running {
+    server: Arc<Server>,
+    attempt: Attempt,
+    /// Holds the engine's memory; absent for an attempt that another entry began.
+    permit: Option<Permit>,
+}
+
 /// A generation in progress.
 struct Task {
     context: Arc<Context>,
@@ -219,7 +236,7 @@
     outbox: Outbox,
     exclusion: Exclusion,
     /// The attempt that runs on an engine.
-    running: Option<(Arc<Server>, Attempt)>,
+    running: Option<Running>,
     /// Where the running attempt's tokens come from.
     origin: Arc<Origin>,
     skip: Option<Skip>,
@@ -261,7 +278,6 @@
         let deadline = self.context.settings.callers.answer_timeout;
         let whole = time::timeout(deadline, self.serve()).await;
         if whole.is_err() {
-            self.cancel_running();
             self.fail(|delivered| Error::Timeout { delivered });
         }
     }
@@ -274,20 +290,18 @@
             let before = self.journal.next_index();
             let outcome = match next.take() {
                 Some((server, attempt)) => self.attach(server, attempt).await,
-                None => match self.server().await {
-                    Some(server) => self.attempt(server).await,
-                    None => Outcome::CallerGone,
+                None => match self.permit().await {
+                    Ok(permit) => self.attempt(permit).await,
+                    Err(outcome) => outcome,
                 },
             };
             let progressed = self.journal.next_index() > before;
             let ended = match outcome {
                 Outcome::Whole(reason) => self.finish(reason).await,
                 Outcome::Parked => self.park().await,
-                Outcome::CallerGone => return self.let_go(),
-                Outcome::Diverged => {
-                    self.cancel_running();
-                    return self.fail(|delivered| Error::Diverged { delivered });
-                }
+                Outcome::CallerGone => self.let_go(),
+                Outcome::Diverged => self.fail(|delivered| Error::Diverged { delivered }),
+                Outcome::NotAdmitted(refusal) => self.refuse(refusal),
                 Outcome::Ended => false,
                 Outcome::Refused(reason) => self.pass_over(&reason, false),
                 Outcome::Lost(reason) => {
@@ -299,7 +313,8 @@
                 return;
             }
             if fruitless >= self.context.settings.generation.attempts {
-                return self.fail(|delivered| Error::NoServer { delivered });
+                self.fail(|delivered| Error::NoServer { delivered });
+                return;
             }
         }
     }
@@ -312,31 +327,70 @@
         Some((Arc::clone(server), Attempt(token.attempt)))
     }
 
-    /// Waits for a server that can make an attempt, unless the caller goes before there is one.
-    async fn server(&mut self) -> Option<Arc<Server>> {
+    /// Waits for a server that can make an attempt, if possible one on which nothing was lost lately.
+    async fn permit(&mut self) -> Result<Permit, Outcome> {
         loop {
-            if let Some(server) = self.pick() {
-                return Some(server);
-            }
-            if self.outbox.demand() == Demand::Gone {
-                return None;
+            let now = self.context.clock.now();
+            let avoided = self.exclusion.avoided(now);
+            let refusal = if avoided.is_empty() {
+                self.ask(avoided, None).await?
+            } else {
+                match self.ask(avoided, Some(CHOOSY_WAIT)).await? {
+                    Err(Refusal::Deadline) => {
+                        let barred = self.exclusion.barred(self.context.clock.now());
+                        self.ask(barred, Some(CHOOSY_WAIT)).await?
+                    }
+                    answer => answer,
+                }
+            };
+            match refusal {
+                Ok(permit) => return Ok(permit),
+                Err(Refusal::Deadline) => self.take_version_in_force(),
+                Err(Refusal::Full) if self.delivered() > 0 => time::sleep(CHOOSY_WAIT).await,
+                Err(refusal) => return Err(Outcome::NotAdmitted(refusal)),
             }
-            self.take_version_in_force();
-            time::sleep(NO_SERVER_PAUSE).await;
         }
     }
 
-    /// Picks a server, if possible one on which nothing was lost lately.
-    fn pick(&self) -> Option<Arc<Server>> {
-        let now = self.context.clock.now();
-        [self.exclusion.avoided(now), self.exclusion.barred(now)]
-            .iter()
-            .find_map(|passed_over| {
-                let Order {
-                    service, version, ..
-                } = &self.order;
-                routing::pick(&self.context, service, version, passed_over)
-            })
+    /// Asks for a server outside `excluded` and waits for `wait`, or else until the deadline, unless
+    /// the caller goes or another version comes into force before anything was delivered.
+    async fn ask(
+        &self,
+        excluded: Vec<Arc<str>>,
+        wait: Option<Duration>,
+    ) -> Result<Result<Permit, Refusal>, Outcome> {
+        let order = &self.order;
+        let wait = wait.unwrap_or(self.context.settings.callers.answer_timeout);
+        let begun = self.delivered() > 0;
+        let need = Need {
+            service: Arc::clone(&order.service),
+            version: Arc::clone(&order.version),
+            account: Arc::clone(&order.account),
+            weight: 1,
+            // What a caller has begun to read comes before what has not begun.
+            priority: if begun { i32::MAX } else { order.priority },
+            tokens: prompt_tokens(&order.prompt) + order.max_tokens,
+            prefix: prefix_hash(&order.prompt),
+            deadline: self.context.clock.now() + wait,
+            excluded,
+        };
+        tokio::select! {
+            answer = self.context.admission.ask(need) => Ok(answer),
+            () = self.outbox.gone() => Err(Outcome::CallerGone),
+            () = self.other_version(), if !begun => Ok(Err(Refusal::Deadline)),
+        }
+    }
+
+    /// Waits until another version of the service is declared than the one asked for.
+    async fn other_version(&self) {
+        let mut declarations = self.context.declarations.clone();
+        let waited = declarations.wait_for(|declarations| {
+            let service = declarations.service(&self.order.service);
+            service.is_some_and(|service| service.version != *self.order.version)
+        });
+        if waited.await.is_err() {
+            std::future::pending::<()>().await;
+        }
     }
 
     /// Takes the version that is now declared, if nothing was delivered yet.
@@ -356,8 +410,8 @@
         self.journal.next_index().max(skipped)
     }
 
-    /// Makes one attempt on a server.
-    async fn attempt(&mut self, server: Arc<Server>) -> Outcome {
+    /// Makes one attempt on the server that a permit names.
+    async fn attempt(&mut self, permit: Permit) -> Outcome {
         let attempt = self.journal.begin_attempt();
         let generate = Generate {
             request_id: Arc::clone(&self.order.request_id),
@@ -368,7 +422,8 @@
             max_tokens: self.order.max_tokens,
             priority: self.order.priority,
         };
-        let mut watch = self.begin(&server, attempt);
+        let server = Arc::clone(&permit.server);
+        let mut watch = self.begin(&server, attempt, Some(permit));
         let backend = self.context.backend.clone();
         let asked = backend.generate(&server, &generate);
         self.follow(&mut watch, asked).await
@@ -377,7 +432,7 @@
     /// Reads on from an attempt that runs since before this entry had the generation.
     async fn attach(&mut self, server: Arc<Server>, attempt: Attempt) -> Outcome {
         let reference = self.reference(attempt);
-        let mut watch = self.begin(&server, attempt);
+        let mut watch = self.begin(&server, attempt, None);
         let backend = self.context.backend.clone();
         let asked = backend.attach(&server, &reference);
         match self.follow(&mut watch, asked).await {
@@ -387,8 +442,12 @@
     }
 
     /// Notes that an attempt runs on a server and starts to watch its silence.
-    fn begin(&mut self, server: &Arc<Server>, attempt: Attempt) -> Watch {
-        self.running = Some((Arc::clone(server), attempt));
+    fn begin(&mut self, server: &Arc<Server>, attempt: Attempt, permit: Option<Permit>) -> Watch {
+        self.running = Some(Running {
+            server: Arc::clone(server),
+            attempt,
+            permit,
+        });
         self.origin = Arc::new(Origin {
             version: Arc::clone(&self.order.version),
             server: Arc::clone(&server.name),
@@ -399,14 +458,15 @@
 
     /// Notes an attempt that was refused or lost, and passes its server over for a while.
     fn pass_over(&mut self, reason: &str, lost: bool) -> bool {
-        let running = self.running.clone();
-        if let Some((server, _)) = running {
+        if let Some(running) = &self.running {
             let request = self.order.request_id.as_ref();
-            let name = server.name.as_ref();
-            log::warn!(request = request, server = name, reason = reason; "attempt lost");
+            let server = running.server.name.as_ref();
+            log::warn!(request, server, reason; "attempt lost");
             self.context.metrics.attempts_lost.inc();
-            self.exclusion.lost(&server, self.context.clock.now());
+            self.exclusion
+                .lost(&running.server, self.context.clock.now());
         }
+        self.report(Report::Failed);
         if lost {
             self.cancel_running();
         }
@@ -414,6 +474,17 @@
         false
     }
 
+    /// Tells admission how the running attempt went.
+    fn report(&self, report: Report) {
+        let permit = self
+            .running
+            .as_ref()
+            .and_then(|running| running.permit.as_ref());
+        if let Some(permit) = permit {
+            permit.report(report);
+        }
+    }
+
     /// Frees the engine until the reader has caught up; returns whether the reader has gone.
     async fn park(&mut self) -> bool {
         self.context.metrics.generations_parked.inc();
@@ -436,6 +507,7 @@
     /// Tells the caller that the answer is whole and waits until it has read that; returns false if
     /// a part of the answer has to be generated again.
     async fn finish(&mut self, reason: Arc<str>) -> bool {
+        self.report(Report::Answered);
         self.running = None;
         self.outbox.push(Event::End {
             reason,
@@ -450,22 +522,49 @@
 
     /// Leaves the attempt of a caller that has gone: one that may come back finds it running for as
     /// long as the engine keeps what nobody reads.
-    fn let_go(&mut self) {
+    fn let_go(&mut self) -> bool {
         if !self.order.resumable {
             self.cancel_running();
         }
+        if let Some(permit) = self.running.take().and_then(|running| running.permit) {
+            cancel::outlast(&self.context, permit);
+        }
+        true
     }
 
-    /// Tells the caller that the answer cannot be completed.
-    fn fail(&self, error: fn(u64) -> Error) {
-        self.outbox
-            .push_last(Event::Failed(error(self.delivered())));
+    /// Tells the caller that the generation was not admitted.
+    fn refuse(&mut self, refusal: Refusal) -> bool {
+        match refusal {
+            Refusal::Stopping => self.fail(|delivered| Error::Stopping { delivered }),
+            _ if self.delivered() > 0 => self.fail(|delivered| Error::NoServer { delivered }),
+            refusal => {
+                let error = Error::Refused { refusal };
+                self.outbox.push_last(Event::Failed(error));
+                true
+            }
+        }
+    }
+
+    /// Tells the caller that the entry stops; what runs is left for another entry to read on from.
+    fn leave(&self) {
+        let delivered = self.delivered();
+        let error = Error::Stopping { delivered };
+        self.outbox.push_last(Event::Failed(error));
+    }
+
+    /// Ends what runs and tells the caller that the answer cannot be completed.
+    fn fail(&mut self, error: fn(u64) -> Error) -> bool {
+        self.cancel_running();
+        let error = error(self.delivered());
+        self.outbox.push_last(Event::Failed(error));
+        true
     }
 
     /// Cancels the attempt that runs, without waiting for the answer.
     fn cancel_running(&mut self) {
-        if let Some((server, attempt)) = self.running.take() {
-            cancel::start(&self.context, &server, self.reference(attempt));
+        if let Some(running) = self.running.take() {
+            let reference = self.reference(running.attempt);
+            cancel::start(&self.context, running, reference);
         }
     }
 
--- a/serving/src/modules/generation/outbox.rs
+++ b/serving/src/modules/generation/outbox.rs
@@ -267,6 +267,13 @@
         }
     }
 
+    /// Waits until the reader has gone.
+    pub(super) async fn gone(&self) {
+        while self.demand() != Demand::Gone {
+            self.shared.changed.notified().await;
+        }
+    }
+
     /// Lets events in again after what was held was given up.
     pub(super) fn reopen(&self) {
         lock(&self.shared.state).given_up = None;
