--- a/serving/src/entry.rs
+++ b/serving/src/entry.rs
@@ -13,7 +13,9 @@
 use crate::configs::Settings;
 use crate::context::Context;
 use crate::modules::peers::{Identity, Peers};
-use crate::modules::{admission, callers, declarations, directory, metrics, operators, peers};
+use crate::modules::{
+    admission, callers, declarations, directory, generation, metrics, operators, peers,
+};
 use crate::platform;
 
 /// Why an entry could not start.
@@ -99,12 +101,15 @@
         peers: Peers::new(settings.keys.peers.clone()),
         backend: backend::http::Client::new(),
         declarations: declarations::start(platform.clone(), settings.platform, stop.clone()),
+        detector: generation::detector(&settings.generation),
+        held: generation::outbox::Ledger::new(settings.generation.held_limit, &metrics),
         directory,
         metrics,
         platform,
         settings,
         stop,
     });
+    generation::start_upkeep(Arc::clone(&context));
     let callers = callers::start(Arc::clone(&context))
         .await
         .context(BindSnafu {
