--- a/programs/src/bench/routing.rs
+++ b/programs/src/bench/routing.rs
@@ -63,6 +63,7 @@
     hit_ratio: f64,
     held_peak: u64,
     cross_domain_ratio: f64,
+    store_calls_per_request: f64,
 }
 
 /// Runs the scenario.
@@ -81,6 +82,18 @@
         ("prefix_hit_ratio", own.hit_ratio.into()),
         ("random_prefix_hit_ratio", random.hit_ratio.into()),
         ("least_reported_prefix_hit_ratio", least.hit_ratio.into()),
+        (
+            "store_calls_per_request",
+            own.store_calls_per_request.into(),
+        ),
+        (
+            "ttft_p50_ms",
+            milliseconds(own.first.value_at_quantile(0.5)),
+        ),
+        (
+            "random_ttft_p50_ms",
+            milliseconds(random.first.value_at_quantile(0.5)),
+        ),
         (
             "ttft_p95_ms",
             milliseconds(own.first.value_at_quantile(0.95)),
@@ -315,6 +328,7 @@
         let admitted = &entry.context.metrics.admitted;
         (near + admitted.near(), far + admitted.far())
     });
+    let calls = cluster.platform.stats();
     Ok(Measured {
         first,
         wrong,
@@ -325,5 +339,6 @@
         ),
         held_peak: stats.iter().map(|stats| stats.held_peak).max().unwrap_or(0),
         cross_domain_ratio: ratio(far, near + far),
+        store_calls_per_request: ratio(calls.reads + calls.writes, REQUESTS as u64),
     })
 }
--- a/serving/src/configs/admission.rs
+++ b/serving/src/configs/admission.rs
@@ -30,10 +30,10 @@
     fn default() -> Self {
         Self {
             headroom_percent: 5,
-            grant_percent: 5,
+            grant_percent: 2,
             service_calls: 64,
             waiting: 10_000,
-            idle_timeout: Duration::from_secs(10),
+            idle_timeout: Duration::from_millis(500),
             reclaim_grace: Duration::from_secs(30),
         }
     }
--- a/serving/src/modules/admission.rs
+++ b/serving/src/modules/admission.rs
@@ -29,7 +29,7 @@
 mod pool;
 
 /// Pause between two looks for memory that lies idle.
-const IDLE_INTERVAL: Duration = Duration::from_secs(1);
+const IDLE_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Messages that may wait for the task.
 const MAILBOX: usize = 1_024;
