--- /dev/null
+++ b/coordination/src/claim/identifier.rs
@@ -0,0 +1,168 @@
+//! The caller's identifier of a call: a `UUIDv7`, whose age is known.
+
+use std::fmt::Write as _;
+use std::sync::Arc;
+use std::time::Duration;
+
+use sha2::{Digest, Sha256};
+use snafu::Snafu;
+use uuid::Uuid;
+
+use super::Body;
+
+/// Prefix of the keys that hold claims.
+pub const PREFIX: &str = "claims/";
+
+/// Span of time whose claims are swept together.
+pub const BUCKET: Duration = Duration::from_hours(1);
+
+/// Bytes of the hash of account and service that are part of a key.
+const SCOPE_BYTES: usize = 16;
+
+/// Why an identifier was refused.
+#[derive(Clone, Debug, Eq, PartialEq, Snafu)]
+pub enum Error {
+    /// It is not a `UUIDv7`.
+    #[snafu(display("`{text}` is not a UUID of version 7; make a new one for each new call"))]
+    Malformed {
+        /// What was sent instead.
+        text: String,
+    },
+    /// It is older than the window in which answers are kept.
+    #[snafu(display(
+        "the identifier is older than {} s, and whether its call ran is no longer known; read the record, then decide whether to call again with a new one",
+        window.as_secs()
+    ))]
+    TooOld {
+        /// The window.
+        window: Duration,
+    },
+    /// It was made later than now.
+    #[snafu(display(
+        "the identifier lies more than {} s in the future; set the clock of the machine that made it",
+        skew.as_secs()
+    ))]
+    FromFuture {
+        /// Tolerated difference of clocks.
+        skew: Duration,
+    },
+}
+
+/// How long an identifier is good for.
+#[derive(Clone, Copy, Debug)]
+pub struct Window {
+    /// Age over which identifiers are refused.
+    pub retention: Duration,
+    /// Largest difference between the clocks of callers and entries.
+    pub skew: Duration,
+}
+
+/// A caller's identifier that was in its window when it was checked.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Identifier {
+    id: Uuid,
+    made: Duration,
+}
+
+impl Identifier {
+    /// Checks an identifier; `now` is the time since the Unix epoch.
+    ///
+    /// # Errors
+    ///
+    /// Returns that it is malformed or outside its window.
+    pub fn check(text: &str, now: Duration, window: Window) -> Result<Self, Error> {
+        let id = Uuid::try_parse(text).ok();
+        let id = id.filter(|id| id.get_version_num() == 7);
+        let made = id.and_then(|id| id.get_timestamp());
+        let (Some(id), Some(made)) = (id, made) else {
+            let text = text.chars().take(64).collect();
+            return Err(Error::Malformed { text });
+        };
+        let (seconds, nanos) = made.to_unix();
+        let made = Duration::new(seconds, nanos);
+        match made {
+            _ if made > now + window.skew => Err(Error::FromFuture { skew: window.skew }),
+            _ if made + window.retention < now => Err(Error::TooOld {
+                window: window.retention,
+            }),
+            _ => Ok(Self { id, made }),
+        }
+    }
+
+    /// Returns the key that holds the claim of this identifier for one account and service.
+    #[must_use]
+    pub fn key(&self, account: &str, service: &str) -> String {
+        let scope = hex(&digest(&[account.as_bytes(), service.as_bytes()])[..SCOPE_BYTES]);
+        let bucket = prefix(bucket(self.made));
+        format!("{bucket}{}-{scope}", self.id.simple())
+    }
+}
+
+/// Returns the number of the bucket of a time since the Unix epoch.
+#[must_use]
+pub fn bucket(made: Duration) -> u64 {
+    made.as_secs() / BUCKET.as_secs()
+}
+
+/// Returns the prefix of the keys of a bucket.
+#[must_use]
+pub fn prefix(bucket: u64) -> String {
+    format!("{PREFIX}{bucket:08x}/")
+}
+
+/// Returns the newest bucket all of whose identifiers every entry refuses.
+#[must_use]
+pub fn sweepable(now: Duration, window: Window) -> Option<u64> {
+    let margin = window.retention + window.skew + window.skew;
+    let before = now.checked_sub(margin)?;
+    bucket(before).checked_sub(1)
+}
+
+/// Returns the hash that an identifier is bound to.
+#[must_use]
+pub fn binding(method: &str, path: &str, body: &[u8]) -> Arc<str> {
+    let hash = digest(&[method.as_bytes(), path.as_bytes(), body]);
+    Arc::from(hex(&hash))
+}
+
+/// Returns a body as it is kept.
+#[must_use]
+pub fn keep(body: &[u8]) -> Body {
+    match str::from_utf8(body) {
+        Ok(text) => Body::Text(Arc::from(text)),
+        Err(_) => Body::Hex(Arc::from(hex(body))),
+    }
+}
+
+/// Returns the bytes of a kept body, or nothing if it cannot be read.
+#[must_use]
+pub fn bytes(body: &Body) -> Option<Vec<u8>> {
+    match body {
+        Body::Text(text) => Some(text.as_bytes().to_vec()),
+        Body::Hex(text) => text
+            .as_bytes()
+            .chunks(2)
+            .map(|pair| u8::from_str_radix(str::from_utf8(pair).ok()?, 16).ok())
+            .collect(),
+    }
+}
+
+/// Returns the hash of parts, each preceded by its length so that no two lists look alike.
+fn digest(parts: &[&[u8]]) -> [u8; 32] {
+    let mut hash = Sha256::new();
+    for part in parts {
+        hash.update((part.len() as u64).to_be_bytes());
+        hash.update(part);
+    }
+    hash.finalize().into()
+}
+
+/// Returns bytes in hexadecimal.
+fn hex(bytes: &[u8]) -> String {
+    let mut text = String::with_capacity(bytes.len() * 2);
+    for byte in bytes {
+        // Writing to a string cannot fail.
+        let _ = write!(text, "{byte:02x}");
+    }
+    text
+}
--- /dev/null
+++ b/coordination/tests/claim.rs
@@ -0,0 +1,383 @@
+//! Claims: any interleaving of calls, faults and deaths against a model of store and service.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bolero::check;
+use medlarfall_coordination::claim::{
+    Action, Answer, Call, Claimer, Held, Input, Ledger, Limits, Outcome, Record, Remainder, Word,
+};
+
+const ENTRIES: usize = 3;
+const CALLS: usize = 8;
+
+/// What is on its way to the store, a claimer or the service.
+#[derive(Clone, Debug)]
+enum Message {
+    Put(Record, u64),
+    Read,
+    Withdraw(Claimer),
+    Delete(u64),
+    Ask(Claimer),
+    Send(usize),
+}
+
+/// A message, who waits for its answer, and the answer once it took effect.
+#[derive(Clone, Debug)]
+struct Flight {
+    message: Message,
+    waiter: Option<usize>,
+    answer: Option<Input>,
+    effected: bool,
+}
+
+struct Running {
+    entry: usize,
+    call: Call,
+    prepared: bool,
+    dead: bool,
+    runs: u32,
+    outcome: Option<Outcome>,
+}
+
+/// A store, a service and entries; the bytes choose what happens next.
+struct World {
+    ledgers: Vec<Ledger>,
+    incarnations: u64,
+    calls: Vec<Running>,
+    flights: Vec<Flight>,
+    stored: Vec<Option<Held>>,
+    revision: u64,
+    answered: Option<Answer>,
+    now: Duration,
+}
+
+impl World {
+    fn new() -> Self {
+        let mut world = Self {
+            ledgers: Vec::new(),
+            incarnations: 0,
+            calls: Vec::new(),
+            flights: Vec::new(),
+            stored: vec![None],
+            revision: 0,
+            answered: None,
+            now: Duration::ZERO,
+        };
+        for entry in 0..ENTRIES {
+            let ledger = world.ledger(entry);
+            world.ledgers.push(ledger);
+        }
+        world
+    }
+
+    fn ledger(&mut self, entry: usize) -> Ledger {
+        self.incarnations += 1;
+        let incarnation = self.incarnations.to_string();
+        Ledger::new(format!("entry-{entry}").into(), incarnation.into(), 2, 1024)
+    }
+
+    fn begin(&mut self, entry: usize) {
+        if self.calls.len() == CALLS {
+            return;
+        }
+        let claimer = self.ledgers[entry].open();
+        let limits = Limits::default();
+        let (call, action) = Call::begin(claimer, "binding".into(), limits, self.now);
+        self.calls.push(Running {
+            entry,
+            call,
+            prepared: false,
+            dead: false,
+            runs: 0,
+            outcome: None,
+        });
+        self.act(self.calls.len() - 1, action);
+    }
+
+    fn act(&mut self, index: usize, action: Action) {
+        let message = match action {
+            Action::Put { record, expected } => Message::Put(record, expected),
+            Action::Read => Message::Read,
+            Action::Ask(claimer) => Message::Ask(claimer),
+            Action::Prepare => {
+                self.calls[index].prepared = true;
+                return;
+            }
+            Action::Send => Message::Send(index),
+            Action::Finish(outcome) => return self.finish(index, outcome),
+        };
+        self.fly(message, Some(index));
+    }
+
+    fn fly(&mut self, message: Message, waiter: Option<usize>) {
+        self.flights.push(Flight {
+            message,
+            waiter,
+            answer: None,
+            effected: false,
+        });
+    }
+
+    fn finish(&mut self, index: usize, outcome: Outcome) {
+        if let Outcome::RanBefore(answer) = &outcome {
+            assert_eq!(Some(answer), self.answered.as_ref(), "a wrong answer");
+        }
+        let running = &mut self.calls[index];
+        running.outcome = Some(outcome);
+        let claimer = running.call.claimer().clone();
+        self.ledgers[running.entry].close(claimer.sequence, running.call.word());
+        match running.call.remainder() {
+            Remainder::Nothing => {}
+            Remainder::Keep { record, expected } => self.fly(Message::Put(record, expected), None),
+            Remainder::Delete { expected } => self.fly(Message::Delete(expected), None),
+            Remainder::Withdraw => self.fly(Message::Withdraw(claimer), None),
+        }
+    }
+
+    fn input(&mut self, index: usize, input: Input) {
+        if self.calls[index].dead {
+            return;
+        }
+        let action = self.calls[index].call.step(input, self.now);
+        self.act(index, action);
+    }
+
+    fn current(&self) -> Option<Held> {
+        self.stored.last().cloned().flatten()
+    }
+
+    fn write(&mut self, record: Option<Record>, expected: u64) -> Input {
+        let current = self.current();
+        if current.as_ref().map_or(0, |held| held.revision) != expected {
+            return Input::Conflict(current);
+        }
+        self.revision += 1;
+        let revision = self.revision;
+        self.stored
+            .push(record.map(|record| Held { record, revision }));
+        Input::Written(revision)
+    }
+
+    /// A message takes effect; `choice` picks which past state a read returns, and refusals.
+    fn effect(&mut self, position: usize, choice: usize) {
+        if std::mem::replace(&mut self.flights[position].effected, true) {
+            return;
+        }
+        let flight = self.flights[position].clone();
+        let past = self.stored[self.stored.len() - 1 - choice % self.stored.len()].clone();
+        let answer = match flight.message {
+            Message::Put(record, expected) => self.write(Some(record), expected),
+            Message::Read => Input::Found(past),
+            Message::Withdraw(claimer) => {
+                let own = past.filter(|held| held.record.claimer == claimer);
+                if let Some(held) = own.filter(|held| held.record.answer.is_none()) {
+                    self.fly(Message::Delete(held.revision), None);
+                }
+                Input::Lost
+            }
+            Message::Delete(expected) => self.write(None, expected),
+            Message::Ask(claimer) => {
+                let word = self.ledgers.iter().find_map(|ledger| ledger.word(&claimer));
+                Input::Word(word)
+            }
+            Message::Send(_) if choice.is_multiple_of(3) => Input::Refused,
+            Message::Send(index) => Input::Replied(self.run(index)),
+        };
+        self.flights[position].answer = Some(answer);
+    }
+
+    fn run(&mut self, index: usize) -> Answer {
+        self.calls[index].runs += 1;
+        let answer = Answer {
+            status: 200,
+            content_type: Some(Arc::from(index.to_string())),
+            body: None,
+        };
+        assert!(self.answered.replace(answer.clone()).is_none(), "ran twice");
+        answer
+    }
+
+    /// An answer arrives, or is lost; what was lost on its way may still take effect later.
+    fn deliver(&mut self, position: usize, lost: bool) {
+        let flight = self.flights[position].clone();
+        let Some(index) = flight.waiter.filter(|_| flight.answer.is_some() || lost) else {
+            return;
+        };
+        let input = match (&flight.message, flight.answer.clone()) {
+            (_, Some(answer)) if !lost => answer,
+            (Message::Send(_), _) => Input::AnswerLost,
+            (Message::Ask(_), _) => Input::Word(None),
+            (Message::Put(..), None) if position.is_multiple_of(2) => Input::Unavailable,
+            _ => Input::Lost,
+        };
+        self.flights[position].waiter = None;
+        if self.calls[index].outcome.is_none() {
+            self.input(index, input);
+        }
+    }
+
+    fn kill(&mut self, entry: usize) {
+        for running in &mut self.calls {
+            running.dead |= running.entry == entry;
+        }
+        let ledger = self.ledger(entry);
+        self.ledgers[entry] = ledger;
+    }
+
+    fn event(&mut self, kind: u8, which: u8) {
+        let which = usize::from(which);
+        let position = which % self.flights.len().max(1);
+        match kind % 16 {
+            0 | 1 => self.begin(which % ENTRIES),
+            2..=5 if position < self.flights.len() => self.effect(position, 0),
+            6 if position < self.flights.len() => self.effect(position, which / 8),
+            7..=10 if position < self.flights.len() => self.deliver(position, false),
+            11 if position < self.flights.len() => self.deliver(position, true),
+            12 | 13 if !self.calls.is_empty() => {
+                let index = which % self.calls.len();
+                if std::mem::take(&mut self.calls[index].prepared) {
+                    self.input(index, Input::Prepared);
+                }
+            }
+            14 => self.now += Duration::from_millis(which as u64 * 20),
+            15 => self.kill(which % ENTRIES),
+            _ => {}
+        }
+    }
+
+    fn check(&self) {
+        let runs: u32 = self.calls.iter().map(|running| running.runs).sum();
+        assert!(runs <= 1, "ran twice");
+        for running in &self.calls {
+            let not_run = matches!(running.outcome, Some(Outcome::NotRun(_)));
+            assert!(
+                !not_run || running.runs == 0,
+                "told not-run but ran: {:?}",
+                running.outcome
+            );
+            let ran = matches!(running.outcome, Some(Outcome::Ran));
+            assert!(!ran || running.runs == 1, "told ran but did not run");
+        }
+    }
+}
+
+#[test]
+fn no_interleaving_runs_a_call_twice_or_denies_that_it_ran() {
+    check!()
+        .with_max_len(512)
+        .with_type::<Vec<(u8, u8)>>()
+        .for_each(|events| {
+            let mut world = World::new();
+            for (kind, which) in events {
+                world.event(*kind, *which);
+                world.check();
+            }
+        });
+}
+
+/// Runs everything in its order, without faults.
+fn settle(world: &mut World) {
+    for _ in 0..64 {
+        for position in 0..world.flights.len() {
+            world.effect(position, 1);
+            world.deliver(position, false);
+        }
+        for index in 0..world.calls.len() {
+            if std::mem::take(&mut world.calls[index].prepared) {
+                world.input(index, Input::Prepared);
+            }
+        }
+    }
+    world.check();
+}
+
+#[test]
+fn a_retry_through_another_entry_gets_the_kept_answer() {
+    let mut world = World::new();
+    world.begin(0);
+    settle(&mut world);
+    assert_eq!(world.calls[0].outcome, Some(Outcome::Ran));
+    world.kill(0);
+    world.begin(1);
+    settle(&mut world);
+    let answer = world.answered.clone().expect("it ran");
+    assert_eq!(world.calls[1].outcome, Some(Outcome::RanBefore(answer)));
+}
+
+#[test]
+fn a_lost_claim_answer_is_settled_by_reading_back() {
+    let mut world = World::new();
+    world.begin(0);
+    world.effect(0, 0);
+    world.deliver(0, true);
+    world.effect(1, 0);
+    world.deliver(1, false);
+    assert!(world.calls[0].prepared);
+    settle(&mut world);
+    assert_eq!(world.calls[0].outcome, Some(Outcome::Ran));
+}
+
+#[test]
+fn a_claim_that_comes_late_is_never_sent_and_is_handed_over() {
+    let mut world = World::new();
+    world.begin(0);
+    world.deliver(0, true);
+    world.effect(1, 0);
+    world.flights[1].answer = Some(Input::Unavailable);
+    world.deliver(1, false);
+    assert!(matches!(world.calls[0].outcome, Some(Outcome::NotRun(_))));
+    world.effect(0, 0);
+    assert!(world.current().is_some(), "the late claim is in the store");
+    world.begin(1);
+    settle(&mut world);
+    assert_eq!(world.calls[1].outcome, Some(Outcome::Ran));
+    assert_eq!(world.calls[0].runs, 0);
+}
+
+#[test]
+fn a_silent_claimer_means_unknown() {
+    let mut world = World::new();
+    world.begin(0);
+    world.effect(0, 0);
+    world.kill(0);
+    world.begin(1);
+    settle(&mut world);
+    assert!(matches!(world.calls[1].outcome, Some(Outcome::Unknown(_))));
+    assert!(world.answered.is_none());
+}
+
+#[test]
+fn a_claimer_that_was_paused_reads_its_claim_again() {
+    let mut world = World::new();
+    world.begin(0);
+    world.effect(0, 0);
+    world.deliver(0, false);
+    world.now += Duration::from_mins(1);
+    assert_eq!(
+        world.calls[0].call.step(Input::Prepared, world.now),
+        Action::Read
+    );
+    let finished = world.calls[0].call.step(Input::Found(None), world.now);
+    assert!(matches!(finished, Action::Finish(Outcome::NotRun(_))));
+}
+
+#[test]
+fn the_same_identifier_with_another_body_is_refused() {
+    let mut ledger = Ledger::new("entry-0".into(), "i".into(), 8, 1024);
+    let limits = Limits::default();
+    let (mut call, _) = Call::begin(ledger.open(), "one".into(), limits, Duration::ZERO);
+    let record = Record {
+        claimer: ledger.open(),
+        binding: "other".into(),
+        answer: None,
+    };
+    let held = Held {
+        record,
+        revision: 3,
+    };
+    let action = call.step(Input::Conflict(Some(held)), Duration::ZERO);
+    assert!(matches!(action, Action::Finish(Outcome::NotRun(_))));
+    assert_eq!(call.remainder(), Remainder::Nothing);
+    assert_eq!(call.word(), Word::NeverSent);
+}
