--- a/coordination/tests/claim.rs
+++ b/coordination/tests/claim.rs
@@ -159,13 +159,14 @@
         Input::Written(revision)
     }
 
-    /// A message takes effect; `choice` picks which past state a read returns, and refusals.
-    fn effect(&mut self, position: usize, choice: usize) {
+    /// A message takes effect; a read returns the state `age` changes ago, and the service may
+    /// refuse.
+    fn effect(&mut self, position: usize, age: usize, refused: bool) {
         if std::mem::replace(&mut self.flights[position].effected, true) {
             return;
         }
         let flight = self.flights[position].clone();
-        let past = self.stored[self.stored.len() - 1 - choice % self.stored.len()].clone();
+        let past = self.stored[self.stored.len() - 1 - age % self.stored.len()].clone();
         let answer = match flight.message {
             Message::Put(record, expected) => self.write(Some(record), expected),
             Message::Read => Input::Found(past),
@@ -181,7 +182,7 @@
                 let word = self.ledgers.iter().find_map(|ledger| ledger.word(&claimer));
                 Input::Word(word)
             }
-            Message::Send(_) if choice.is_multiple_of(3) => Input::Refused,
+            Message::Send(_) if refused => Input::Refused,
             Message::Send(index) => Input::Replied(self.run(index)),
         };
         self.flights[position].answer = Some(answer);
@@ -226,12 +227,14 @@
     }
 
     fn event(&mut self, kind: u8, which: u8) {
+        self.flights
+            .retain(|flight| !flight.effected || flight.waiter.is_some());
         let which = usize::from(which);
         let position = which % self.flights.len().max(1);
         match kind % 16 {
             0 | 1 => self.begin(which % ENTRIES),
-            2..=5 if position < self.flights.len() => self.effect(position, 0),
-            6 if position < self.flights.len() => self.effect(position, which / 8),
+            2..=5 if position < self.flights.len() => self.effect(position, 0, which / 16 == 0),
+            6 if position < self.flights.len() => self.effect(position, which / 8, which / 16 == 0),
             7..=10 if position < self.flights.len() => self.deliver(position, false),
             11 if position < self.flights.len() => self.deliver(position, true),
             12 | 13 if !self.calls.is_empty() => {
@@ -280,7 +283,7 @@
 fn settle(world: &mut World) {
     for _ in 0..64 {
         for position in 0..world.flights.len() {
-            world.effect(position, 1);
+            world.effect(position, 0, false);
             world.deliver(position, false);
         }
         for index in 0..world.calls.len() {
@@ -309,9 +312,9 @@
 fn a_lost_claim_answer_is_settled_by_reading_back() {
     let mut world = World::new();
     world.begin(0);
-    world.effect(0, 0);
+    world.effect(0, 0, false);
     world.deliver(0, true);
-    world.effect(1, 0);
+    world.effect(1, 0, false);
     world.deliver(1, false);
     assert!(world.calls[0].prepared);
     settle(&mut world);
@@ -323,11 +326,11 @@
     let mut world = World::new();
     world.begin(0);
     world.deliver(0, true);
-    world.effect(1, 0);
+    world.effect(1, 0, false);
     world.flights[1].answer = Some(Input::Unavailable);
     world.deliver(1, false);
     assert!(matches!(world.calls[0].outcome, Some(Outcome::NotRun(_))));
-    world.effect(0, 0);
+    world.effect(0, 0, false);
     assert!(world.current().is_some(), "the late claim is in the store");
     world.begin(1);
     settle(&mut world);
@@ -339,7 +342,7 @@
 fn a_silent_claimer_means_unknown() {
     let mut world = World::new();
     world.begin(0);
-    world.effect(0, 0);
+    world.effect(0, 0, false);
     world.kill(0);
     world.begin(1);
     settle(&mut world);
@@ -351,7 +354,7 @@
 fn a_claimer_that_was_paused_reads_its_claim_again() {
     let mut world = World::new();
     world.begin(0);
-    world.effect(0, 0);
+    world.effect(0, 0, false);
     world.deliver(0, false);
     world.now += Duration::from_mins(1);
     assert_eq!(
