feat(serving): calls at most once, by claims in the platform's store

Cause: a retry through another entry, or after a lost answer, ran a non-idempotent call again, and nothing bounded retries, answers or slow readers of plain services. Upstream timeouts are a problem of their own, and the deadline and a well-formed traceparent are passed on. Ruled out: trusting a store error to mean 'not written' for safety; a claim that could not be confirmed is never sent, whatever the error.

--- a/coordination/src/claim.rs
+++ b/coordination/src/claim.rs
@@ -11,7 +11,12 @@
 //! use medlarfall_coordination::claim::{Action, Call, Claimer, Input, Limits};
 //!
 //! let now = Duration::ZERO;
-//! let me = Claimer { entry: "entry-0".into(), incarnation: "i".into(), sequence: 1 };
+//! let me = Claimer {
+//!     entry: "entry-0".into(),
+//!     incarnation: "first".into(),
+//!     address: "10.0.0.7:9000".into(),
+//!     sequence: 1,
+//! };
 //! let (mut call, first) = Call::begin(me, "hash of the request".into(), Limits::default(), now);
 //! assert!(matches!(first, Action::Put { expected: 0, .. }));
 //! assert_eq!(call.step(Input::Written(7), now), Action::Prepare);
@@ -246,10 +251,6 @@
                 self.phase = Phase::Settling { expected };
                 self.read(now)
             }
-            (Phase::Writing { .. }, _) => {
-                self.loose = true;
-                self.not_run(Reason::StoreUnavailable)
-            }
             (Phase::Settling { expected }, Input::Found(held)) => self.settle(expected, held, now),
             (Phase::Asking { revision }, Input::Word(word)) => self.heed(revision, word, now),
             (Phase::Verifying { word }, Input::Found(found)) => self.verify(word.as_ref(), found),
--- a/coordination/src/claim/identifier.rs
+++ b/coordination/src/claim/identifier.rs
@@ -14,7 +14,7 @@
 pub const PREFIX: &str = "claims/";
 
 /// Span of time whose claims are swept together.
-pub const BUCKET: Duration = Duration::from_hours(1);
+pub const BUCKET: Duration = Duration::from_mins(1);
 
 /// Bytes of the hash of account and service that are part of a key.
 const SCOPE_BYTES: usize = 16;
--- a/coordination/src/claim/ledger.rs
+++ b/coordination/src/claim/ledger.rs
@@ -29,6 +29,7 @@
 pub struct Ledger {
     entry: Arc<str>,
     incarnation: Arc<str>,
+    address: Arc<str>,
     last: u64,
     running: BTreeSet<u64>,
     ended: BTreeMap<u64, Word>,
@@ -44,6 +45,7 @@
         Self {
             entry,
             incarnation,
+            address: Arc::from(""),
             last: 0,
             running: BTreeSet::new(),
             ended: BTreeMap::new(),
@@ -53,6 +55,11 @@
         }
     }
 
+    /// Sets the address at which other entries ask this one.
+    pub fn listen(&mut self, address: Arc<str>) {
+        self.address = address;
+    }
+
     /// Opens a call and returns its claimer.
     pub fn open(&mut self) -> Claimer {
         self.last += 1;
@@ -60,6 +67,7 @@
         Claimer {
             entry: Arc::clone(&self.entry),
             incarnation: Arc::clone(&self.incarnation),
+            address: Arc::clone(&self.address),
             sequence: self.last,
         }
     }
--- a/coordination/src/claim/record.rs
+++ b/coordination/src/claim/record.rs
@@ -11,6 +11,8 @@
     pub entry: Arc<str>,
     /// Incarnation of the entry: another one after each start.
     pub incarnation: Arc<str>,
+    /// Address at which other entries ask the claimer.
+    pub address: Arc<str>,
     /// Number of the call at that incarnation.
     pub sequence: u64,
 }
--- a/coordination/tests/claim.rs
+++ b/coordination/tests/claim.rs
@@ -325,10 +325,9 @@
 fn a_claim_that_comes_late_is_never_sent_and_is_handed_over() {
     let mut world = World::new();
     world.begin(0);
-    world.deliver(0, true);
-    world.effect(1, 0, false);
-    world.flights[1].answer = Some(Input::Unavailable);
-    world.deliver(1, false);
+    world.flights[0].waiter = None;
+    world.input(0, Input::Lost);
+    world.input(0, Input::Unavailable);
     assert!(matches!(world.calls[0].outcome, Some(Outcome::NotRun(_))));
     world.effect(0, 0, false);
     assert!(world.current().is_some(), "the late claim is in the store");
--- a/serving/src/backend.rs
+++ b/serving/src/backend.rs
@@ -7,11 +7,13 @@
 use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 
+use crate::utils::budget::{Budget, Hold};
 use crate::utils::http::Failure;
 
 pub mod http;
@@ -161,17 +163,27 @@
     pub body: Bytes,
     /// W3C trace context to pass on.
     pub traceparent: Option<Arc<str>>,
+    /// Time that remains for the call, passed on to the service.
+    pub timeout: Duration,
+    /// Largest answer that is read, in bytes.
+    pub answer_limit: usize,
+    /// Budget that the answer's bytes are taken from.
+    pub budget: Budget,
 }
 
 /// A plain service's whole answer to the call that it was given.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug)]
 pub struct Reply {
     /// HTTP status.
     pub status: u16,
     /// Content type of the body.
     pub content_type: Option<Arc<str>>,
-    /// Body.
+    /// Body; empty if it was over the limit or the budget.
     pub body: Bytes,
+    /// Whether the body was over the limit or the budget.
+    pub oversized: bool,
+    /// What the body takes from the budget.
+    pub hold: Option<Hold>,
     /// Whether the service says that it did not run the call.
     pub not_run: bool,
 }
--- a/serving/src/backend/http.rs
+++ b/serving/src/backend/http.rs
@@ -20,6 +20,9 @@
 /// Header that carries the number of the attempt, echoed on the answer.
 pub const ATTEMPT: &str = "medlarfall-attempt";
 
+/// Header that carries the milliseconds that remain for a call.
+pub const TIMEOUT: &str = "medlarfall-timeout-ms";
+
 /// Header that says whether a request ran.
 pub const RUN: &str = "medlarfall-run";
 
@@ -141,7 +144,8 @@
             .method(call.method.clone())
             .uri(format!("http://{}{}", server.address, call.path))
             .header(REQUEST_ID, call.request_id.as_ref())
-            .header(ATTEMPT, call.attempt);
+            .header(ATTEMPT, call.attempt)
+            .header(TIMEOUT, call.timeout.as_millis().to_string());
         if let Some(content_type) = &call.content_type {
             request = request.header(CONTENT_TYPE, content_type.as_ref());
         }
@@ -150,17 +154,22 @@
         }
         let request =
             http::body(request, call.body.clone()).map_err(|error| not_run(error.to_string()))?;
-        let (parts, body) = self.pool.send_whole(request).await?;
+        let (parts, body) = self.pool.send(request).await?.into_parts();
         let own = text(&parts.headers, REQUEST_ID) == Some(call.request_id.as_ref())
             && text(&parts.headers, ATTEMPT) == Some(call.attempt.to_string().as_str());
         if !own {
             return Err(lost("the answer belongs to another request".to_owned()));
         }
+        let body = http::read_within(body, call.answer_limit, &call.budget).await?;
+        let oversized = body.is_none();
+        let (body, hold) = body.map_or((Bytes::new(), None), |(body, hold)| (body, Some(hold)));
         Ok(Reply {
             status: parts.status.as_u16(),
             content_type: text(&parts.headers, CONTENT_TYPE.as_str()).map(Into::into),
             not_run: text(&parts.headers, RUN) == Some("not-run"),
             body,
+            oversized,
+            hold,
         })
     }
 }
--- a/serving/src/context.rs
+++ b/serving/src/context.rs
@@ -8,6 +8,8 @@
 use crate::backend;
 use crate::clock::Clock;
 use crate::configs::Settings;
+use crate::modules::calls::Calls;
+use crate::modules::claims::Claims;
 use crate::modules::declarations::Declarations;
 use crate::modules::directory::Directory;
 use crate::modules::metrics::Metrics;
@@ -29,6 +31,10 @@
     pub identity: Identity,
     /// Connections to the other entries.
     pub peers: Peers,
+    /// Claims on callers' identifiers.
+    pub claims: Claims,
+    /// What calls to plain services share.
+    pub calls: Calls,
     /// Backend servers.
     pub backend: backend::http::Client,
     /// Declarations in force at this entry.
--- a/serving/src/entry.rs
+++ b/serving/src/entry.rs
@@ -12,8 +12,10 @@
 use crate::clock::Clock;
 use crate::configs::Settings;
 use crate::context::Context;
+use crate::modules::calls::Calls;
+use crate::modules::claims::Claims;
 use crate::modules::peers::{Identity, Peers};
-use crate::modules::{callers, declarations, directory, metrics, operators, peers};
+use crate::modules::{callers, claims, declarations, directory, metrics, operators, peers};
 use crate::platform;
 
 /// Why an entry could not start.
@@ -76,13 +78,16 @@
     );
     let stop = CancellationToken::new();
     let metrics = metrics::Metrics::new();
+    let identity = Identity {
+        name: Arc::clone(&settings.entry.name),
+        incarnation: Arc::from(Uuid::now_v7().to_string()),
+        failure_domain: Arc::clone(&settings.entry.failure_domain),
+    };
     let context = Arc::new(Context {
         clock: Clock::start(),
-        identity: Identity {
-            name: Arc::clone(&settings.entry.name),
-            incarnation: Arc::from(Uuid::now_v7().to_string()),
-            failure_domain: Arc::clone(&settings.entry.failure_domain),
-        },
+        claims: Claims::new(&identity),
+        calls: Calls::new(&identity, &settings.services),
+        identity,
         peers: Peers::new(settings.keys.peers.clone()),
         backend: backend::http::Client::new(),
         declarations: declarations::start(platform.clone(), settings.platform, stop.clone()),
@@ -92,6 +97,13 @@
         settings,
         stop,
     });
+    let peers = peers::start(Arc::clone(&context))
+        .await
+        .context(BindSnafu {
+            port: "listen.peers",
+            address: listen.peers,
+        })?;
+    claims::start(&context, peers);
     let callers = callers::start(Arc::clone(&context))
         .await
         .context(BindSnafu {
@@ -104,12 +116,6 @@
             port: "listen.operators",
             address: listen.operators,
         })?;
-    let peers = peers::start(Arc::clone(&context))
-        .await
-        .context(BindSnafu {
-            port: "listen.peers",
-            address: listen.peers,
-        })?;
     let metrics = metrics::start(Arc::clone(&context))
         .await
         .context(BindSnafu {
--- a/serving/src/modules.rs
+++ b/serving/src/modules.rs
@@ -1,6 +1,8 @@
 //! The features of an entry, one module each.
 
 pub mod callers;
+pub mod calls;
+pub mod claims;
 pub mod declarations;
 pub mod directory;
 pub mod generation;
--- a/serving/src/modules/callers.rs
+++ b/serving/src/modules/callers.rs
@@ -10,6 +10,7 @@
 
 use crate::context::Context;
 
+mod answer;
 mod completions;
 mod problem;
 mod services;
--- a/serving/src/modules/callers/problem.rs
+++ b/serving/src/modules/callers/problem.rs
@@ -48,6 +48,20 @@
     Unavailable,
     /// The answer was lost on the way.
     AnswerLost,
+    /// The service did not answer in time.
+    Timeout,
+    /// The answer is larger than the limit.
+    AnswerTooLarge,
+    /// The call ran before, and its answer was not kept.
+    AnswerNotKept,
+    /// The caller's identifier is malformed, outside its window or bound to another request.
+    BadIdentifier,
+    /// An earlier call under the identifier has not ended.
+    StillRunning,
+    /// The platform's store does not answer.
+    StoreUnavailable,
+    /// The entry holds too many bytes.
+    Overloaded,
 }
 
 impl Kind {
@@ -59,8 +73,15 @@
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::TooSlow => StatusCode::REQUEST_TIMEOUT,
             Self::UnknownService => StatusCode::NOT_FOUND,
-            Self::Unavailable => StatusCode::SERVICE_UNAVAILABLE,
-            Self::AnswerLost => StatusCode::BAD_GATEWAY,
+            Self::Unavailable | Self::StoreUnavailable | Self::Overloaded => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
+            Self::AnswerLost | Self::AnswerTooLarge | Self::AnswerNotKept => {
+                StatusCode::BAD_GATEWAY
+            }
+            Self::Timeout => StatusCode::GATEWAY_TIMEOUT,
+            Self::BadIdentifier => StatusCode::UNPROCESSABLE_ENTITY,
+            Self::StillRunning => StatusCode::CONFLICT,
         }
     }
 }
--- a/serving/src/modules/callers/services.rs
+++ b/serving/src/modules/callers/services.rs
@@ -1,17 +1,30 @@
 //! `/s/{service}/...`: calls to plain services.
 
 use std::sync::Arc;
+use std::time::{Duration, SystemTime};
 
 use bytes::Bytes;
+use medlarfall_coordination::claim::identifier::{self, Identifier};
 use medlarfall_schema::declaration::{Kind as ServiceKind, Service};
 use salvo::http::StatusCode;
 use salvo::prelude::*;
 
-use super::Caller;
 use super::problem::{Kind, Outcome, Problem, RUN};
-use crate::backend::{self, Call, Reply, Service as _};
+use super::{Caller, answer};
+use crate::backend::{Call, Reply};
 use crate::context::Context;
-use crate::modules::routing;
+use crate::modules::calls::{self, Order};
+use crate::modules::claims;
+use crate::utils::budget::Hold;
+
+/// Header that carries the caller's identifier of a call.
+const IDENTIFIER: &str = "idempotency-key";
+
+/// Header by which a caller says how many milliseconds a call may take.
+const TIMEOUT: &str = "medlarfall-timeout-ms";
+
+/// Length of a W3C trace context of version 00.
+const TRACEPARENT_LENGTH: usize = 55;
 
 /// Answers calls to plain services.
 pub(super) struct Handle {
@@ -31,8 +44,9 @@
         let Ok(caller) = depot.get_typed::<Caller>().cloned() else {
             return;
         };
+        let timeout = self.context.settings.services.read_timeout;
         match self.answer(request, &caller).await {
-            Ok(reply) => render(reply, response),
+            Ok(reply) => render(reply, timeout, response),
             Err(problem) => problem.render(response),
         }
     }
@@ -41,25 +55,25 @@
 impl Handle {
     /// Makes the call that a caller asked for.
     async fn answer(&self, request: &mut Request, caller: &Caller) -> Result<Reply, Problem> {
+        let now = self.context.clock.now();
         let name = request.param::<String>("service").unwrap_or_default();
         let service = self.service(&name)?;
+        let identifier = self.identifier(request)?;
+        let deadline = now + self.timeout(request)?;
+        let _hold = self.room(request)?;
         let body = read_body(request, self.context.settings.callers.body_limit).await?;
-        let rest = request.param::<String>("rest").unwrap_or_default();
-        let query = request
-            .uri()
-            .query()
-            .map(|query| format!("?{query}"))
-            .unwrap_or_default();
-        let call = Call {
-            request_id: Arc::clone(&caller.request_id),
-            attempt: 0,
-            method: request.method().clone(),
-            path: Arc::from(format!("/{rest}{query}")),
-            content_type: request.header::<String>("content-type").map(Arc::from),
-            body,
-            traceparent: request.header::<String>("traceparent").map(Arc::from),
+        let call = self.call(request, caller, body);
+        let order = Order {
+            account: Arc::clone(&caller.account),
+            idempotent: idempotent(&service, &call),
+            service,
+            call,
+            identifier,
+            deadline,
         };
-        self.call(&service, call).await
+        calls::run(&self.context, order)
+            .await
+            .map_err(|error| problem(&error))
     }
 
     /// Returns the declaration of a plain service.
@@ -72,43 +86,108 @@
             .ok_or_else(|| unknown(name))
     }
 
-    /// Makes attempts while the call was truly not run, or may be repeated.
-    async fn call(&self, service: &Service, mut call: Call) -> Result<Reply, Problem> {
-        let repeatable = idempotent(service, &call);
-        let bounds = self.context.settings.services;
-        let mut tried = Vec::new();
-        let mut last = Problem::new(
-            Kind::Unavailable,
-            Outcome::NotRun,
-            "no backend server can take the call; try again",
-        );
-        while tried.len() < bounds.attempts {
-            let picked = routing::pick(&self.context, &service.name, &service.version, &tried);
-            let Some(server) = picked else {
-                break;
+    /// Returns the caller's identifier of the call, checked.
+    fn identifier(&self, request: &Request) -> Result<Option<Identifier>, Problem> {
+        let Some(value) = request.headers().get(IDENTIFIER) else {
+            return Ok(None);
+        };
+        let text = String::from_utf8_lossy(value.as_bytes());
+        let now = SystemTime::now()
+            .duration_since(SystemTime::UNIX_EPOCH)
+            .unwrap_or_default();
+        let window = claims::window(&self.context.settings.services);
+        let checked = Identifier::check(&text, now, window);
+        checked.map(Some).map_err(|error| {
+            let outcome = match error {
+                // An earlier call under it may have run; its claim is no longer kept.
+                identifier::Error::TooOld { .. } => Outcome::Unknown,
+                _ => Outcome::NotRun,
             };
-            tried.push(Arc::clone(&server.name));
-            call.attempt += 1;
-            let answer = tokio::time::timeout(
-                bounds.call_timeout,
-                self.context.backend.call(&server, &call),
-            )
-            .await;
-            match answer {
-                Ok(Ok(reply)) if !reply.not_run => return Ok(reply),
-                Ok(Ok(_) | Err(backend::Error::NotRun { .. })) => {}
-                Ok(Err(backend::Error::Lost { .. })) | Err(_) if repeatable => last = lost(),
-                Ok(Err(backend::Error::Lost { .. })) | Err(_) => return Err(lost()),
-            }
+            Problem::new(Kind::BadIdentifier, outcome, error.to_string())
+        })
+    }
+
+    /// Returns how long the call may take.
+    fn timeout(&self, request: &Request) -> Result<Duration, Problem> {
+        let Some(value) = request.headers().get(TIMEOUT) else {
+            return Ok(self.context.settings.services.deadline);
+        };
+        let millis = value.to_str().ok().and_then(|text| text.parse().ok());
+        let timeout = millis
+            .filter(|millis| *millis > 0)
+            .map(Duration::from_millis);
+        let longest = self.context.settings.callers.answer_timeout;
+        timeout.map(|timeout| timeout.min(longest)).ok_or_else(|| {
+            let message = format!("write `{TIMEOUT}` as milliseconds above zero");
+            Problem::new(Kind::BadRequest, Outcome::NotRun, message)
+        })
+    }
+
+    /// Takes room for a request's body.
+    fn room(&self, request: &Request) -> Result<Hold, Problem> {
+        let limit = self.context.settings.callers.body_limit;
+        let chunked = request.headers().contains_key("transfer-encoding");
+        let unknown = if chunked { limit } else { 0 };
+        let declared = request.header::<usize>("content-length").unwrap_or(unknown);
+        self.context.calls.budget.take(declared.min(limit)).ok_or_else(|| {
+            let message = "this entry holds too many bodies and answers; try again later or at another entry";
+            Problem::new(Kind::Overloaded, Outcome::NotRun, message)
+        })
+    }
+
+    /// Returns the call to send.
+    fn call(&self, request: &Request, caller: &Caller, body: Bytes) -> Call {
+        let rest = request.param::<String>("rest").unwrap_or_default();
+        let query = request
+            .uri()
+            .query()
+            .map(|query| format!("?{query}"))
+            .unwrap_or_default();
+        Call {
+            request_id: Arc::clone(&caller.request_id),
+            attempt: 0,
+            method: request.method().clone(),
+            path: Arc::from(format!("/{rest}{query}")),
+            content_type: request.header::<String>("content-type").map(Arc::from),
+            body,
+            traceparent: traceparent(request),
+            timeout: self.context.settings.services.call_timeout,
+            answer_limit: self.context.settings.services.answer_limit,
+            budget: self.context.calls.budget.clone(),
         }
-        Err(last)
     }
 }
 
-/// Returns the problem of a call whose answer was lost.
-fn lost() -> Problem {
-    let message = "the call may have run and its answer was lost; read the record before you decide to repeat it";
-    Problem::new(Kind::AnswerLost, Outcome::Unknown, message)
+/// Returns the trace context of a request if it is well-formed; a malformed one is not passed on.
+fn traceparent(request: &Request) -> Option<Arc<str>> {
+    let text = request.header::<String>("traceparent")?;
+    let well_formed = text.len() >= TRACEPARENT_LENGTH
+        && text
+            .bytes()
+            .all(|byte| byte == b'-' || matches!(byte, b'0'..=b'9' | b'a'..=b'f'));
+    well_formed.then(|| Arc::from(text))
+}
+
+/// Returns the problem that a caller is told.
+fn problem(error: &calls::Error) -> Problem {
+    use medlarfall_coordination::claim::Reason;
+    let (kind, outcome) = match error {
+        calls::Error::NotRun { .. } => (Kind::Unavailable, Outcome::NotRun),
+        calls::Error::Timeout { .. } => (Kind::Timeout, Outcome::Unknown),
+        calls::Error::Oversized => (Kind::AnswerTooLarge, Outcome::Ran),
+        calls::Error::NotKept { .. } => (Kind::AnswerNotKept, Outcome::Ran),
+        calls::Error::Refused {
+            reason: Reason::Mismatch,
+        } => (Kind::BadIdentifier, Outcome::NotRun),
+        calls::Error::Refused { .. } => (Kind::StoreUnavailable, Outcome::NotRun),
+        calls::Error::Unsure {
+            reason: Reason::StillRunning,
+        } => (Kind::StillRunning, Outcome::Unknown),
+        calls::Error::AnswerLost | calls::Error::Unsure { .. } => {
+            (Kind::AnswerLost, Outcome::Unknown)
+        }
+    };
+    Problem::new(kind, outcome, error.to_string())
 }
 
 /// Returns the problem of a service that is not declared.
@@ -153,12 +232,16 @@
     }
 }
 
-/// Writes a plain service's answer.
-fn render(reply: Reply, response: &mut Response) {
+/// Writes a plain service's answer, which the caller must have read within `timeout`.
+fn render(reply: Reply, timeout: Duration, response: &mut Response) {
     response.status_code(StatusCode::from_u16(reply.status).unwrap_or(StatusCode::BAD_GATEWAY));
     let _ = response.add_header(RUN, Outcome::Ran.as_str(), true);
     if let Some(content_type) = reply.content_type {
         let _ = response.add_header("content-type", content_type.as_ref(), true);
     }
-    response.body(reply.body);
+    if reply.body.is_empty() {
+        return;
+    }
+    let _ = response.add_header("content-length", reply.body.len(), true);
+    response.stream(answer::stream(reply.body, reply.hold, timeout));
 }
--- /dev/null
+++ b/serving/src/modules/calls.rs
@@ -0,0 +1,219 @@
+//! Calls to plain services: how often they are sent, and what the caller may conclude.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use medlarfall_coordination::claim::{Identifier, Reason};
+use medlarfall_coordination::retry_budget;
+use medlarfall_schema::declaration::Service;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use snafu::Snafu;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::backend::{Call, Reply};
+use crate::configs::services::Services;
+use crate::context::Context;
+use crate::modules::claims;
+use crate::modules::peers::Identity;
+use crate::utils::budget::Budget;
+
+pub mod attempts;
+
+/// Retries allowed to a service before its first success.
+const RETRY_RESERVE: f64 = 10.0;
+
+/// Most retries to one service that are saved up.
+const RETRY_CEILING: f64 = 100.0;
+
+/// What calls to plain services share.
+#[derive(Debug)]
+pub struct Calls {
+    /// Budget of the bytes of bodies and answers.
+    pub budget: Budget,
+    policy: retry_budget::Policy,
+    retries: Mutex<Retries>,
+}
+
+/// Retry budgets by service, and the source of jitter.
+#[derive(Debug)]
+struct Retries {
+    budgets: BTreeMap<String, retry_budget::Budget>,
+    rng: ChaCha8Rng,
+}
+
+/// A call that a caller asked for.
+#[derive(Clone, Debug)]
+pub struct Order {
+    /// Client account of the caller.
+    pub account: Arc<str>,
+    /// Service that is called.
+    pub service: Arc<Service>,
+    /// The call.
+    pub call: Call,
+    /// Whether running the call twice has the effect of running it once.
+    pub idempotent: bool,
+    /// The caller's identifier of the call.
+    pub identifier: Option<Identifier>,
+    /// Time of the entry's clock until which the call may take.
+    pub deadline: Duration,
+}
+
+/// Why a call has no answer.
+#[derive(Clone, Debug, Eq, PartialEq, Snafu)]
+pub enum Error {
+    /// No backend server ran the call.
+    #[snafu(display("no backend server ran the call: {reason}; try again later"))]
+    NotRun {
+        /// What happened.
+        reason: String,
+    },
+    /// The call may have run: its answer was lost.
+    #[snafu(display(
+        "the call may have run and its answer was lost; read the record before you decide to repeat it"
+    ))]
+    AnswerLost,
+    /// The call may have run: its answer did not come in time.
+    #[snafu(display(
+        "the service did not answer within {} ms and the call may have run; read the record before you decide to repeat it",
+        timeout.as_millis()
+    ))]
+    Timeout {
+        /// The timeout.
+        timeout: Duration,
+    },
+    /// The call ran, but its answer is larger than the limit or the room that is left.
+    #[snafu(display(
+        "the call ran, but its answer is larger than `services.answer_limit` or than the room that is left; read the record instead"
+    ))]
+    Oversized,
+    /// The call ran before, but its answer was too large to be kept.
+    #[snafu(display(
+        "the call ran before with status {status}; its answer was too large to be kept: read the record instead"
+    ))]
+    NotKept {
+        /// HTTP status of the answer.
+        status: u16,
+    },
+    /// The call was refused because of its identifier.
+    #[snafu(display("{}", refusal(*reason)))]
+    Refused {
+        /// Why.
+        reason: Reason,
+    },
+    /// An earlier call under the identifier may have run.
+    #[snafu(display("{}", doubt(*reason)))]
+    Unsure {
+        /// Why.
+        reason: Reason,
+    },
+}
+
+/// Returns why a call under an identifier was refused, and the remedy.
+fn refusal(reason: Reason) -> &'static str {
+    match reason {
+        Reason::Mismatch => {
+            "the identifier belongs to another request; send a new one with each new call"
+        }
+        Reason::Contended | Reason::ClaimLost => {
+            "others claimed the identifier at the same time; this call was not run: try again with the same identifier"
+        }
+        _ => {
+            "the platform's store does not answer, so this call was not run (an earlier one under the same identifier may have been); try again later with the same identifier"
+        }
+    }
+}
+
+/// Returns why it is not known whether a call under an identifier ran, and the remedy.
+fn doubt(reason: Reason) -> &'static str {
+    match reason {
+        Reason::StillRunning => {
+            "an earlier call under this identifier is still running; ask again later with the same identifier"
+        }
+        _ => {
+            "an earlier call under this identifier may have run, and the entry that sent it does not answer; read the record before you decide to call with a new identifier"
+        }
+    }
+}
+
+impl Calls {
+    /// Returns the state of an entry that has made no calls.
+    #[must_use]
+    pub fn new(identity: &Identity, settings: &Services) -> Self {
+        let percent = u32::try_from(settings.retry_percent).unwrap_or(u32::MAX);
+        Self {
+            budget: Budget::new(settings.held_limit),
+            policy: retry_budget::Policy {
+                share: f64::from(percent) / 100.0,
+                reserve: RETRY_RESERVE,
+                ceiling: RETRY_CEILING,
+            },
+            retries: Mutex::new(Retries {
+                budgets: BTreeMap::new(),
+                rng: ChaCha8Rng::seed_from_u64(xxh3_64(identity.incarnation.as_bytes())),
+            }),
+        }
+    }
+
+    /// Counts a success of a service.
+    fn succeeded(&self, service: &str) {
+        self.lock().budget(service, self.policy).succeeded();
+    }
+
+    /// Returns the pause before retry number `retry` of a call, or nothing if there shall be none.
+    fn retry(&self, service: &str, retry: u32, remains: Duration) -> Option<Duration> {
+        let mut retries = self.lock();
+        let pause = attempts::BACKOFF.pause(retry, remains, &mut retries.rng)?;
+        retries
+            .budget(service, self.policy)
+            .withdraw()
+            .then_some(pause)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Retries> {
+        self.retries.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Retries {
+    /// Returns the budget of a service.
+    fn budget(&mut self, service: &str, policy: retry_budget::Policy) -> &mut retry_budget::Budget {
+        self.budgets
+            .entry(service.to_owned())
+            .or_insert_with(|| retry_budget::Budget::new(policy))
+    }
+}
+
+impl Order {
+    /// Returns the time that remains for the call.
+    #[must_use]
+    pub fn remains(&self, context: &Context) -> Duration {
+        self.deadline.saturating_sub(context.clock.now())
+    }
+}
+
+/// Makes a call, in a task of its own that goes on when the caller has gone.
+///
+/// # Errors
+///
+/// Returns why there is no answer, and whether the call may have run.
+pub async fn run(context: &Arc<Context>, mut order: Order) -> Result<Reply, Error> {
+    let context = Arc::clone(context);
+    let task = tokio::spawn(async move {
+        let stop = context.stop.clone();
+        tokio::select! {
+            () = stop.cancelled() => Err(Error::AnswerLost),
+            answer = make(&context, &mut order) => answer,
+        }
+    });
+    task.await.unwrap_or(Err(Error::AnswerLost))
+}
+
+/// Makes a call, under its identifier if it has one and needs it.
+async fn make(context: &Arc<Context>, order: &mut Order) -> Result<Reply, Error> {
+    match order.identifier {
+        Some(identifier) if !order.idempotent => claims::run::run(context, order, identifier).await,
+        _ => attempts::run(context, order).await.into_result(),
+    }
+}
--- a/serving/src/modules/peers.rs
+++ b/serving/src/modules/peers.rs
@@ -11,6 +11,7 @@
 use std::time::{Duration, Instant};
 
 use futures::StreamExt;
+use medlarfall_coordination::claim::{Claimer, Word};
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 use tarpc::context;
@@ -57,6 +58,10 @@
 pub trait Peer {
     /// Returns what the entry says of itself.
     async fn identity() -> Identity;
+
+    /// Returns the entry's word on a claim of its own, waiting up to `wait_ms` for a call to end;
+    /// nothing if the claim is not of this incarnation.
+    async fn claim(claimer: Claimer, wait_ms: u64) -> Option<Word>;
 }
 
 /// Why a peer could not be asked.
@@ -201,6 +206,11 @@
     async fn identity(self, _: context::Context) -> Identity {
         self.context.identity.clone()
     }
+
+    async fn claim(self, _: context::Context, claimer: Claimer, wait_ms: u64) -> Option<Word> {
+        let wait = Duration::from_millis(wait_ms).min(CALL_TIMEOUT);
+        self.context.claims.wait(&claimer, wait).await
+    }
 }
 
 /// Starts the peers' port and returns its address.
--- a/serving/src/utils.rs
+++ b/serving/src/utils.rs
@@ -1,4 +1,5 @@
 //! Helpers that several modules share.
 
+pub mod budget;
 pub mod http;
 pub mod mac;
--- a/serving/src/utils/http.rs
+++ b/serving/src/utils/http.rs
@@ -3,9 +3,9 @@
 use std::error::Error as _;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 use hyper::http::request::Builder;
 use hyper::http::response::Parts;
 use hyper::{Request, Response};
@@ -14,6 +14,8 @@
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 use snafu::Snafu;
 
+use super::budget::{Budget, Hold};
+
 /// Longest time to connect.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -105,6 +107,40 @@
     }
 }
 
+/// Reads a body of at most `limit` bytes whose bytes are taken from `budget`; returns nothing in
+/// place of a larger one, or of one that the budget has no room for.
+///
+/// # Errors
+///
+/// Returns that the body did not come whole.
+pub async fn read_within(
+    mut body: Incoming,
+    limit: usize,
+    budget: &Budget,
+) -> Result<Option<(Bytes, Hold)>, Failure> {
+    let declared = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
+    if declared > limit {
+        return Ok(None);
+    }
+    let Some(mut hold) = budget.take(declared) else {
+        return Ok(None);
+    };
+    let mut bytes = BytesMut::with_capacity(declared);
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| Failure::Lost {
+            reason: error.to_string(),
+        })?;
+        let data = frame.into_data().unwrap_or_default();
+        let length = bytes.len() + data.len();
+        let more = length.saturating_sub(declared.max(bytes.len()));
+        if length > limit || !budget.extend(&mut hold, more) {
+            return Ok(None);
+        }
+        bytes.extend_from_slice(&data);
+    }
+    Ok(Some((bytes.freeze(), hold)))
+}
+
 /// Ends a request with its body.
 ///
 /// # Errors
