test: fault tables of calls at most once, on processes

Cause: the claims had only the property test behind them. The stand-ins learn late writes, late answers and the identifiers of what ran.

--- a/programs/src/caller.rs
+++ b/programs/src/caller.rs
@@ -71,6 +71,8 @@
     pub status: u16,
     /// Value of the header `medlarfall-run`.
     pub run: String,
+    /// Identifier that the entry gave the request.
+    pub request_id: String,
     /// Body.
     pub body: String,
 }
@@ -142,17 +144,32 @@
     ///
     /// Returns that the entry was lost; its refusals are replies.
     pub async fn call(&self, method: Method, path: &str, body: &str) -> Result<Reply, Error> {
-        let response = self.send(method, path, body.to_owned()).await?;
+        self.call_with(method, path, body, &[]).await
+    }
+
+    /// Calls a plain service with more headers, such as `idempotency-key`.
+    ///
+    /// # Errors
+    ///
+    /// Returns that the entry was lost; its refusals are replies.
+    pub async fn call_with(
+        &self,
+        method: Method,
+        path: &str,
+        body: &str,
+        headers: &[(&str, &str)],
+    ) -> Result<Reply, Error> {
+        let response = self
+            .send_with(method, path, body.to_owned(), headers)
+            .await?;
         let status = response.status().as_u16();
-        let run = response
-            .headers()
-            .get("medlarfall-run")
-            .and_then(|value| value.to_str().ok());
-        let run = run.unwrap_or_default().to_owned();
+        let run = header(&response, "medlarfall-run");
+        let request_id = header(&response, "medlarfall-request-id");
         let body = read(response.into_body()).await?;
         Ok(Reply {
             status,
             run,
+            request_id,
             body: String::from_utf8_lossy(&body).into_owned(),
         })
     }
@@ -179,13 +196,26 @@
         path: &str,
         body: String,
     ) -> Result<Response<Incoming>, Error> {
-        let request = Request::builder()
+        self.send_with(method, path, body, &[]).await
+    }
+
+    /// Sends a request with more headers.
+    async fn send_with(
+        &self,
+        method: Method,
+        path: &str,
+        body: String,
+        headers: &[(&str, &str)],
+    ) -> Result<Response<Incoming>, Error> {
+        let mut request = Request::builder()
             .method(method)
             .uri(format!("http://{}{path}", self.entry))
             .header("authorization", format!("Bearer {}", self.key))
-            .header("content-type", "application/json")
-            .body(Full::new(Bytes::from(body)))
-            .map_err(lost)?;
+            .header("content-type", "application/json");
+        for (name, value) in headers {
+            request = request.header(*name, *value);
+        }
+        let request = request.body(Full::new(Bytes::from(body))).map_err(lost)?;
         self.client.request(request).await.map_err(lost)
     }
 }
@@ -253,6 +283,13 @@
     }
 }
 
+/// Returns the text of a header, or nothing.
+fn header(response: &Response<Incoming>, name: &str) -> String {
+    let value = response.headers().get(name);
+    let text = value.and_then(|value| value.to_str().ok());
+    text.unwrap_or_default().to_owned()
+}
+
 /// Reads a body.
 async fn read(body: Incoming) -> Result<Bytes, Error> {
     body.collect()
--- a/standin/src/platform.rs
+++ b/standin/src/platform.rs
@@ -20,6 +20,9 @@
 pub use instances::Instance;
 pub use store::{Change, Item};
 
+/// Delay of a write that takes effect late.
+const LATE_WRITE_DELAY: Duration = Duration::from_millis(300);
+
 /// Longest wait of a watch, in milliseconds, where the caller names none.
 const WATCH_TIMEOUT_MS: u64 = 10_000;
 
@@ -35,6 +38,10 @@
     pub slow_ms: u64,
     /// How many of the next writes take effect while their answer is lost.
     pub drop_answers: u64,
+    /// Delay after a write took effect, before its answer, in milliseconds.
+    pub answer_after_ms: u64,
+    /// How many of the next writes take effect only some time after their answer was lost.
+    pub late_writes: u64,
     /// How many of the next reads and lists return the state before the last change of each key.
     pub stale_reads: u64,
     /// Entries, by the header `medlarfall-caller`, whose calls are never answered.
@@ -233,7 +240,10 @@
                 ));
             }
         };
-        self.write(key, value, expected, lease)
+        let answer = self.write(key, value, expected, lease);
+        let delay = self.lock().faults.answer_after_ms;
+        tokio::time::sleep(Duration::from_millis(delay)).await;
+        answer
     }
 
     /// Answers a read of one key.
@@ -262,6 +272,15 @@
     ) -> Result<Response<Body>, Cut> {
         let mut state = self.lock();
         state.stats.writes += 1;
+        if state.faults.late_writes > 0 {
+            state.faults.late_writes -= 1;
+            drop(state);
+            tokio::spawn(
+                self.clone()
+                    .write_late(key.to_owned(), value, expected, lease),
+            );
+            return Err(Cut);
+        }
         let written = state
             .store
             .write(key, value, expected, lease, Instant::now());
@@ -285,6 +304,24 @@
         Ok(answer)
     }
 
+    /// Carries out a compare-and-swap some time after its answer was lost.
+    async fn write_late(
+        self,
+        key: String,
+        value: Option<String>,
+        expected: Option<u64>,
+        lease: Option<u64>,
+    ) {
+        tokio::time::sleep(LATE_WRITE_DELAY).await;
+        let written = self
+            .lock()
+            .store
+            .write(&key, value, expected, lease, Instant::now());
+        if let Ok(revision) = written {
+            self.revision.send_replace(revision);
+        }
+    }
+
     /// Answers a list of the keys with a prefix.
     fn list(&self, request: &Request<Incoming>) -> Response<Body> {
         let prefix = http::query(request, "prefix").unwrap_or_default();
--- a/standin/src/service.rs
+++ b/standin/src/service.rs
@@ -1,6 +1,6 @@
 //! The stand-in plain service: records that are read and actions that are counted.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -32,6 +32,10 @@
     pub refuse: u64,
     /// Delay before each action runs, in milliseconds.
     pub slow_ms: u64,
+    /// Delay after each action ran, before its answer, in milliseconds.
+    pub answer_after_ms: u64,
+    /// Bytes that pad each action's answer.
+    pub answer_bytes: usize,
     /// Path prefix that alone fails with 500 before it runs; empty for none.
     pub fail_path: String,
 }
@@ -65,6 +69,7 @@
 struct State {
     faults: Faults,
     runs: BTreeMap<String, u64>,
+    ran: BTreeSet<String>,
 }
 
 /// A running stand-in service.
@@ -117,6 +122,12 @@
         self.lock().runs.clone()
     }
 
+    /// Returns the identifiers of the requests whose actions ran.
+    #[must_use]
+    pub fn ran(&self) -> BTreeSet<String> {
+        self.lock().ran.clone()
+    }
+
     /// Returns the life of the service, which can be paused and ended.
     #[must_use]
     pub fn life(&self) -> &Life {
@@ -173,20 +184,35 @@
                 &json!({ "record": value, "version": version }),
             ));
         }
+        let request_id = header(&request, REQUEST_ID);
         let Some(body) = http::read(request).await else {
             return Err(Cut);
         };
         let action = String::from_utf8_lossy(&body).into_owned();
+        let (runs, faults) = self.run(&action, request_id)?;
+        tokio::time::sleep(Duration::from_millis(faults.answer_after_ms)).await;
+        self.life.running().await;
+        let padding = ".".repeat(faults.answer_bytes);
+        let mut answer =
+            json!({ "action": action, "path": path, "runs": runs, "version": version });
+        if !padding.is_empty() {
+            answer["padding"] = padding.into();
+        }
+        Ok(http::json(StatusCode::OK, &answer))
+    }
+
+    /// Runs an action; returns how often it has run, or loses the answer as the faults say.
+    fn run(&self, action: &str, request_id: String) -> Result<(u64, Faults), Cut> {
         let mut state = self.lock();
-        let runs = state.runs.entry(action.clone()).or_default();
+        state.ran.insert(request_id);
+        let runs = state.runs.entry(action.to_owned()).or_default();
         *runs += 1;
         let runs = *runs;
         if state.faults.drop_answers > 0 {
             state.faults.drop_answers -= 1;
             return Err(Cut);
         }
-        let answer = json!({ "action": action, "path": path, "runs": runs, "version": version });
-        Ok(http::json(StatusCode::OK, &answer))
+        Ok((runs, state.faults.clone()))
     }
 
     /// Returns the identifier to echo: the request's, or another's if the faults ask for it.
@@ -214,6 +240,7 @@
                 None => Ok(http::problem(StatusCode::BAD_REQUEST, "an order expected")),
             },
             "runs" => Ok(http::json(StatusCode::OK, &self.runs())),
+            "ran" => Ok(http::json(StatusCode::OK, &self.ran())),
             _ => Ok(http::problem(StatusCode::NOT_FOUND, "no such control")),
         }
     }
