--- a/programs/tests/at_most_once/fleet.rs
+++ b/programs/tests/at_most_once/fleet.rs
@@ -19,6 +19,7 @@
 const DAEMON: &str = env!("CARGO_BIN_EXE_medlarfalld");
 const OPERATOR_KEY: &str = "key-of-operators";
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
+const WAIT_LIMIT: Duration = Duration::from_secs(30);
 
 /// Key of the first client account.
 pub const CEDARLINE: &str = "key-of-cedarline";
@@ -204,20 +205,26 @@
 
     /// Waits until an action has run.
     pub async fn until_run(&self, action: &str) {
-        while self.runs(action).await == 0 {
-            tokio::time::sleep(POLL_INTERVAL).await;
-        }
+        let run = async {
+            while self.runs(action).await == 0 {
+                tokio::time::sleep(POLL_INTERVAL).await;
+            }
+        };
+        bounded(run, "the action has run").await;
     }
 
     /// Waits until the claims in the store hold a text.
     pub async fn until_claims(&self, text: &str) {
         let store = Caller::new(self.platform.address(), "none");
-        let mut holds = false;
-        while !holds {
-            tokio::time::sleep(POLL_INTERVAL).await;
-            let claims = store.call(Method::GET, "/list?prefix=claims/", "").await;
-            holds = claims.expect("the platform answers").body.contains(text);
-        }
+        let held = async {
+            let mut holds = false;
+            while !holds {
+                tokio::time::sleep(POLL_INTERVAL).await;
+                let claims = store.call(Method::GET, "/list?prefix=claims/", "").await;
+                holds = claims.expect("the platform answers").body.contains(text);
+            }
+        };
+        bounded(held, "the store holds the claim").await;
     }
 
     /// Returns how often the store was read and written.
@@ -238,6 +245,12 @@
         .expect("a reply")
 }
 
+/// Waits for a condition for a bounded time.
+async fn bounded(condition: impl Future<Output = ()>, name: &str) {
+    let waited = tokio::time::timeout(WAIT_LIMIT, condition).await;
+    assert!(waited.is_ok(), "waited in vain until {name}");
+}
+
 /// Returns a new identifier.
 pub fn identifier() -> String {
     Uuid::now_v7().to_string()
