--- a/serving/src/entry.rs
+++ b/serving/src/entry.rs
@@ -15,7 +15,9 @@
 use crate::modules::calls::Calls;
 use crate::modules::claims::Claims;
 use crate::modules::peers::{Identity, Peers};
-use crate::modules::{callers, claims, declarations, directory, metrics, operators, peers};
+use crate::modules::{
+    admission, callers, claims, declarations, directory, generation, metrics, operators, peers,
+};
 use crate::platform;
 
 /// Why an entry could not start.
@@ -78,25 +80,40 @@
     );
     let stop = CancellationToken::new();
     let metrics = metrics::Metrics::new();
+    let clock = Clock::start();
+    let directory = directory::start(platform.clone(), settings.platform, stop.clone());
     let identity = Identity {
         name: Arc::clone(&settings.entry.name),
         incarnation: Arc::from(Uuid::now_v7().to_string()),
         failure_domain: Arc::clone(&settings.entry.failure_domain),
     };
+    let admission = admission::start(admission::Start {
+        settings: &settings,
+        identity: &identity,
+        store: platform.clone(),
+        admitted: metrics.admitted.clone(),
+        clock,
+        directory: directory.clone(),
+        stop: stop.clone(),
+    });
     let context = Arc::new(Context {
-        clock: Clock::start(),
-        claims: Claims::new(&identity),
+        admission,
         calls: Calls::new(&identity, &settings.services),
+        claims: Claims::new(&identity),
+        clock,
         identity,
         peers: Peers::new(settings.keys.peers.clone()),
         backend: backend::http::Client::new(),
         declarations: declarations::start(platform.clone(), settings.platform, stop.clone()),
-        directory: directory::start(platform.clone(), settings.platform, stop.clone()),
+        detector: generation::detector(&settings.generation),
+        held: generation::outbox::Ledger::new(settings.generation.held_limit, &metrics),
+        directory,
         metrics,
         platform,
         settings,
         stop,
     });
+    generation::start_upkeep(Arc::clone(&context));
     let peers = peers::start(Arc::clone(&context))
         .await
         .context(BindSnafu {
--- a/serving/src/modules/callers.rs
+++ b/serving/src/modules/callers.rs
@@ -13,6 +13,7 @@
 mod answer;
 mod completions;
 mod problem;
+mod resumption;
 mod services;
 
 use problem::{Kind, Outcome, Problem};
--- a/serving/src/modules/callers/problem.rs
+++ b/serving/src/modules/callers/problem.rs
@@ -48,8 +48,6 @@
     Unavailable,
     /// The answer was lost on the way.
     AnswerLost,
-    /// The service did not answer in time.
-    Timeout,
     /// The answer is larger than the limit.
     AnswerTooLarge,
     /// The call ran before, and its answer was not kept.
@@ -62,6 +60,10 @@
     StoreUnavailable,
     /// The entry holds too many bytes.
     Overloaded,
+    /// The resume token cannot be used.
+    ResumeRefused,
+    /// The answer was not whole when its time was over.
+    Timeout,
 }
 
 impl Kind {
@@ -81,7 +83,7 @@
             }
             Self::Timeout => StatusCode::GATEWAY_TIMEOUT,
             Self::BadIdentifier => StatusCode::UNPROCESSABLE_ENTITY,
-            Self::StillRunning => StatusCode::CONFLICT,
+            Self::ResumeRefused | Self::StillRunning => StatusCode::CONFLICT,
         }
     }
 }
--- a/serving/src/modules/calls.rs
+++ b/serving/src/modules/calls.rs
@@ -15,6 +15,7 @@
 use crate::backend::{Call, Reply};
 use crate::configs::services::Services;
 use crate::context::Context;
+use crate::modules::admission::Refusal;
 use crate::modules::claims;
 use crate::modules::peers::Identity;
 use crate::utils::budget::Budget;
@@ -110,6 +111,15 @@
     },
 }
 
+impl Error {
+    /// Returns the error of a call that was not admitted.
+    fn not_admitted(refusal: &Refusal) -> Self {
+        Self::NotRun {
+            reason: refusal.to_string(),
+        }
+    }
+}
+
 /// Returns why a call under an identifier was refused, and the remedy.
 fn refusal(reason: Reason) -> &'static str {
     match reason {
@@ -214,6 +224,9 @@
 async fn make(context: &Arc<Context>, order: &mut Order) -> Result<Reply, Error> {
     match order.identifier {
         Some(identifier) if !order.idempotent => claims::run::run(context, order, identifier).await,
-        _ => attempts::run(context, order).await.into_result(),
+        _ => match attempts::admit(context, order).await {
+            Ok(permit) => attempts::run(context, order, permit).await.into_result(),
+            Err(refusal) => Err(Error::not_admitted(&refusal)),
+        },
     }
 }
--- a/serving/src/modules/calls/attempts.rs
+++ b/serving/src/modules/calls/attempts.rs
@@ -5,11 +5,12 @@
 use std::time::Duration;
 
 use medlarfall_coordination::retry_budget::Backoff;
+use uuid::Uuid;
 
 use super::{Error, Order};
-use crate::backend::{self, Reply, Server, Service as _};
+use crate::backend::{self, Reply, Service as _};
 use crate::context::Context;
-use crate::modules::routing;
+use crate::modules::admission::{Need, Outcome, Permit, Refusal};
 
 /// Pauses between attempts.
 pub(super) const BACKOFF: Backoff = Backoff {
@@ -47,28 +48,30 @@
     }
 }
 
-/// Makes the attempts at a call.
-pub async fn run(context: &Context, order: &mut Order) -> Sent {
-    let mut tried = Vec::new();
-    let mut last = Sent::NotRun("none is there".to_owned());
-    for attempt in 1..=context.settings.services.attempts {
-        if attempt > 1 && !pause(context, order, attempt).await {
+/// Waits for a backend server that can take the first attempt.
+///
+/// # Errors
+///
+/// Returns why the call was not admitted; it was not run.
+pub async fn admit(context: &Context, order: &Order) -> Result<Permit, Refusal> {
+    ask(context, order, &[]).await
+}
+
+/// Makes the attempts at a call, the first under `permit`.
+pub async fn run(context: &Context, order: &mut Order, permit: Permit) -> Sent {
+    let mut tried = vec![Arc::clone(&permit.server.name)];
+    let mut last = send(context, order, permit).await;
+    for retry in 1..context.settings.services.attempts {
+        if ended(context, order, &last) || !pause(context, order, retry).await {
             break;
         }
-        let Some(server) = pick(context, order, &tried) else {
+        let Ok(permit) = ask(context, order, &tried).await else {
             break;
         };
-        tried.push(Arc::clone(&server.name));
-        order.call.attempt = attempt as u64;
-        let sent = send(context, order, &server).await;
+        tried.push(Arc::clone(&permit.server.name));
+        let sent = send(context, order, permit).await;
         last = match (sent, last) {
-            (Sent::Replied(reply), _) => {
-                if reply.status < SERVER_ERROR {
-                    context.calls.succeeded(&order.service.name);
-                }
-                return Sent::Replied(reply);
-            }
-            (Sent::Unknown(error), _) if !order.idempotent => return Sent::Unknown(error),
+            // An earlier attempt may have run, whatever became of this one.
             (Sent::NotRun(_), Sent::Unknown(error)) => Sent::Unknown(error),
             (sent, _) => sent,
         };
@@ -76,9 +79,49 @@
     last
 }
 
+/// Returns whether a call must not be sent again.
+fn ended(context: &Context, order: &Order, last: &Sent) -> bool {
+    match last {
+        Sent::Replied(reply) => {
+            if reply.status < SERVER_ERROR {
+                context.calls.succeeded(&order.service.name);
+            }
+            true
+        }
+        Sent::NotRun(_) => false,
+        Sent::Unknown(_) => !order.idempotent,
+    }
+}
+
+/// Waits for a backend server, one that was not tried if there is such.
+async fn ask(context: &Context, order: &Order, tried: &[Arc<str>]) -> Result<Permit, Refusal> {
+    let service = &order.service;
+    let directory = Arc::clone(&context.directory.borrow());
+    let untried = directory
+        .servers(&service.name)
+        .iter()
+        .filter(|server| *server.version == *service.version && !server.leaving)
+        .any(|server| !tried.contains(&server.name));
+    let wait = order
+        .remains(context)
+        .min(context.settings.services.call_timeout);
+    let need = Need {
+        service: Arc::from(service.name.as_str()),
+        version: Arc::from(service.version.as_str()),
+        account: Arc::clone(&order.account),
+        weight: 1,
+        priority: 0,
+        tokens: 1,
+        prefix: Uuid::now_v7().as_u64_pair().1,
+        deadline: context.clock.now() + wait,
+        excluded: if untried { tried.to_vec() } else { Vec::new() },
+    };
+    context.admission.ask(need).await
+}
+
 /// Waits before a retry; returns whether there shall be one.
-async fn pause(context: &Context, order: &Order, attempt: usize) -> bool {
-    let retry = u32::try_from(attempt - 1).unwrap_or(u32::MAX);
+async fn pause(context: &Context, order: &Order, retry: usize) -> bool {
+    let retry = u32::try_from(retry).unwrap_or(u32::MAX);
     let remains = order.remains(context);
     match context.calls.retry(&order.service.name, retry, remains) {
         Some(pause) => {
@@ -89,27 +132,38 @@
     }
 }
 
-/// Returns a server that was not tried, or else any.
-fn pick(context: &Context, order: &Order, tried: &[Arc<str>]) -> Option<Arc<Server>> {
-    let service = &order.service;
-    routing::pick(context, &service.name, &service.version, tried)
-        .or_else(|| routing::pick(context, &service.name, &service.version, &[]))
-}
-
 /// Makes one attempt.
-async fn send(context: &Context, order: &mut Order, server: &Server) -> Sent {
-    let remains = order.remains(context);
-    let timeout = remains.min(context.settings.services.call_timeout);
+async fn send(context: &Context, order: &mut Order, permit: Permit) -> Sent {
+    let longest = context.settings.services.call_timeout;
+    let timeout = order.remains(context).min(longest);
     if timeout.is_zero() {
         return Sent::NotRun("the deadline is over".to_owned());
     }
+    order.call.attempt += 1;
     order.call.timeout = timeout;
-    let answer = context.backend.call(server, &order.call);
-    match tokio::time::timeout(timeout, answer).await {
-        Ok(Ok(reply)) if reply.not_run => Sent::NotRun(format!("{} refused it", server.name)),
-        Ok(Ok(reply)) => Sent::Replied(reply),
-        Ok(Err(backend::Error::NotRun { reason })) => Sent::NotRun(reason),
-        Ok(Err(backend::Error::Lost { .. })) => Sent::Unknown(Error::AnswerLost),
-        Err(_) => Sent::Unknown(Error::Timeout { timeout }),
+    let answer = context.backend.call(&permit.server, &order.call);
+    let answer = tokio::time::timeout(timeout, answer).await;
+    let (sent, outcome) = match answer {
+        Ok(Ok(reply)) if reply.not_run => {
+            let reason = format!("{} refused it", permit.server.name);
+            (Sent::NotRun(reason), Some(Outcome::Failed))
+        }
+        Ok(Ok(reply)) if reply.status >= SERVER_ERROR => {
+            (Sent::Replied(reply), Some(Outcome::Failed))
+        }
+        Ok(Ok(reply)) => (Sent::Replied(reply), Some(Outcome::Answered)),
+        Ok(Err(backend::Error::NotRun { reason })) => (Sent::NotRun(reason), Some(Outcome::Failed)),
+        Ok(Err(backend::Error::Lost { .. })) => {
+            (Sent::Unknown(Error::AnswerLost), Some(Outcome::Failed))
+        }
+        // A caller in a hurry says nothing about the server.
+        Err(_) => {
+            let failed = (timeout == longest).then_some(Outcome::Failed);
+            (Sent::Unknown(Error::Timeout { timeout }), failed)
+        }
+    };
+    if let Some(outcome) = outcome {
+        permit.report(outcome);
     }
+    sent
 }
--- a/serving/src/modules/claims/run.rs
+++ b/serving/src/modules/claims/run.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use medlarfall_coordination::claim::identifier::{self, Identifier};
 use medlarfall_coordination::claim::{
-    Action, Answer, Call, Claimer, Held, Input, Limits, Outcome, Word,
+    Action, Answer, Call, Claimer, Held, Input, Limits, Outcome, Reason, Word,
 };
 
 use super::remainder;
@@ -43,7 +43,7 @@
     let claimer = context.claims.open();
     let sequence = claimer.sequence;
     let (mut call, mut action) = Call::begin(claimer, binding, limits, context.clock.now());
-    let mut sent = None;
+    let (mut permit, mut sent) = (None, None);
     let outcome = loop {
         let input = match action {
             Action::Finish(outcome) => break outcome,
@@ -57,9 +57,22 @@
                 input_of_get(within(context, order, read).await)
             }
             Action::Ask(claimer) => Input::Word(ask(context, order, &claimer).await),
-            Action::Prepare => Input::Prepared,
+            Action::Prepare if permit.is_some() => Input::Prepared,
+            Action::Prepare => match attempts::admit(context, order).await {
+                Ok(admitted) => {
+                    permit = Some(admitted);
+                    Input::Prepared
+                }
+                Err(refusal) => {
+                    sent = Some(Sent::NotRun(refusal.to_string()));
+                    Input::Refused
+                }
+            },
             Action::Send => {
-                let result = attempts::run(context, order).await;
+                let Some(permit) = permit.take() else {
+                    break Outcome::NotRun(Reason::Refused);
+                };
+                let result = attempts::run(context, order, permit).await;
                 let input = input_of_send(&result, context.settings.services.kept_answer_limit);
                 sent = Some(result);
                 input
--- a/serving/src/modules/metrics.rs
+++ b/serving/src/modules/metrics.rs
@@ -7,6 +7,7 @@
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::registry::Registry;
 use salvo::conn::TcpListener;
 use salvo::http::StatusCode;
@@ -23,14 +24,58 @@
     pub run: String,
 }
 
+/// Labels of an admitted request.
+#[derive(Clone, Copy, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct Admitted {
+    /// Whether the backend server is in the entry's own failure domain.
+    pub own_failure_domain: bool,
+}
+
+/// Requests that were admitted, by where their backend server is.
+#[derive(Clone, Debug, Default)]
+pub struct Admissions(Family<Admitted, Counter>);
+
+impl Admissions {
+    /// Counts a request admitted to a server in the own failure domain, or to another.
+    pub fn count(&self, own_failure_domain: bool) {
+        self.0.get_or_create(&Admitted { own_failure_domain }).inc();
+    }
+
+    /// Returns the requests admitted in the own failure domain.
+    #[must_use]
+    pub fn near(&self) -> u64 {
+        self.value(true)
+    }
+
+    /// Returns the requests admitted elsewhere.
+    #[must_use]
+    pub fn far(&self) -> u64 {
+        self.value(false)
+    }
+
+    fn value(&self, own_failure_domain: bool) -> u64 {
+        self.0.get_or_create(&Admitted { own_failure_domain }).get()
+    }
+}
+
 /// Metrics of one entry.
 #[derive(Debug)]
 pub struct Metrics {
     registry: Registry,
     /// Requests by service and outcome.
     pub requests: Family<Request, Counter>,
+    /// Requests admitted, by where their backend server is.
+    pub admitted: Admissions,
     /// Attempts of generations that were lost.
     pub attempts_lost: Counter,
+    /// Text held for readers that have not read it yet, in bytes.
+    pub held_bytes: Gauge,
+    /// Generations taken from their engine because the reader did not read.
+    pub generations_parked: Counter,
+    /// Times that held text was given up because the entry held too much.
+    pub held_given_up: Counter,
+    /// Generations taken over with a resume token.
+    pub generations_resumed: Counter,
 }
 
 impl Default for Metrics {
@@ -50,16 +95,50 @@
             "Requests by service and outcome",
             requests.clone(),
         );
+        let admitted = Admissions::default();
+        registry.register(
+            "admitted",
+            "Requests admitted to a backend server",
+            admitted.0.clone(),
+        );
         let attempts_lost = Counter::default();
         registry.register(
             "attempts_lost",
             "Attempts of generations that were lost",
             attempts_lost.clone(),
         );
+        let held_bytes = Gauge::default();
+        registry.register(
+            "held_bytes",
+            "Text held for readers that have not read it yet",
+            held_bytes.clone(),
+        );
+        let mut counter = |name: &str, help: &str| {
+            let counter = Counter::default();
+            registry.register(name, help, counter.clone());
+            counter
+        };
+        let generations_parked = counter(
+            "generations_parked",
+            "Generations taken from their engine because the reader did not read",
+        );
+        let held_given_up = counter(
+            "held_given_up",
+            "Times that held text was given up because the entry held too much",
+        );
+        let generations_resumed = counter(
+            "generations_resumed",
+            "Generations taken over with a resume token",
+        );
         Self {
             registry,
             requests,
+            admitted,
             attempts_lost,
+            held_bytes,
+            generations_parked,
+            held_given_up,
+            generations_resumed,
         }
     }
 
