--- a/programs/src/bench.rs
+++ b/programs/src/bench.rs
@@ -7,6 +7,7 @@
 use medlarfall_standin::platform::Instance;
 use serde_json::Value;
 
+mod at_most_once;
 mod baseline;
 mod routing;
 mod stopwatch;
@@ -15,7 +16,7 @@
 pub type Figures = BTreeMap<&'static str, Value>;
 
 /// Names of the scenarios.
-pub const SCENARIOS: [&str; 2] = ["baseline", "routing"];
+pub const SCENARIOS: [&str; 3] = ["at-most-once", "baseline", "routing"];
 
 /// Runs a scenario and prints its figures: as a table, or as one JSON object on the last line.
 ///
@@ -38,6 +39,7 @@
 /// Runs a scenario.
 async fn figures(scenario: &str, seed: u64) -> Result<Figures, Box<dyn Error>> {
     match scenario {
+        "at-most-once" => at_most_once::run(seed).await,
         "baseline" => baseline::run(seed).await,
         "routing" => routing::run(seed).await,
         _ => Err(format!(
