--- a/coordination/src/lib.rs
+++ b/coordination/src/lib.rs
@@ -4,6 +4,7 @@
 //! decisions. None owns a socket, a task or a clock, so that a test can drive it through any order
 //! of events. Times are [`std::time::Duration`]s since an arbitrary origin that never goes back.
 
+pub mod claim;
 pub mod detector;
 pub mod ejection;
 pub mod fair_queue;
@@ -12,3 +13,4 @@
 pub mod memory;
 pub mod placement;
 pub mod resume_token;
+pub mod retry_budget;
--- a/programs/src/caller.rs
+++ b/programs/src/caller.rs
@@ -90,6 +90,8 @@
     pub status: u16,
     /// Value of the header `medlarfall-run`.
     pub run: String,
+    /// Identifier that the entry gave the request.
+    pub request_id: String,
     /// Body.
     pub body: String,
 }
@@ -184,17 +186,30 @@
     ///
     /// Returns that the entry was lost; its refusals are replies.
     pub async fn call(&self, method: Method, path: &str, body: &str) -> Result<Reply, Error> {
-        let response = self.send(method, path, body.to_owned(), None).await?;
+        self.call_with(method, path, body, &[]).await
+    }
+
+    /// Calls a plain service with more headers, such as `idempotency-key`.
+    ///
+    /// # Errors
+    ///
+    /// Returns that the entry was lost; its refusals are replies.
+    pub async fn call_with(
+        &self,
+        method: Method,
+        path: &str,
+        body: &str,
+        headers: &[(&str, &str)],
+    ) -> Result<Reply, Error> {
+        let response = self.send(method, path, body.to_owned(), headers).await?;
         let status = response.status().as_u16();
-        let run = response
-            .headers()
-            .get("medlarfall-run")
-            .and_then(|value| value.to_str().ok());
-        let run = run.unwrap_or_default().to_owned();
+        let run = header(&response, "medlarfall-run");
+        let request_id = header(&response, "medlarfall-request-id");
         let body = read(response.into_body()).await?;
         Ok(Reply {
             status,
             run,
+            request_id,
             body: String::from_utf8_lossy(&body).into_owned(),
         })
     }
@@ -206,7 +221,11 @@
         resume_token: Option<&str>,
     ) -> Result<Response<Incoming>, Error> {
         let path = "/v1/completions";
-        let response = self.send(Method::POST, path, body, resume_token).await?;
+        let headers: Vec<(&str, &str)> = resume_token
+            .map(|resume_token| ("last-event-id", resume_token))
+            .into_iter()
+            .collect();
+        let response = self.send(Method::POST, path, body, &headers).await?;
         if response.status().is_success() {
             return Ok(response);
         }
@@ -218,21 +237,21 @@
         })
     }
 
-    /// Sends a request.
+    /// Sends a request with more headers.
     async fn send(
         &self,
         method: Method,
         path: &str,
         body: String,
-        resume_token: Option<&str>,
+        headers: &[(&str, &str)],
     ) -> Result<Response<Incoming>, Error> {
         let mut request = Request::builder()
             .method(method)
             .uri(format!("http://{}{path}", self.entry))
             .header("authorization", format!("Bearer {}", self.key))
             .header("content-type", "application/json");
-        if let Some(resume_token) = resume_token {
-            request = request.header("last-event-id", resume_token);
+        for (name, value) in headers {
+            request = request.header(*name, *value);
         }
         let request = request.body(Full::new(Bytes::from(body))).map_err(lost)?;
         self.client.request(request).await.map_err(lost)
@@ -315,6 +334,13 @@
     }
 }
 
+/// Returns the text of a header, or nothing.
+fn header(response: &Response<Incoming>, name: &str) -> String {
+    let value = response.headers().get(name);
+    let text = value.and_then(|value| value.to_str().ok());
+    text.unwrap_or_default().to_owned()
+}
+
 /// Reads a body.
 async fn read(body: Incoming) -> Result<Bytes, Error> {
     body.collect()
--- /dev/null
+++ b/serving/src/modules/calls/attempts.rs
@@ -0,0 +1,169 @@
+//! The attempts at one call: again only if it was truly not run or may be repeated, if the retry
+//! budget allows it and the deadline leaves time.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use medlarfall_coordination::retry_budget::Backoff;
+use uuid::Uuid;
+
+use super::{Error, Order};
+use crate::backend::{self, Reply, Service as _};
+use crate::context::Context;
+use crate::modules::admission::{Need, Outcome, Permit, Refusal};
+
+/// Pauses between attempts.
+pub(super) const BACKOFF: Backoff = Backoff {
+    base: Duration::from_millis(25),
+    ceiling: Duration::from_secs(1),
+};
+
+/// Lowest HTTP status that does not count as a success.
+const SERVER_ERROR: u16 = 500;
+
+/// How the attempts at a call ended.
+#[derive(Clone, Debug)]
+pub enum Sent {
+    /// The call ran.
+    Replied(Reply),
+    /// No attempt ran.
+    NotRun(String),
+    /// An attempt may have run.
+    Unknown(Error),
+}
+
+impl Sent {
+    /// Returns what the caller is told.
+    ///
+    /// # Errors
+    ///
+    /// Returns why there is no answer.
+    pub fn into_result(self) -> Result<Reply, Error> {
+        match self {
+            Self::Replied(reply) if reply.oversized => Err(Error::Oversized),
+            Self::Replied(reply) => Ok(reply),
+            Self::NotRun(reason) => Err(Error::NotRun { reason }),
+            Self::Unknown(error) => Err(error),
+        }
+    }
+}
+
+/// Waits for a backend server that can take the first attempt.
+///
+/// # Errors
+///
+/// Returns why the call was not admitted; it was not run.
+pub async fn admit(context: &Context, order: &Order) -> Result<Permit, Refusal> {
+    ask(context, order, &[]).await
+}
+
+/// Makes the attempts at a call, the first under `permit`.
+pub async fn run(context: &Context, order: &mut Order, permit: Permit) -> Sent {
+    let mut tried = vec![Arc::clone(&permit.server.name)];
+    let mut last = send(context, order, permit).await;
+    for retry in 1..context.settings.services.attempts {
+        if ended(context, order, &last) || !pause(context, order, retry).await {
+            break;
+        }
+        let Ok(permit) = ask(context, order, &tried).await else {
+            break;
+        };
+        tried.push(Arc::clone(&permit.server.name));
+        let sent = send(context, order, permit).await;
+        last = match (sent, last) {
+            // An earlier attempt may have run, whatever became of this one.
+            (Sent::NotRun(_), Sent::Unknown(error)) => Sent::Unknown(error),
+            (sent, _) => sent,
+        };
+    }
+    last
+}
+
+/// Returns whether a call must not be sent again.
+fn ended(context: &Context, order: &Order, last: &Sent) -> bool {
+    match last {
+        Sent::Replied(reply) => {
+            if reply.status < SERVER_ERROR {
+                context.calls.succeeded(&order.service.name);
+            }
+            true
+        }
+        Sent::NotRun(_) => false,
+        Sent::Unknown(_) => !order.idempotent,
+    }
+}
+
+/// Waits for a backend server, one that was not tried if there is such.
+async fn ask(context: &Context, order: &Order, tried: &[Arc<str>]) -> Result<Permit, Refusal> {
+    let service = &order.service;
+    let directory = Arc::clone(&context.directory.borrow());
+    let untried = directory
+        .servers(&service.name)
+        .iter()
+        .filter(|server| *server.version == *service.version && !server.leaving)
+        .any(|server| !tried.contains(&server.name));
+    let wait = order
+        .remains(context)
+        .min(context.settings.services.call_timeout);
+    let need = Need {
+        service: Arc::from(service.name.as_str()),
+        version: Arc::from(service.version.as_str()),
+        account: Arc::clone(&order.account),
+        weight: 1,
+        priority: 0,
+        tokens: 1,
+        prefix: Uuid::now_v7().as_u64_pair().1,
+        deadline: context.clock.now() + wait,
+        excluded: if untried { tried.to_vec() } else { Vec::new() },
+    };
+    context.admission.ask(need).await
+}
+
+/// Waits before a retry; returns whether there shall be one.
+async fn pause(context: &Context, order: &Order, retry: usize) -> bool {
+    let retry = u32::try_from(retry).unwrap_or(u32::MAX);
+    let remains = order.remains(context);
+    match context.calls.retry(&order.service.name, retry, remains) {
+        Some(pause) => {
+            tokio::time::sleep(pause).await;
+            true
+        }
+        None => false,
+    }
+}
+
+/// Makes one attempt.
+async fn send(context: &Context, order: &mut Order, permit: Permit) -> Sent {
+    let longest = context.settings.services.call_timeout;
+    let timeout = order.remains(context).min(longest);
+    if timeout.is_zero() {
+        return Sent::NotRun("the deadline is over".to_owned());
+    }
+    order.call.attempt += 1;
+    order.call.timeout = timeout;
+    let answer = context.backend.call(&permit.server, &order.call);
+    let answer = tokio::time::timeout(timeout, answer).await;
+    let (sent, outcome) = match answer {
+        Ok(Ok(reply)) if reply.not_run => {
+            let reason = format!("{} refused it", permit.server.name);
+            (Sent::NotRun(reason), Some(Outcome::Failed))
+        }
+        Ok(Ok(reply)) if reply.status >= SERVER_ERROR => {
+            (Sent::Replied(reply), Some(Outcome::Failed))
+        }
+        Ok(Ok(reply)) => (Sent::Replied(reply), Some(Outcome::Answered)),
+        Ok(Err(backend::Error::NotRun { reason })) => (Sent::NotRun(reason), Some(Outcome::Failed)),
+        Ok(Err(backend::Error::Lost { .. })) => {
+            (Sent::Unknown(Error::AnswerLost), Some(Outcome::Failed))
+        }
+        // A caller in a hurry says nothing about the server.
+        Err(_) => {
+            let failed = (timeout == longest).then_some(Outcome::Failed);
+            (Sent::Unknown(Error::Timeout { timeout }), failed)
+        }
+    };
+    if let Some(outcome) = outcome {
+        permit.report(outcome);
+    }
+    sent
+}
