feat(moves): lattice, schedule and evidence of a move as pure machines

Cause: a move must end by its deadline, and a bad version must be taken back by any entry that has enough evidence, with a bounded rate of false alarms. Ruled out: fixed thresholds on error rates (no bound on false alarms when looked at often); pairs of one old and one new answer (too weak at equal shares); a product of the entries' evidence (late faults drown in earlier good answers). Change: rollout (join, store rule, share by hash), schedule (dwell worked back from the deadline), evidence (betting processes against an absolute bound and against the old version, mixed over the time at which a fault may begin). Conclusion: the comparison is exact for equal rates; for the plug-in of the old version's rate the bound holds while its estimate covers the true rate.

--- /dev/null
+++ b/coordination/src/evidence.rs
@@ -0,0 +1,329 @@
+//! Evidence for and against a new version, compared with the old one over the same time.
+//!
+//! Each test is a betting process: its value starts at 1 and, while the new version is no worse
+//! than tolerated, is not expected to grow. By Ville's inequality the chance that it ever reaches
+//! `1 / a` is then at most `a`, however often it is looked at. A mixture over the observation at
+//! which a fault may have begun finds faults that show late; a mixture over alternatives finds
+//! strong and weak ones. A test speaks against the new version only if it is worse than an absolute
+//! bound and worse than the old version.
+//!
+//! ```
+//! use medlarfall_coordination::evidence::{Evidence, Observation, Side, Tolerance};
+//!
+//! let mut evidence = Evidence::new(Tolerance::default(), 5);
+//! for _ in 0..200 {
+//!     evidence.observe(&Observation::failure(Side::Old, "", false));
+//! }
+//! for _ in 0..8 {
+//!     for _ in 0..19 {
+//!         evidence.observe(&Observation::failure(Side::Old, "", false));
+//!     }
+//!     evidence.observe(&Observation::failure(Side::New, "", true));
+//! }
+//! assert!(evidence.against().is_some());
+//! ```
+
+use std::collections::{BTreeMap, VecDeque};
+use std::fmt;
+use std::sync::Arc;
+use std::time::Duration;
+
+mod process;
+
+use process::Test;
+
+/// Most routes that are tested one by one; further ones are tested in the whole only.
+const ROUTES: usize = 8;
+
+/// Tests of a move's stage: each measure of the whole and of each route.
+const TESTS: usize = (ROUTES + 1) * Measure::ALL.len();
+
+/// Old durations from which the bound of slowness is computed.
+const RECENT: usize = 128;
+
+/// Old durations after which the bound of slowness is computed anew.
+const FEWEST: usize = 16;
+
+/// Quantile of the old durations from which slowness counts, in percent.
+const QUANTILE: usize = 90;
+
+/// Part of the needed evidence from which a test leans against the new version.
+const SUSPECT: f64 = 0.01;
+
+/// Which version answered.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Side {
+    /// The version in force before the move.
+    Old,
+    /// The version that is moved to.
+    New,
+}
+
+/// What is compared.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Measure {
+    /// Whether the attempt failed.
+    Failure,
+    /// Time to the first token.
+    First,
+    /// Time between tokens.
+    Gap,
+    /// Time of a whole call.
+    Call,
+}
+
+impl Measure {
+    /// Every measure.
+    const ALL: [Self; 4] = [Self::Failure, Self::First, Self::Gap, Self::Call];
+}
+
+impl fmt::Display for Measure {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(match self {
+            Self::Failure => "it fails more often",
+            Self::First => "its first token comes later",
+            Self::Gap => "its tokens come more slowly",
+            Self::Call => "its calls take longer",
+        })
+    }
+}
+
+/// What one attempt showed.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Observation {
+    /// Which version answered.
+    pub side: Side,
+    /// Route of the request; empty for generations.
+    pub route: Arc<str>,
+    /// Whether the attempt failed; absent while it runs.
+    pub failed: Option<bool>,
+    /// Time to the first token.
+    pub first: Option<Duration>,
+    /// Mean time between tokens.
+    pub gap: Option<Duration>,
+    /// Time of the whole call.
+    pub call: Option<Duration>,
+}
+
+impl Observation {
+    /// Returns an observation without times.
+    #[must_use]
+    pub fn failure(side: Side, route: &str, failed: bool) -> Self {
+        Self {
+            side,
+            route: Arc::from(route),
+            failed: Some(failed),
+            first: None,
+            gap: None,
+            call: None,
+        }
+    }
+
+    /// Returns the time that a measure compares.
+    fn time(&self, measure: Measure) -> Option<Duration> {
+        match measure {
+            Measure::Failure => None,
+            Measure::First => self.first,
+            Measure::Gap => self.gap,
+            Measure::Call => self.call,
+        }
+    }
+}
+
+/// What is tolerated of a new version.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Tolerance {
+    /// Chance that a move of a good version is taken back.
+    pub false_alarm: f64,
+    /// Share of failures that is borne whatever the old version does.
+    pub failures: f64,
+    /// Factor on the old version's slow times from which a time counts as slow.
+    pub slowness: f64,
+    /// Least difference from the old version's slow times that counts as slow.
+    pub slack: Duration,
+}
+
+impl Default for Tolerance {
+    fn default() -> Self {
+        Self {
+            false_alarm: 0.01,
+            failures: 0.01,
+            slowness: 1.5,
+            slack: Duration::from_millis(5),
+        }
+    }
+}
+
+/// Share of slow times that is borne whatever the old version does.
+const SLOW_SHARE: f64 = 0.2;
+
+/// The same at a stage without requests to the old version.
+const SLOW_SHARE_ALONE: f64 = 0.4;
+
+/// The tests of one measure on one route.
+#[derive(Clone, Debug, Default)]
+struct Comparison {
+    test: Test,
+    recent: VecDeque<Duration>,
+    bound: Option<Duration>,
+    since_bound: usize,
+}
+
+impl Comparison {
+    /// Takes an observation of whether an attempt was bad.
+    fn take(&mut self, side: Side, bad: bool, tolerated: f64) {
+        match side {
+            Side::Old => self.test.old(bad),
+            Side::New => self.test.new_version(bad, tolerated),
+        }
+    }
+
+    /// Takes a time; it is bad if it lies above the bound that earlier old times gave.
+    fn take_time(&mut self, side: Side, time: Duration, tolerance: &Tolerance, tolerated: f64) {
+        if let Some(bound) = self.bound {
+            self.take(side, time > bound, tolerated);
+        }
+        if side == Side::New {
+            return;
+        }
+        self.recent.push_back(time);
+        if self.recent.len() > RECENT {
+            self.recent.pop_front();
+        }
+        self.since_bound += 1;
+        if self.since_bound >= FEWEST {
+            self.since_bound = 0;
+            self.set_bound(tolerance);
+        }
+    }
+
+    /// Sets the bound above which a time is slow, from the recent times of the old version.
+    fn set_bound(&mut self, tolerance: &Tolerance) {
+        let mut times: Vec<Duration> = self.recent.iter().copied().collect();
+        let index = (times.len() - 1) * QUANTILE / 100;
+        let (_, slow, _) = times.select_nth_unstable(index);
+        let slow = *slow;
+        self.bound = Some(slow.mul_f64(tolerance.slowness).max(slow + tolerance.slack));
+    }
+}
+
+/// The evidence that one entry has at a stage of a move.
+#[derive(Clone, Debug)]
+pub struct Evidence {
+    tolerance: Tolerance,
+    threshold: f64,
+    alone: bool,
+    requests: u64,
+    comparisons: BTreeMap<(Arc<str>, Measure), Comparison>,
+    routes: Vec<Arc<str>>,
+}
+
+impl Evidence {
+    /// Returns the evidence at the first of `stages` stages.
+    #[must_use]
+    pub fn new(tolerance: Tolerance, stages: u32) -> Self {
+        let tests = u32::try_from(TESTS).map_or(f64::MAX, f64::from);
+        Self {
+            tolerance,
+            threshold: tests * f64::from(stages.max(1)) / tolerance.false_alarm,
+            alone: false,
+            requests: 0,
+            comparisons: BTreeMap::new(),
+            routes: Vec::new(),
+        }
+    }
+
+    /// Begins the next stage: the tests start again, what is known of the old version stays.
+    ///
+    /// `alone` says that the old version gets no more requests.
+    pub fn begin_stage(&mut self, alone: bool) {
+        self.alone = alone;
+        self.requests = 0;
+        for comparison in self.comparisons.values_mut() {
+            comparison.test.restart();
+        }
+    }
+
+    /// Takes an observation.
+    pub fn observe(&mut self, observation: &Observation) {
+        if observation.side == Side::New && observation.failed.is_some() {
+            self.requests += 1;
+        }
+        self.take(&Arc::from(""), observation);
+        if observation.route.is_empty() {
+            return;
+        }
+        let known = self.routes.contains(&observation.route);
+        if !known && self.routes.len() < ROUTES {
+            self.routes.push(Arc::clone(&observation.route));
+        }
+        if self.routes.contains(&observation.route) {
+            self.take(&Arc::clone(&observation.route), observation);
+        }
+    }
+
+    /// Takes an observation of the whole or of one route.
+    fn take(&mut self, route: &Arc<str>, observation: &Observation) {
+        let tolerance = self.tolerance;
+        let slow_share = if self.alone {
+            SLOW_SHARE_ALONE
+        } else {
+            SLOW_SHARE
+        };
+        for measure in Measure::ALL {
+            let key = || (Arc::clone(route), measure);
+            match (measure, observation.failed, observation.time(measure)) {
+                (Measure::Failure, Some(failed), _) => {
+                    let comparison = self.comparisons.entry(key()).or_default();
+                    comparison.take(observation.side, failed, tolerance.failures);
+                }
+                (_, _, Some(time)) => {
+                    let comparison = self.comparisons.entry(key()).or_default();
+                    comparison.take_time(observation.side, time, &tolerance, slow_share);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// Returns the number of the new version's answers at this stage.
+    #[must_use]
+    pub fn requests(&self) -> u64 {
+        self.requests
+    }
+
+    /// Returns whether the evidence leans against the new version.
+    #[must_use]
+    pub fn suspect(&self) -> bool {
+        self.worst().is_some_and(|(_, _, value)| value >= SUSPECT)
+    }
+
+    /// Returns what speaks against the new version if it is enough.
+    #[must_use]
+    pub fn against(&self) -> Option<String> {
+        let (route, measure, value) = self.worst()?;
+        if value < 1.0 {
+            return None;
+        }
+        Some(if route.is_empty() {
+            format!("{measure} than the old version")
+        } else {
+            format!("{measure} than the old version on route {route}")
+        })
+    }
+
+    /// Returns the test that speaks most against the new version.
+    fn worst(&self) -> Option<(&Arc<str>, Measure, f64)> {
+        let values = self
+            .comparisons
+            .iter()
+            .map(|((route, measure), comparison)| {
+                (
+                    route,
+                    *measure,
+                    comparison.test.value(self.threshold, self.alone),
+                )
+            });
+        values.max_by(|left, right| left.2.total_cmp(&right.2))
+    }
+}
--- a/coordination/src/lib.rs
+++ b/coordination/src/lib.rs
@@ -4,4 +4,7 @@
 //! decisions. None owns a socket, a task or a clock, so that a test can drive it through any order
 //! of events. Times are [`std::time::Duration`]s since an arbitrary origin that never goes back.
 
+pub mod evidence;
 pub mod journal;
+pub mod rollout;
+pub mod schedule;
--- /dev/null
+++ b/coordination/tests/evidence.rs
@@ -0,0 +1,151 @@
+//! How often evidence speaks against good versions, and how soon against bad ones.
+
+use std::time::Duration;
+
+use medlarfall_coordination::evidence::{Evidence, Observation, Side, Tolerance};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+/// How a version behaves.
+#[derive(Clone, Copy, Debug)]
+struct Version {
+    failures: f64,
+    mean_ms: f64,
+    tail: f64,
+}
+
+const GOOD: Version = Version {
+    failures: 0.0,
+    mean_ms: 20.0,
+    tail: 0.02,
+};
+
+/// Share of the new version and number of its requests at each stage.
+const STAGES: [(f64, u32); 4] = [(0.05, 60), (0.25, 300), (0.5, 600), (1.0, 1_000)];
+
+/// Draws an observation of a version on one of three routes.
+fn draw(random: &mut ChaCha8Rng, side: Side, version: Version) -> Observation {
+    let route = ["", "GET /plots", "GET /records"][random.random_range(0..3)];
+    let failed = random.random_bool(version.failures);
+    let tail = if random.random_bool(version.tail) {
+        8.0
+    } else {
+        1.0
+    };
+    let time = version.mean_ms * tail * random.random_range(0.7..1.3);
+    let call = (!failed).then(|| Duration::from_secs_f64(time / 1_000.0));
+    Observation {
+        call,
+        ..Observation::failure(side, route, failed)
+    }
+}
+
+/// Runs a move through its stages; returns after how many of its requests the new version was
+/// found bad, or nothing.
+fn run(seed: u64, old: Version, new: impl Fn(u32) -> Version) -> Option<u32> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let mut evidence = Evidence::new(Tolerance::default(), 4);
+    let mut requests = 0;
+    for (share, count) in STAGES {
+        evidence.begin_stage(share >= 1.0);
+        let end = requests + count;
+        while requests < end {
+            if !random.random_bool(share) {
+                evidence.observe(&draw(&mut random, Side::Old, old));
+                continue;
+            }
+            requests += 1;
+            let observation = draw(&mut random, Side::New, new(requests));
+            evidence.observe(&observation);
+            if evidence.against().is_some() {
+                return Some(requests);
+            }
+        }
+    }
+    None
+}
+
+#[test]
+fn good_versions_are_seldom_taken_back() {
+    let cases = [
+        ("the same", GOOD, GOOD),
+        (
+            "both fail",
+            Version {
+                failures: 0.1,
+                ..GOOD
+            },
+            Version {
+                failures: 0.1,
+                ..GOOD
+            },
+        ),
+        ("a noisy tail", GOOD, Version { tail: 0.1, ..GOOD }),
+        (
+            "a rare failure",
+            GOOD,
+            Version {
+                failures: 0.005,
+                ..GOOD
+            },
+        ),
+        (
+            "a little slower",
+            GOOD,
+            Version {
+                mean_ms: 22.0,
+                ..GOOD
+            },
+        ),
+    ];
+    for (name, old, new) in cases {
+        let alarms = (0..100).filter(|seed| run(*seed, old, |_| new).is_some());
+        let alarms = alarms.count();
+        assert!(alarms <= 2, "{name}: {alarms} of 100 taken back");
+    }
+}
+
+#[test]
+fn bad_versions_are_found_within_a_bound_of_requests() {
+    let fails = |failures| Version { failures, ..GOOD };
+    let slow = Version {
+        mean_ms: 60.0,
+        ..GOOD
+    };
+    let cases = [
+        ("fails always", 0, fails(1.0), 12),
+        ("fails each second", 0, fails(0.5), 30),
+        ("fails each fourth", 0, fails(0.25), 80),
+        ("fails always, later", 500, fails(1.0), 30),
+        ("fails each fourth, at the whole", 1_200, fails(0.25), 120),
+        ("slow", 0, slow, 40),
+        ("slow, later", 500, slow, 60),
+    ];
+    for (name, begins, bad, bound) in cases {
+        for seed in 0..20 {
+            let new = |request| if request > begins { bad } else { GOOD };
+            let found = run(seed, GOOD, new);
+            let found = found.unwrap_or_else(|| panic!("{name}, seed {seed}: not found"));
+            assert!(found > begins, "{name}, seed {seed}: a false alarm");
+            let late = found - begins;
+            assert!(late <= bound, "{name}, seed {seed}: found after {late}");
+        }
+    }
+}
+
+#[test]
+fn a_fault_of_one_route_is_found_and_named() {
+    let mut random = ChaCha8Rng::seed_from_u64(7);
+    let mut evidence = Evidence::new(Tolerance::default(), 4);
+    let against = (0..20_000).find_map(|_| {
+        let new = random.random_bool(0.05);
+        let side = if new { Side::New } else { Side::Old };
+        let mut observation = draw(&mut random, side, GOOD);
+        let bad = new && &*observation.route == "GET /plots";
+        observation.failed = Some(bad);
+        evidence.observe(&observation);
+        evidence.against()
+    });
+    let against = against.expect("the fault is found");
+    assert!(against.contains("fails more often"), "{against}");
+}
