feat(moves): start, watch and cancel moves on all entries

Cause: a service must go to a new version by a deadline, or stay, under load. Ruled out: declaring the new version before the end is recorded (a brake in between would have to undo a declaration); a mark on the move that it was declared (a crash before the mark would undo an operator's later declaration). Change: one store key per service's move, compare-and-swap with lost answers settled by reading back; version of a request chosen by the hash of its id; probes in generations and calls; operator RPCs, command line, settings. A declaration carries the number of the last move that it holds, so the declaring step can be repeated by any entry.

--- a/programs/src/cluster.rs
+++ b/programs/src/cluster.rs
@@ -300,6 +300,7 @@
             callers: configs::callers::Callers::default(),
             generation: configs::generation::Generation::default(),
             services: configs::services::Services::default(),
+            moves: configs::moves::Moves::default(),
             log: configs::log::Log::default(),
         }
     }
--- a/programs/src/main.rs
+++ b/programs/src/main.rs
@@ -3,6 +3,8 @@
 use std::process::ExitCode;
 
 use medlarfall::caller::Completion;
+use medlarfall::commands::moves;
+use medlarfall::operator::Operator;
 use medlarfall::{bench, commands, demo};
 
 /// Arguments, parsed by `xflags`, which writes the code without comments.
@@ -50,6 +52,38 @@
                 /// Operators' address of an entry.
                 required --entry entry: SocketAddr
             }
+            /// Moves a service to another version.
+            cmd move {
+                /// Starts a move and prints its identifier.
+                cmd start {
+                    /// Operators' address of an entry.
+                    required --entry entry: SocketAddr
+                    /// Service to move.
+                    required --service service: String
+                    /// Version to move to.
+                    required --version version: String
+                    /// Time in which the move must have ended, such as "2h" or "30m".
+                    required --within within: String
+                }
+                /// Prints the states of a move until it is done or taken back.
+                cmd watch {
+                    /// Operators' address of an entry.
+                    required --entry entry: SocketAddr
+                    /// The service.
+                    required --service service: String
+                    /// Identifier of the move; the last one by default.
+                    optional --id id: String
+                }
+                /// Takes a move back.
+                cmd cancel {
+                    /// Operators' address of an entry.
+                    required --entry entry: SocketAddr
+                    /// The service.
+                    required --service service: String
+                    /// Identifier of the move.
+                    required --id id: String
+                }
+            }
             /// Asks for a generation and prints it as it comes.
             cmd generate {
                 /// Callers' address of an entry.
@@ -97,6 +131,7 @@
         }
         flags::MedlarfallCmd::List(flags) => commands::list(flags.entry, &key()?, json).await,
         flags::MedlarfallCmd::Status(flags) => commands::status(flags.entry, &key()?).await,
+        flags::MedlarfallCmd::Move(flags) => run_move(flags, json).await,
         flags::MedlarfallCmd::Generate(flags) => {
             let completion = Completion {
                 model: flags.model,
@@ -109,6 +144,32 @@
     }
 }
 
+/// Runs a subcommand of `move`.
+async fn run_move(flags: flags::Move, json: bool) -> commands::Result {
+    match flags.subcommand {
+        flags::MoveCmd::Start(flags) => {
+            let operator = Operator::new(flags.entry, &key()?)?;
+            moves::start(
+                operator,
+                &flags.service,
+                &flags.version,
+                &flags.within,
+                json,
+            )
+            .await
+        }
+        flags::MoveCmd::Watch(flags) => {
+            let operator = Operator::new(flags.entry, &key()?)?;
+            let id = flags.id.unwrap_or_default();
+            moves::watch(operator, &flags.service, &id, json).await
+        }
+        flags::MoveCmd::Cancel(flags) => {
+            let operator = Operator::new(flags.entry, &key()?)?;
+            moves::cancel(operator, &flags.service, &flags.id, json).await
+        }
+    }
+}
+
 /// Reads the key from the environment.
 fn key() -> Result<String, String> {
     std::env::var(KEY_VARIABLE).map_err(|_| format!("set {KEY_VARIABLE} to your key"))
--- a/programs/src/operator.rs
+++ b/programs/src/operator.rs
@@ -9,7 +9,7 @@
 use tonic::service::Interceptor;
 use tonic::service::interceptor::InterceptedService;
 use tonic::transport::{Channel, Endpoint};
-use tonic::{Request, Status};
+use tonic::{Request, Status, Streaming};
 use uuid::Uuid;
 
 /// Adds the operators' key to each call.
@@ -89,4 +89,58 @@
             .await?
             .into_inner())
     }
+
+    /// Starts to move a service to another version by a deadline in milliseconds of Unix time.
+    ///
+    /// # Errors
+    ///
+    /// Returns the entry's refusal.
+    pub async fn start_move(
+        &mut self,
+        service: &str,
+        version: &str,
+        deadline_ms: u64,
+    ) -> Result<rpc::MoveState, Status> {
+        let request = rpc::StartMoveRequest {
+            service: service.to_owned(),
+            version: version.to_owned(),
+            deadline_ms,
+            move_id: Uuid::now_v7().to_string(),
+        };
+        Ok(self.client.start_move(request).await?.into_inner())
+    }
+
+    /// Returns the states of a service's move up to its end; without an identifier, of its last.
+    ///
+    /// # Errors
+    ///
+    /// Returns the entry's refusal.
+    pub async fn watch_move(
+        &mut self,
+        service: &str,
+        move_id: &str,
+    ) -> Result<Streaming<rpc::MoveState>, Status> {
+        let request = rpc::WatchMoveRequest {
+            service: service.to_owned(),
+            move_id: move_id.to_owned(),
+        };
+        Ok(self.client.watch_move(request).await?.into_inner())
+    }
+
+    /// Takes a move back.
+    ///
+    /// # Errors
+    ///
+    /// Returns the entry's refusal.
+    pub async fn cancel_move(
+        &mut self,
+        service: &str,
+        move_id: &str,
+    ) -> Result<rpc::MoveState, Status> {
+        let request = rpc::CancelMoveRequest {
+            service: service.to_owned(),
+            move_id: move_id.to_owned(),
+        };
+        Ok(self.client.cancel_move(request).await?.into_inner())
+    }
 }
--- a/serving/src/configs.rs
+++ b/serving/src/configs.rs
@@ -15,6 +15,7 @@
 pub mod keys;
 pub mod listen;
 pub mod log;
+pub mod moves;
 pub mod platform;
 pub mod services;
 mod value;
@@ -67,6 +68,8 @@
     pub generation: generation::Generation,
     /// How plain services are called.
     pub services: services::Services,
+    /// How services are moved to another version.
+    pub moves: moves::Moves,
     /// Logs.
     pub log: log::Log,
 }
@@ -110,6 +113,7 @@
             callers: raw.callers.unwrap_or_default().try_into()?,
             generation: raw.generation.unwrap_or_default().try_into()?,
             services: raw.services.unwrap_or_default().try_into()?,
+            moves: raw.moves.unwrap_or_default().try_into()?,
             log: raw.log.unwrap_or_default().try_into()?,
         })
     }
--- a/serving/src/context.rs
+++ b/serving/src/context.rs
@@ -11,6 +11,7 @@
 use crate::modules::declarations::Declarations;
 use crate::modules::directory::Directory;
 use crate::modules::metrics::Metrics;
+use crate::modules::moves;
 use crate::modules::peers::{Identity, Peers};
 use crate::platform;
 
@@ -35,6 +36,8 @@
     pub declarations: watch::Receiver<Arc<Declarations>>,
     /// Backend servers that this entry knows of.
     pub directory: watch::Receiver<Arc<Directory>>,
+    /// Moves of services to another version.
+    pub moves: moves::Handle,
     /// Cancelled when the entry stops.
     pub stop: CancellationToken,
 }
--- a/serving/src/entry.rs
+++ b/serving/src/entry.rs
@@ -13,7 +13,7 @@
 use crate::configs::Settings;
 use crate::context::Context;
 use crate::modules::peers::{Identity, Peers};
-use crate::modules::{callers, declarations, directory, metrics, operators, peers};
+use crate::modules::{callers, declarations, directory, metrics, moves, operators, peers};
 use crate::platform;
 
 /// Why an entry could not start.
@@ -76,6 +76,7 @@
     );
     let stop = CancellationToken::new();
     let metrics = metrics::Metrics::new();
+    let (moves_handle, moves_mailbox) = moves::mailbox();
     let context = Arc::new(Context {
         clock: Clock::start(),
         identity: Identity {
@@ -87,11 +88,13 @@
         backend: backend::http::Client::new(),
         declarations: declarations::start(platform.clone(), settings.platform, stop.clone()),
         directory: directory::start(platform.clone(), settings.platform, stop.clone()),
+        moves: moves_handle,
         metrics,
         platform,
         settings,
         stop,
     });
+    moves::driver::start(&context, moves_mailbox);
     let callers = callers::start(Arc::clone(&context))
         .await
         .context(BindSnafu {
--- a/serving/src/modules.rs
+++ b/serving/src/modules.rs
@@ -5,6 +5,7 @@
 pub mod directory;
 pub mod generation;
 pub mod metrics;
+pub mod moves;
 pub mod operators;
 pub mod peers;
 pub mod routing;
--- a/serving/src/modules/callers/completions.rs
+++ b/serving/src/modules/callers/completions.rs
@@ -15,6 +15,7 @@
 use super::{Caller, services};
 use crate::context::Context;
 use crate::modules::generation::{self, Event, Order};
+use crate::modules::moves;
 
 /// Most tokens of an answer where the caller names none.
 const DEFAULT_MAX_TOKENS: u64 = 256;
@@ -118,7 +119,7 @@
         let order = Order {
             request_id: Arc::clone(&caller.request_id),
             service: Arc::from(service.name.as_str()),
-            version: Arc::from(service.version.as_str()),
+            version: moves::version(&self.context, service, &caller.request_id),
             prompt: Arc::from(completion.prompt),
             max_tokens,
             priority: completion.priority,
--- a/serving/src/modules/callers/services.rs
+++ b/serving/src/modules/callers/services.rs
@@ -11,7 +11,7 @@
 use super::problem::{Kind, Outcome, Problem, RUN};
 use crate::backend::{self, Call, Reply, Service as _};
 use crate::context::Context;
-use crate::modules::routing;
+use crate::modules::{moves, routing};
 
 /// Answers calls to plain services.
 pub(super) struct Handle {
@@ -76,6 +76,8 @@
     async fn call(&self, service: &Service, mut call: Call) -> Result<Reply, Problem> {
         let repeatable = idempotent(service, &call);
         let bounds = self.context.settings.services;
+        let version = moves::version(&self.context, service, &call.request_id);
+        let route = moves::route(call.method.as_str(), &call.path);
         let mut tried = Vec::new();
         let mut last = Problem::new(
             Kind::Unavailable,
@@ -83,17 +85,20 @@
             "no backend server can take the call; try again",
         );
         while tried.len() < bounds.attempts {
-            let picked = routing::pick(&self.context, &service.name, &service.version, &tried);
+            let picked = routing::pick(&self.context, &service.name, &version, &tried);
             let Some(server) = picked else {
                 break;
             };
             tried.push(Arc::clone(&server.name));
             call.attempt += 1;
+            let probe = moves::probe(&self.context, &service.name, &version, &server.name, &route);
             let answer = tokio::time::timeout(
                 bounds.call_timeout,
                 self.context.backend.call(&server, &call),
             )
             .await;
+            let good = matches!(&answer, Ok(Ok(reply)) if reply.status < 400 && !reply.not_run);
+            probe.end_call(!good);
             match answer {
                 Ok(Ok(reply)) if !reply.not_run => return Ok(reply),
                 Ok(Ok(_) | Err(backend::Error::NotRun { .. })) => {}
--- a/serving/src/modules/generation.rs
+++ b/serving/src/modules/generation.rs
@@ -5,9 +5,11 @@
 use medlarfall_coordination::journal::{Attempt, Ending, Journal, Verdict};
 use snafu::Snafu;
 use tokio::sync::mpsc;
+use tokio::time::Instant;
 
 use crate::backend::{Engine, Frame, Frames, Generate, Reference, Server};
 use crate::context::Context;
+use crate::modules::moves::{self, Probe};
 use crate::modules::routing;
 
 /// A generation that a caller asked for.
@@ -148,11 +150,21 @@
             max_tokens: self.order.max_tokens,
             priority: self.order.priority,
         };
+        let (service, version) = (&self.order.service, &self.order.version);
+        let mut probe = moves::probe(&self.context, service, version, &server.name, "");
         let mut frames = match self.context.backend.generate(server, &generate).await {
             Ok(frames) => frames,
-            Err(error) => return Outcome::Lost(error.to_string()),
+            Err(error) => {
+                probe.end(true);
+                return Outcome::Lost(error.to_string());
+            }
         };
-        let outcome = self.follow(attempt, &mut frames).await;
+        let outcome = self.follow(attempt, &mut frames, &mut probe).await;
+        match outcome {
+            Outcome::Whole(_) => probe.end(false),
+            Outcome::Lost(_) => probe.end(true),
+            Outcome::CallerGone => {}
+        }
         if !matches!(outcome, Outcome::Whole(_)) {
             self.cancel(server, attempt);
         }
@@ -160,15 +172,24 @@
     }
 
     /// Delivers an attempt's frames until it ends, fails or falls silent.
-    async fn follow<F: Frames>(&mut self, attempt: Attempt, frames: &mut F) -> Outcome {
+    async fn follow<F: Frames>(
+        &mut self,
+        attempt: Attempt,
+        frames: &mut F,
+        probe: &mut Probe,
+    ) -> Outcome {
         let silence = self.context.settings.generation.silence_ceiling;
         loop {
+            let asked = Instant::now();
             let frame = match tokio::time::timeout(silence, frames.next()).await {
                 Ok(Ok(Some(frame))) => frame,
                 Ok(Ok(None)) => return Outcome::Lost("the stream ended early".to_owned()),
                 Ok(Err(error)) => return Outcome::Lost(error.to_string()),
                 Err(_) => return Outcome::Lost("the engine fell silent".to_owned()),
             };
+            if frame.token.is_some() {
+                probe.token(asked.elapsed());
+            }
             if let Some(outcome) = self.take(attempt, frame).await {
                 return outcome;
             }
--- a/serving/src/modules/operators.rs
+++ b/serving/src/modules/operators.rs
@@ -12,6 +12,7 @@
 use crate::context::Context;
 
 mod apply;
+mod moves;
 
 /// Answers operators.
 struct Handle {
@@ -95,4 +96,30 @@
             store_reachable: self.context.declarations.borrow().store_reachable,
         }))
     }
+
+    async fn start_move(
+        &self,
+        request: Request<rpc::StartMoveRequest>,
+    ) -> Result<Response<rpc::MoveState>, Status> {
+        let state = moves::start(&self.context, request.into_inner()).await?;
+        Ok(Response::new(state))
+    }
+
+    type WatchMoveStream = moves::States;
+
+    async fn watch_move(
+        &self,
+        request: Request<rpc::WatchMoveRequest>,
+    ) -> Result<Response<moves::States>, Status> {
+        let states = moves::watch(&self.context, request.into_inner()).await?;
+        Ok(Response::new(states))
+    }
+
+    async fn cancel_move(
+        &self,
+        request: Request<rpc::CancelMoveRequest>,
+    ) -> Result<Response<rpc::MoveState>, Status> {
+        let state = moves::cancel(&self.context, request.into_inner()).await?;
+        Ok(Response::new(state))
+    }
 }
--- a/serving/src/modules/operators/apply.rs
+++ b/serving/src/modules/operators/apply.rs
@@ -129,7 +129,7 @@
 }
 
 /// Stores a change, or returns what stands there if this very change was stored before.
-pub async fn store<S: Store>(store: &S, change: Change) -> Result<Service, Error> {
+pub async fn store<S: Store>(store: &S, mut change: Change) -> Result<Service, Error> {
     let key = format!("{PREFIX}{}", change.service.name);
     let mut sent = false;
     for _ in 0..SETTLE_ATTEMPTS {
@@ -145,6 +145,7 @@
         if current.revision != change.seen {
             return Err(conflict(&change, current.revision));
         }
+        change.service.moved = current.moved;
         let value = serde_json::to_string(&change.service).map_err(|error| not_stored(&error))?;
         let expected = item.map_or(0, |item| item.revision);
         match store.put(&key, value, expected, None).await {
