--- a/coordination/src/evidence.rs
+++ b/coordination/src/evidence.rs
@@ -141,6 +141,8 @@
     pub slowness: f64,
     /// Least difference from the old version's slow times that counts as slow.
     pub slack: Duration,
+    /// The same for the mean time between tokens, which varies less than single times.
+    pub gap_slack: Duration,
 }
 
 impl Default for Tolerance {
@@ -150,6 +152,28 @@
             failures: 0.01,
             slowness: 1.5,
             slack: Duration::from_millis(5),
+            gap_slack: Duration::from_millis(1),
+        }
+    }
+}
+
+/// From where a time counts as slow.
+#[derive(Clone, Copy, Debug)]
+struct Limits {
+    slowness: f64,
+    slack: Duration,
+}
+
+impl Tolerance {
+    /// Returns from where the times of a measure count as slow.
+    fn of(&self, measure: Measure) -> Limits {
+        Limits {
+            slowness: self.slowness,
+            slack: if measure == Measure::Gap {
+                self.gap_slack
+            } else {
+                self.slack
+            },
         }
     }
 }
@@ -179,7 +203,7 @@
     }
 
     /// Takes a time; it is bad if it lies above the bound that earlier old times gave.
-    fn take_time(&mut self, side: Side, time: Duration, tolerance: &Tolerance, tolerated: f64) {
+    fn take_time(&mut self, side: Side, time: Duration, limits: Limits, tolerated: f64) {
         if let Some(bound) = self.bound {
             self.take(side, time > bound, tolerated);
         }
@@ -193,17 +217,17 @@
         self.since_bound += 1;
         if self.since_bound >= FEWEST {
             self.since_bound = 0;
-            self.set_bound(tolerance);
+            self.set_bound(limits);
         }
     }
 
     /// Sets the bound above which a time is slow, from the recent times of the old version.
-    fn set_bound(&mut self, tolerance: &Tolerance) {
+    fn set_bound(&mut self, limits: Limits) {
         let mut times: Vec<Duration> = self.recent.iter().copied().collect();
         let index = (times.len() - 1) * QUANTILE / 100;
         let (_, slow, _) = times.select_nth_unstable(index);
         let slow = *slow;
-        self.bound = Some(slow.mul_f64(tolerance.slowness).max(slow + tolerance.slack));
+        self.bound = Some(slow.mul_f64(limits.slowness).max(slow + limits.slack));
     }
 }
 
@@ -279,7 +303,7 @@
                 }
                 (_, _, Some(time)) => {
                     let comparison = self.comparisons.entry(key()).or_default();
-                    comparison.take_time(observation.side, time, &tolerance, slow_share);
+                    comparison.take_time(observation.side, time, tolerance.of(measure), slow_share);
                 }
                 _ => {}
             }
--- a/coordination/src/lib.rs
+++ b/coordination/src/lib.rs
@@ -4,7 +4,14 @@
 //! decisions. None owns a socket, a task or a clock, so that a test can drive it through any order
 //! of events. Times are [`std::time::Duration`]s since an arbitrary origin that never goes back.
 
+pub mod detector;
+pub mod ejection;
 pub mod evidence;
+pub mod fair_queue;
+pub mod grants;
 pub mod journal;
+pub mod memory;
+pub mod placement;
+pub mod resume_token;
 pub mod rollout;
 pub mod schedule;
--- a/programs/tests/moves.rs
+++ b/programs/tests/moves.rs
@@ -35,7 +35,7 @@
 async fn start() -> Arc<Cluster> {
     let plan = Plan {
         engine: engine::Config {
-            token_interval: Duration::from_millis(2),
+            token_interval: Duration::from_millis(4),
             ..engine::Config::default()
         },
         adjust,
@@ -213,7 +213,7 @@
 async fn a_model_that_fails_later_is_taken_back() {
     taken_back_engine(engine::Faults {
         fail_every: 2,
-        after_requests: 30,
+        after_requests: 10,
         ..engine::Faults::default()
     })
     .await;
@@ -337,6 +337,11 @@
     cluster::wait("every entry has braked", braked)
         .await
         .expect("braked");
+    for entry in &cluster.entries {
+        let record = entry.context.moves.last(TRACKER).expect("a move");
+        let reason = format!("{:?}", record.phase);
+        assert!(reason.contains("than the old version"), "{reason}");
+    }
     let recorded = cluster.platform.peek(&format!("{PREFIX}{TRACKER}"));
     let recorded = recorded.expect("a record").value;
     assert!(
@@ -363,6 +368,21 @@
     })
 }
 
+#[tokio::test]
+async fn a_dead_server_of_a_good_version_does_not_take_it_back() {
+    let cluster = start().await;
+    let load = call(&cluster);
+    let mut operator = cluster.operator(0).expect("an operator");
+    let started = operator
+        .start_move(TRACKER, "v2", deadline_ms(WITHIN))
+        .await
+        .expect("the move is accepted");
+    cluster.services[1].service.life().die();
+    let seen = watch(&cluster, TRACKER, &started.move_id).await;
+    assert_eq!(last(&seen).phase(), MovePhase::Done, "{seen:?}");
+    drop(load);
+}
+
 #[tokio::test]
 async fn racing_entries_record_one_end_also_when_answers_are_lost() {
     let cluster = start().await;
--- a/serving/src/entry.rs
+++ b/serving/src/entry.rs
@@ -13,7 +13,9 @@
 use crate::configs::Settings;
 use crate::context::Context;
 use crate::modules::peers::{Identity, Peers};
-use crate::modules::{callers, declarations, directory, metrics, moves, operators, peers};
+use crate::modules::{
+    admission, callers, declarations, directory, generation, metrics, moves, operators, peers,
+};
 use crate::platform;
 
 /// Why an entry could not start.
@@ -77,17 +79,32 @@
     let stop = CancellationToken::new();
     let metrics = metrics::Metrics::new();
     let (moves_handle, moves_mailbox) = moves::mailbox();
+    let clock = Clock::start();
+    let directory = directory::start(platform.clone(), settings.platform, stop.clone());
+    let identity = Identity {
+        name: Arc::clone(&settings.entry.name),
+        incarnation: Arc::from(Uuid::now_v7().to_string()),
+        failure_domain: Arc::clone(&settings.entry.failure_domain),
+    };
+    let admission = admission::start(admission::Start {
+        settings: &settings,
+        identity: &identity,
+        store: platform.clone(),
+        admitted: metrics.admitted.clone(),
+        clock,
+        directory: directory.clone(),
+        stop: stop.clone(),
+    });
     let context = Arc::new(Context {
-        clock: Clock::start(),
-        identity: Identity {
-            name: Arc::clone(&settings.entry.name),
-            incarnation: Arc::from(Uuid::now_v7().to_string()),
-            failure_domain: Arc::clone(&settings.entry.failure_domain),
-        },
+        admission,
+        clock,
+        identity,
         peers: Peers::new(settings.keys.peers.clone()),
         backend: backend::http::Client::new(),
         declarations: declarations::start(platform.clone(), settings.platform, stop.clone()),
-        directory: directory::start(platform.clone(), settings.platform, stop.clone()),
+        detector: generation::detector(&settings.generation),
+        held: generation::outbox::Ledger::new(settings.generation.held_limit, &metrics),
+        directory,
         moves: moves_handle,
         metrics,
         platform,
@@ -95,6 +112,7 @@
         stop,
     });
     moves::driver::start(&context, moves_mailbox);
+    generation::start_upkeep(Arc::clone(&context));
     let callers = callers::start(Arc::clone(&context))
         .await
         .context(BindSnafu {
--- a/serving/src/modules.rs
+++ b/serving/src/modules.rs
@@ -1,5 +1,6 @@
 //! The features of an entry, one module each.
 
+pub mod admission;
 pub mod callers;
 pub mod declarations;
 pub mod directory;
@@ -8,4 +9,3 @@
 pub mod moves;
 pub mod operators;
 pub mod peers;
-pub mod routing;
--- /dev/null
+++ b/serving/src/modules/admission/desk.rs
@@ -0,0 +1,289 @@
+//! The state of the admission task.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use medlarfall_coordination::fair_queue::{FairQueue, Item};
+use medlarfall_coordination::memory::Ledger;
+use medlarfall_coordination::placement::{Proximity, name_hash};
+use tokio::sync::{mpsc, oneshot};
+
+use super::grants::Wish;
+use super::pool::{Choice, Member, Pool};
+use super::{Message, Need, Outcome, Permit, Refusal};
+use crate::backend::{Role, Server};
+use crate::configs::Settings;
+use crate::configs::admission::Admission;
+use crate::configs::entry::Entry;
+use crate::modules::directory::Directory;
+use crate::modules::metrics::Admissions;
+
+mod shares;
+
+/// Service and version.
+type PoolName = (Arc<str>, Arc<str>);
+
+/// A request that waits.
+struct Waiting {
+    need: Need,
+    reply: oneshot::Sender<Result<Permit, Refusal>>,
+}
+
+/// Where the desk sends what it cannot do itself.
+pub(super) struct Outlets {
+    /// Counts of admitted requests.
+    pub(super) admitted: Admissions,
+    /// Reservations that end.
+    pub(super) releases: mpsc::UnboundedSender<Message>,
+    /// Wishes for memory.
+    pub(super) wishes: mpsc::UnboundedSender<Wish>,
+}
+
+/// What the admission task holds.
+pub(super) struct Desk {
+    bounds: Admission,
+    entry: Entry,
+    ledger: Ledger,
+    pools: HashMap<PoolName, Pool>,
+    members: HashMap<Arc<str>, Member>,
+    shares: HashMap<Arc<str>, shares::Share>,
+    queue: FairQueue<Waiting>,
+    outlets: Outlets,
+}
+
+impl Desk {
+    /// Returns a desk that knows no server.
+    pub(super) fn new(settings: &Settings, outlets: Outlets) -> Self {
+        Self {
+            bounds: settings.admission,
+            entry: settings.entry.clone(),
+            ledger: Ledger::new(),
+            pools: HashMap::new(),
+            members: HashMap::new(),
+            shares: HashMap::new(),
+            queue: FairQueue::new(),
+            outlets,
+        }
+    }
+
+    /// Takes a message.
+    pub(super) fn take(&mut self, message: Message, now: Duration) {
+        match message {
+            Message::Ask(need, reply) => self.ask(need, reply, now),
+            Message::Granted(server, tokens) => {
+                self.granted(&server, tokens, now);
+                self.serve_waiting(now);
+            }
+            Message::Release(key) => {
+                self.ledger.release(key);
+                self.serve_waiting(now);
+            }
+            Message::Report(server, outcome) => self.report(&server, outcome, now),
+        }
+    }
+
+    /// Takes the backend servers that the entry knows of now.
+    ///
+    /// A server that is off the list keeps its reservations until they end, since it may come back
+    /// while their requests still run there.
+    pub(super) fn set_directory(&mut self, directory: &Directory, now: Duration) {
+        for member in self.members.values_mut() {
+            if directory.find(&member.server.name).is_none() {
+                member.server = Arc::new(Server {
+                    leaving: true,
+                    ..member.server.as_ref().clone()
+                });
+            }
+        }
+        for server in directory.iter() {
+            let member = self.member(Arc::clone(server));
+            self.members.insert(Arc::clone(&server.name), member);
+        }
+        self.rebuild_pools();
+        self.serve_waiting(now);
+    }
+
+    /// Returns idle memory, and tries again for the requests that wait.
+    pub(super) fn tick(&mut self, now: Duration) {
+        self.return_idle(now);
+        self.serve_waiting(now);
+    }
+
+    /// Refuses the requests that cannot wait any longer.
+    pub(super) fn refuse_late(&mut self, now: Duration) {
+        let late = self
+            .queue
+            .remove(|item| item.value.need.deadline > now && !item.value.reply.is_closed());
+        for item in late {
+            let _ = item.value.reply.send(Err(Refusal::Deadline));
+        }
+    }
+
+    /// Returns the earliest deadline of a request that waits.
+    pub(super) fn next_deadline(&self) -> Option<Duration> {
+        self.queue.iter().map(|item| item.value.need.deadline).min()
+    }
+
+    /// Returns the member for a server, with the ledger's record of it if there is one.
+    fn member(&mut self, server: Arc<Server>) -> Member {
+        let limit = match server.role {
+            Role::Engine => self.bounds.memory_limit(server.memory_tokens),
+            Role::Service => self.bounds.service_calls as u64,
+        };
+        let held = self.members.get(&server.name);
+        let denied_until = held.map_or(Duration::ZERO, |held| held.denied_until);
+        let key = match held {
+            Some(held) => held.key,
+            None => self.ledger.add(0),
+        };
+        if server.role == Role::Service {
+            self.ledger.set_share(key, limit);
+        }
+        Member {
+            key,
+            hash: name_hash(&server.name),
+            proximity: proximity(&self.entry, &server),
+            limit,
+            denied_until,
+            server,
+        }
+    }
+
+    /// Groups the servers by service and version.
+    fn rebuild_pools(&mut self) {
+        for pool in self.pools.values_mut() {
+            pool.names.clear();
+        }
+        for (server, member) in &self.members {
+            let name = pool_name(&member.server.service, &member.server.version);
+            let pool = self.pools.entry(name).or_default();
+            pool.names.push(Arc::clone(server));
+        }
+        self.pools.retain(|_, pool| !pool.names.is_empty());
+    }
+
+    /// Admits a request, lets it wait, or refuses it.
+    fn ask(&mut self, need: Need, reply: oneshot::Sender<Result<Permit, Refusal>>, now: Duration) {
+        if self.too_large(&need) {
+            let _ = reply.send(Err(Refusal::TooLarge {
+                tokens: need.tokens,
+            }));
+            return;
+        }
+        if self.queue.len() >= self.bounds.waiting {
+            let _ = reply.send(Err(Refusal::Full));
+            return;
+        }
+        self.queue.push(Item {
+            account: Arc::clone(&need.account),
+            weight: need.weight,
+            priority: need.priority,
+            cost: need.tokens,
+            value: Waiting { need, reply },
+        });
+        self.serve_waiting(now);
+    }
+
+    /// Returns whether the servers of a request's pool could never hold it.
+    fn too_large(&self, need: &Need) -> bool {
+        let Some(pool) = self.pools.get(&pool_name(&need.service, &need.version)) else {
+            return false;
+        };
+        let mut limits = pool
+            .names
+            .iter()
+            .filter_map(|name| self.members.get(name))
+            .map(|member| member.limit);
+        limits.all(|limit| limit < need.tokens)
+    }
+
+    /// Admits the requests that wait, in fair order, as long as one fits, and wishes for memory for
+    /// those that do not.
+    fn serve_waiting(&mut self, now: Duration) {
+        loop {
+            let mut lacking = Vec::new();
+            let mut queue = std::mem::take(&mut self.queue);
+            let item = queue.pop(|item| match self.choose(&item.value.need, now) {
+                Some(choice) if choice.ready => true,
+                Some(choice) => {
+                    lacking.push((
+                        Arc::clone(&choice.member.server.name),
+                        item.value.need.tokens,
+                    ));
+                    false
+                }
+                None => false,
+            });
+            self.queue = queue;
+            for (server, tokens) in lacking {
+                self.lacks(&server, tokens);
+            }
+            match item {
+                Some(item) => self.admit(item.value, now),
+                None => return,
+            }
+        }
+    }
+
+    /// Returns the server that takes a request, if any can.
+    fn choose(&self, need: &Need, now: Duration) -> Option<Choice<'_>> {
+        let pool = self.pools.get(&pool_name(&need.service, &need.version))?;
+        let members: Vec<&Member> = pool
+            .names
+            .iter()
+            .filter_map(|name| self.members.get(name))
+            .collect();
+        pool.choose(&members, need, &self.ledger, now)
+    }
+
+    /// Reserves memory for a request and hands out the permit.
+    fn admit(&mut self, waiting: Waiting, now: Duration) {
+        let need = &waiting.need;
+        let choice = self.choose(need, now).filter(|choice| choice.ready);
+        let Some((server, key)) =
+            choice.map(|choice| (Arc::clone(&choice.member.server), choice.member.key))
+        else {
+            return;
+        };
+        let Some(key) = self.ledger.reserve(key, need.tokens) else {
+            return;
+        };
+        let near = server.failure_domain == self.entry.failure_domain;
+        self.outlets.admitted.count(near);
+        // A permit whose caller has gone is dropped here, which releases the reservation.
+        let _ = waiting.reply.send(Ok(Permit {
+            server,
+            key,
+            sender: self.outlets.releases.clone(),
+        }));
+    }
+
+    /// Notes how a request went at its server.
+    fn report(&mut self, server: &Server, outcome: Outcome, now: Duration) {
+        let Some(pool) = self
+            .pools
+            .get_mut(&pool_name(&server.service, &server.version))
+        else {
+            return;
+        };
+        match outcome {
+            Outcome::Answered => pool.ejector.succeeded(&server.name),
+            Outcome::Failed => pool.ejector.failed(Arc::clone(&server.name), now),
+        }
+    }
+}
+
+/// Returns the name of a pool.
+fn pool_name(service: &Arc<str>, version: &Arc<str>) -> PoolName {
+    (Arc::clone(service), Arc::clone(version))
+}
+
+/// Returns how near a server is to the entry.
+fn proximity(entry: &Entry, server: &Server) -> Proximity {
+    match server {
+        _ if server.failure_domain == entry.failure_domain => Proximity::FailureDomain,
+        _ if server.region == entry.region => Proximity::Region,
+        _ => Proximity::Anywhere,
+    }
+}
--- a/serving/src/modules/callers/services.rs
+++ b/serving/src/modules/callers/services.rs
@@ -6,12 +6,14 @@
 use medlarfall_schema::declaration::{Kind as ServiceKind, Service};
 use salvo::http::StatusCode;
 use salvo::prelude::*;
+use uuid::Uuid;
 
 use super::Caller;
 use super::problem::{Kind, Outcome, Problem, RUN};
 use crate::backend::{self, Call, Reply, Service as _};
 use crate::context::Context;
-use crate::modules::{moves, routing};
+use crate::modules::admission::{Need, Outcome as Report, Permit, Refusal};
+use crate::modules::moves;
 
 /// Answers calls to plain services.
 pub(super) struct Handle {
@@ -59,7 +61,7 @@
             body,
             traceparent: request.header::<String>("traceparent").map(Arc::from),
         };
-        self.call(&service, call).await
+        self.call(&service, call, caller).await
     }
 
     /// Returns the declaration of a plain service.
@@ -72,11 +74,38 @@
             .ok_or_else(|| unknown(name))
     }
 
+    /// Waits for a backend server that can take a call.
+    async fn admit(
+        &self,
+        service: &Service,
+        version: &Arc<str>,
+        caller: &Caller,
+        tried: &[Arc<str>],
+    ) -> Result<Permit, Refusal> {
+        let need = Need {
+            service: Arc::from(service.name.as_str()),
+            version: Arc::clone(version),
+            account: Arc::clone(&caller.account),
+            weight: 1,
+            priority: 0,
+            tokens: 1,
+            prefix: Uuid::now_v7().as_u64_pair().1,
+            deadline: self.context.clock.now() + self.context.settings.services.call_timeout,
+            excluded: tried.to_vec(),
+        };
+        self.context.admission.ask(need).await
+    }
+
     /// Makes attempts while the call was truly not run, or may be repeated.
-    async fn call(&self, service: &Service, mut call: Call) -> Result<Reply, Problem> {
+    async fn call(
+        &self,
+        service: &Service,
+        mut call: Call,
+        caller: &Caller,
+    ) -> Result<Reply, Problem> {
         let repeatable = idempotent(service, &call);
         let bounds = self.context.settings.services;
-        let version = moves::version(&self.context, service, &call.request_id);
+        let mut version = moves::version(&self.context, service, &call.request_id);
         let route = moves::route(call.method.as_str(), &call.path);
         let mut tried = Vec::new();
         let mut last = Problem::new(
@@ -85,10 +114,19 @@
             "no backend server can take the call; try again",
         );
         while tried.len() < bounds.attempts {
-            let picked = routing::pick(&self.context, &service.name, &version, &tried);
-            let Some(server) = picked else {
-                break;
+            let admitted = self.admit(service, &version, caller, &tried).await;
+            let permit = match admitted {
+                Ok(permit) => permit,
+                Err(refusal) if tried.is_empty() => {
+                    return Err(Problem::new(
+                        Kind::Unavailable,
+                        Outcome::NotRun,
+                        refusal.to_string(),
+                    ));
+                }
+                Err(_) => break,
             };
+            let server = Arc::clone(&permit.server);
             tried.push(Arc::clone(&server.name));
             call.attempt += 1;
             let probe = moves::probe(&self.context, &service.name, &version, &server.name, &route);
@@ -98,7 +136,13 @@
             )
             .await;
             let good = matches!(&answer, Ok(Ok(reply)) if reply.status < 400 && !reply.not_run);
-            probe.end_call(!good);
+            probe.end_call(!good, !matches!(answer, Ok(Ok(_))));
+            permit.report(match &answer {
+                Ok(Ok(_)) => Report::Answered,
+                Ok(Err(_)) | Err(_) => Report::Failed,
+            });
+            // What is sent again does not meet an unproved version twice.
+            version = moves::in_force(&self.context, service);
             match answer {
                 Ok(Ok(reply)) if !reply.not_run => return Ok(reply),
                 Ok(Ok(_) | Err(backend::Error::NotRun { .. })) => {}
--- a/serving/src/modules/moves.rs
+++ b/serving/src/modules/moves.rs
@@ -53,6 +53,8 @@
     pub number: u64,
     /// Backend server that was asked.
     pub server: Arc<str>,
+    /// Whether the attempt was cut off, which the death of one backend server explains as well.
+    pub cut: bool,
     /// What was seen.
     pub observation: Observation,
 }
@@ -107,15 +109,64 @@
 }
 
 /// Returns the version that a new request goes to.
+///
+/// While no backend server of the new version is known, requests stay with the old one.
 #[must_use]
 pub fn version(context: &Context, service: &Service, request_id: &str) -> Arc<str> {
+    let declared = || Arc::from(service.version.as_str());
     let record = context.moves.last(&service.name);
-    match record {
-        Some(record) if bears(&record, service) => Arc::clone(record.version(request_id)),
-        _ => Arc::from(service.version.as_str()),
+    let Some(record) = record.filter(|record| bears(record, service)) else {
+        return declared();
+    };
+    let chosen = record.version(request_id);
+    if served(context, &service.name, chosen) {
+        return Arc::clone(chosen);
+    }
+    declared()
+}
+
+/// Returns the version that is proved: the one that a move has come to, or the declared one.
+#[must_use]
+pub fn in_force(context: &Context, service: &Service) -> Arc<str> {
+    let record = context.moves.last(&service.name);
+    let done = record.filter(|record| bears(record, service) && record.phase == Phase::Done);
+    match done {
+        Some(record) => Arc::clone(&record.to),
+        None => Arc::from(service.version.as_str()),
+    }
+}
+
+/// Waits until requests of a service no longer go to a version.
+pub async fn withdrawn(context: &Context, service: &str, version: &str) {
+    let mut declarations = context.declarations.clone();
+    let mut view = context.moves.view.clone();
+    loop {
+        let declared = declarations.borrow_and_update().service(service).cloned();
+        let record = view.borrow_and_update().get(service).cloned();
+        let gone = declared.is_some_and(|declared| {
+            let moving = record.filter(|record| bears(record, &declared) && record.share() > 0);
+            *declared.version != *version && moving.is_none_or(|record| *record.to != *version)
+        });
+        if gone {
+            return;
+        }
+        let closed = tokio::select! {
+            changed = declarations.changed() => changed.is_err(),
+            changed = view.changed() => changed.is_err(),
+        };
+        if closed {
+            std::future::pending::<()>().await;
+        }
     }
 }
 
+/// Returns whether a backend server that is not leaving serves a version.
+fn served(context: &Context, service: &str, version: &str) -> bool {
+    let directory = Arc::clone(&context.directory.borrow());
+    let mut servers = directory.servers(service).iter();
+    servers.any(|server| *server.version == *version && !server.leaving)
+}
+
 /// Returns a probe of one attempt; it tells nothing unless the service moves.
 #[must_use]
 pub fn probe(context: &Context, service: &str, version: &str, server: &str, route: &str) -> Probe {
@@ -133,6 +184,7 @@
                 service: Arc::from(service),
                 number: record.number,
                 server: Arc::from(server),
+                cut: false,
                 observation: Observation {
                     side,
                     route: Arc::from(route),
@@ -163,8 +215,9 @@
 
 impl Target {
     /// Tells what was seen, unless the driver is far behind.
-    fn tell(&self, observation: Observation) {
+    fn tell(&self, cut: bool, observation: Observation) {
         let sample = Sample {
+            cut,
             observation,
             ..self.sample.clone()
         };
@@ -205,17 +258,18 @@
         self.tell(Some(failed));
     }
 
-    /// Notes that a call has ended; only the time of a good one is compared.
-    pub fn end_call(self, failed: bool) {
+    /// Notes that a call has ended, or was `cut` off; only the time of a good one is compared.
+    pub fn end_call(self, failed: bool, cut: bool) {
         let Some(target) = &self.target else {
             return;
         };
         let call = (!failed).then(|| self.started.elapsed());
-        target.tell(Observation {
+        let observation = Observation {
             failed: Some(failed),
             call,
             ..target.sample.observation.clone()
-        });
+        };
+        target.tell(cut, observation);
     }
 
     /// Tells the times once, and how the attempt ended.
@@ -226,12 +280,13 @@
         let times = !self.told;
         let gaps = self.tokens.saturating_sub(1);
         let gap = (times && self.tokens >= FEWEST_TOKENS).then(|| self.waited / gaps);
-        target.tell(Observation {
+        let observation = Observation {
             failed,
             first: self.first.filter(|_| times),
             gap,
             ..target.sample.observation.clone()
-        });
+        };
+        target.tell(failed == Some(true), observation);
         self.told = true;
     }
 }
--- a/serving/src/modules/moves/driver.rs
+++ b/serving/src/modules/moves/driver.rs
@@ -16,10 +16,51 @@
 /// Pause after a failed call to the store.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 
-/// Failures in a row of one backend server that count against a version with several servers.
+/// Failures in a row of one backend server that count unless others of its version fail as well.
 ///
 /// A backend server that has died is no evidence against the version that it served.
-const FAILURES_IN_A_ROW: u32 = 3;
+const FAILURES_IN_A_ROW: u32 = 2;
+
+/// How one backend server has answered lately.
+#[derive(Clone, Copy, Debug)]
+struct Row {
+    side: Side,
+    /// Failures in a row.
+    failures: u32,
+    /// Time of the first of them.
+    since: Duration,
+    /// Time of the last failure.
+    failed: Option<Duration>,
+    /// Time of the last good answer.
+    answered: Option<Duration>,
+}
+
+impl Row {
+    /// Returns the row of a server of which nothing is known.
+    fn new(side: Side) -> Self {
+        Self {
+            side,
+            failures: 0,
+            since: Duration::ZERO,
+            failed: None,
+            answered: None,
+        }
+    }
+
+    /// Notes how an attempt ended.
+    fn note(&mut self, failed: Option<bool>, now: Duration) {
+        match failed {
+            Some(true) if self.failures == 0 => {
+                (self.failures, self.since, self.failed) = (1, now, Some(now));
+            }
+            Some(true) => {
+                (self.failures, self.failed) = (self.failures.saturating_add(1), Some(now));
+            }
+            Some(false) => (self.failures, self.answered) = (0, Some(now)),
+            None => {}
+        }
+    }
+}
 
 /// A move that this entry follows.
 #[derive(Debug)]
@@ -29,7 +70,7 @@
     since: Duration,
     writing: bool,
     write_after: Duration,
-    failures: BTreeMap<Arc<str>, u32>,
+    rows: BTreeMap<Arc<str>, Row>,
 }
 
 /// Starts the tasks that follow the store and drive the moves.
@@ -168,7 +209,7 @@
             since: now,
             writing: false,
             write_after: Duration::ZERO,
-            failures: BTreeMap::new(),
+            rows: BTreeMap::new(),
         }
     }
 
@@ -186,13 +227,14 @@
 
     /// Takes what an attempt showed, and brakes at once if that is enough.
     fn observe(&mut self, sample: &Sample) {
-        let several = self.several(sample);
+        let now = self.context.clock.now();
+        let alone = self.alone(sample);
         let Some(held) = self.held.get_mut(&sample.service) else {
             return;
         };
         let current =
             held.record.number == sample.number && matches!(held.record.phase, Phase::Stage(_));
-        if !current || (several && held.dead(sample)) {
+        if !current || held.dead(sample, alone, now) {
             return;
         }
         held.evidence.observe(&sample.observation);
@@ -203,10 +245,10 @@
         }
     }
 
-    /// Returns whether several backend servers serve the version that a sample is of.
-    fn several(&self, sample: &Sample) -> bool {
+    /// Returns whether no more than one backend server serves the version that a sample is of.
+    fn alone(&self, sample: &Sample) -> bool {
         let Some(held) = self.held.get(&sample.service) else {
-            return false;
+            return true;
         };
         let version = match sample.observation.side {
             Side::Old => &held.record.from,
@@ -214,10 +256,8 @@
         };
         let directory = Arc::clone(&self.context.directory.borrow());
         let servers = directory.servers(&sample.service).iter();
-        servers
-            .filter(|server| server.version == *version && !server.leaving)
-            .nth(1)
-            .is_some()
+        let mut serving = servers.filter(|server| server.version == *version && !server.leaving);
+        serving.nth(1).is_none()
     }
 
     /// Stops sending requests to the new version at this entry, and has that recorded.
@@ -343,14 +383,30 @@
 }
 
 impl Held {
-    /// Returns whether a sample tells no more than that a backend server has died.
-    fn dead(&mut self, sample: &Sample) -> bool {
-        let row = self.failures.entry(Arc::clone(&sample.server)).or_default();
-        match sample.observation.failed {
-            Some(true) => *row = row.saturating_add(1),
-            Some(false) => *row = 0,
-            None => {}
+    /// Returns whether a sample tells no more than that one backend server has died: it is cut off
+    /// again and again, and no other one of its version has failed meanwhile without an answer.
+    ///
+    /// `alone` says that it is the only one of its version.
+    fn dead(&mut self, sample: &Sample, alone: bool, now: Duration) -> bool {
+        let side = sample.observation.side;
+        let server = &sample.server;
+        let row = self
+            .rows
+            .entry(Arc::clone(server))
+            .or_insert(Row::new(side));
+        row.note(sample.observation.failed, now);
+        if row.failures <= FAILURES_IN_A_ROW || alone || !sample.cut {
+            return false;
+        }
+        let since = row.since;
+        let others = self.rows.iter().filter(|(name, _)| *name != server);
+        let mut fails = false;
+        for (_, other) in others.filter(|(_, row)| row.side == side) {
+            if other.answered > Some(since) {
+                return true;
+            }
+            fails |= other.failed > Some(since);
         }
-        *row > FAILURES_IN_A_ROW
+        !fails
     }
 }
