--- a/coordination/src/lib.rs
+++ b/coordination/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod claim;
 pub mod detector;
 pub mod ejection;
+pub mod evidence;
 pub mod fair_queue;
 pub mod grants;
 pub mod journal;
@@ -14,3 +15,5 @@
 pub mod placement;
 pub mod resume_token;
 pub mod retry_budget;
+pub mod rollout;
+pub mod schedule;
--- a/serving/src/configs.rs
+++ b/serving/src/configs.rs
@@ -16,6 +16,7 @@
 pub mod keys;
 pub mod listen;
 pub mod log;
+pub mod moves;
 pub mod platform;
 pub mod services;
 mod value;
@@ -70,6 +71,8 @@
     pub admission: admission::Admission,
     /// How plain services are called.
     pub services: services::Services,
+    /// How services are moved to another version.
+    pub moves: moves::Moves,
     /// Logs.
     pub log: log::Log,
 }
@@ -114,6 +117,7 @@
             generation: raw.generation.unwrap_or_default().try_into()?,
             admission: raw.admission.unwrap_or_default().try_into()?,
             services: raw.services.unwrap_or_default().try_into()?,
+            moves: raw.moves.unwrap_or_default().try_into()?,
             log: raw.log.unwrap_or_default().try_into()?,
         })
     }
--- a/serving/src/entry.rs
+++ b/serving/src/entry.rs
@@ -16,7 +16,8 @@
 use crate::modules::claims::Claims;
 use crate::modules::peers::{Identity, Peers};
 use crate::modules::{
-    admission, callers, claims, declarations, directory, generation, metrics, operators, peers,
+    admission, callers, claims, declarations, directory, generation, metrics, moves, operators,
+    peers,
 };
 use crate::platform;
 
@@ -80,6 +81,7 @@
     );
     let stop = CancellationToken::new();
     let metrics = metrics::Metrics::new();
+    let (moves_handle, moves_mailbox) = moves::mailbox();
     let clock = Clock::start();
     let directory = directory::start(platform.clone(), settings.platform, stop.clone());
     let identity = Identity {
@@ -108,11 +110,13 @@
         detector: generation::detector(&settings.generation),
         held: generation::outbox::Ledger::new(settings.generation.held_limit, &metrics),
         directory,
+        moves: moves_handle,
         metrics,
         platform,
         settings,
         stop,
     });
+    moves::driver::start(&context, moves_mailbox);
     generation::start_upkeep(Arc::clone(&context));
     let peers = peers::start(Arc::clone(&context))
         .await
--- a/serving/src/modules/generation.rs
+++ b/serving/src/modules/generation.rs
@@ -14,6 +14,7 @@
 use crate::configs;
 use crate::context::Context;
 use crate::modules::admission::{Need, Outcome as Report, Permit, Refusal};
+use crate::modules::moves::{self, Probe};
 
 mod attempt;
 mod cancel;
@@ -226,6 +227,8 @@
     attempt: Attempt,
     /// Holds the engine's memory; absent for an attempt that another entry began.
     permit: Option<Permit>,
+    /// Tells a move what the attempt shows; absent for an attempt that another entry began.
+    probe: Option<Probe>,
 }
 
 /// A generation in progress.
@@ -381,26 +384,20 @@
         }
     }
 
-    /// Waits until another version of the service is declared than the one asked for.
+    /// Waits until requests of the service no longer go to the version asked for.
     async fn other_version(&self) {
-        let mut declarations = self.context.declarations.clone();
-        let waited = declarations.wait_for(|declarations| {
-            let service = declarations.service(&self.order.service);
-            service.is_some_and(|service| service.version != *self.order.version)
-        });
-        if waited.await.is_err() {
-            std::future::pending::<()>().await;
-        }
+        let order = &self.order;
+        moves::withdrawn(&self.context, &order.service, &order.version).await;
     }
 
-    /// Takes the version that is now declared, if nothing was delivered yet.
+    /// Takes the version that is proved and in force, if nothing was delivered yet.
     fn take_version_in_force(&mut self) {
         if self.delivered() > 0 {
             return;
         }
         let declarations = Arc::clone(&self.context.declarations.borrow());
         if let Some(service) = declarations.service(&self.order.service) {
-            self.order.version = Arc::from(service.version.as_str());
+            self.order.version = moves::in_force(&self.context, service);
         }
     }
 
@@ -443,10 +440,15 @@
 
     /// Notes that an attempt runs on a server and starts to watch its silence.
     fn begin(&mut self, server: &Arc<Server>, attempt: Attempt, permit: Option<Permit>) -> Watch {
+        let probe = permit.is_some().then(|| {
+            let (service, version) = (&self.order.service, &self.order.version);
+            moves::probe(&self.context, service, version, &server.name, "")
+        });
         self.running = Some(Running {
             server: Arc::clone(server),
             attempt,
             permit,
+            probe,
         });
         self.origin = Arc::new(Origin {
             version: Arc::clone(&self.order.version),
@@ -471,11 +473,19 @@
             self.cancel_running();
         }
         self.running = None;
+        self.take_version_in_force();
         false
     }
 
-    /// Tells admission how the running attempt went.
-    fn report(&self, report: Report) {
+    /// Tells admission, and a move if there is one, how the running attempt went.
+    fn report(&mut self, report: Report) {
+        let probe = self
+            .running
+            .as_mut()
+            .and_then(|running| running.probe.take());
+        if let Some(probe) = probe {
+            probe.end(report == Report::Failed);
+        }
         let permit = self
             .running
             .as_ref()
