feat(callers): spans per hop, typed refusal of long headers

The test of long headers failed first: the setting callers.header_limit was read and not used, so that 4 KiB of headers passed a limit of 2 KiB. Change: spans caller, call or generation, queue, attempt, store and peer, W3C trace context in and out; headers over the limit get 431 as not run, and the HTTP library's buffer is bounded. Tests: one request followed over two processes; a table of bad requests; the wrong key on each port. Conclusion: no queue of connections over the limit is measured here.

--- a/serving/src/modules/admission.rs
+++ b/serving/src/modules/admission.rs
@@ -20,6 +20,7 @@
 use crate::modules::metrics::Admissions;
 use crate::modules::peers::Identity;
 use crate::platform::Store;
+use crate::telemetry;
 
 use desk::{Desk, Outlets};
 use grants::Granter;
@@ -148,10 +149,13 @@
     ///
     /// Returns why the request was not admitted; it was not run.
     pub async fn ask(&self, need: Need) -> Result<Permit, Refusal> {
+        let span = telemetry::hop("queue");
         let (reply, answer) = oneshot::channel();
         let sent = self.sender.send(Message::Ask(need, reply)).await;
         sent.map_err(|_| Refusal::Stopping)?;
-        answer.await.unwrap_or(Err(Refusal::Stopping))
+        let permit = answer.await.unwrap_or(Err(Refusal::Stopping))?;
+        span.add_property(|| ("server", permit.server.name.to_string()));
+        Ok(permit)
     }
 }
 
--- a/serving/src/modules/callers.rs
+++ b/serving/src/modules/callers.rs
@@ -3,12 +3,15 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use fastrace::future::FutureExt as _;
 use salvo::conn::TcpListener;
 use salvo::fuse::FuseConfig;
 use salvo::prelude::*;
 use uuid::Uuid;
 
 use crate::context::Context;
+use crate::telemetry;
+use crate::utils::http::TRACEPARENT;
 
 mod answer;
 mod completions;
@@ -21,6 +24,9 @@
 /// Header that names the request.
 const REQUEST_ID: &str = "medlarfall-request-id";
 
+/// Smallest buffer, in bytes, that the HTTP library takes for a connection.
+const SMALLEST_BUFFER: usize = 8 << 10;
+
 /// A caller that has shown its key.
 #[derive(Clone, Debug)]
 struct Caller {
@@ -46,16 +52,36 @@
     ) {
         let request_id: Arc<str> = Arc::from(Uuid::now_v7().to_string());
         let _ = response.add_header(REQUEST_ID, request_id.as_ref(), true);
+        let limit = self.context.settings.callers.header_limit;
+        if header_bytes(request) > limit {
+            let message =
+                format!("the headers are larger than {limit} bytes; send fewer or shorter ones");
+            Problem::new(Kind::HeadersTooLarge, Outcome::NotRun, message).render(response);
+            control.skip_rest();
+            return;
+        }
         let key = request.header::<String>("authorization");
         let key = key
             .as_deref()
             .and_then(|value| value.strip_prefix("Bearer "));
         let account = key.and_then(|key| self.context.settings.keys.account(key));
         if let Some(account) = account {
+            let every = self.context.settings.log.trace_every;
+            let span = telemetry::request(request.header::<String>(TRACEPARENT).as_deref(), every);
+            span.add_properties(|| {
+                [
+                    ("request", request_id.to_string()),
+                    ("account", account.to_string()),
+                ]
+            });
             depot.insert_typed(Caller {
                 account,
                 request_id,
             });
+            control
+                .call_next(request, depot, response)
+                .in_span(span)
+                .await;
             return;
         }
         Problem::new(
@@ -68,6 +94,14 @@
     }
 }
 
+/// Returns the bytes of a request's header names and values.
+fn header_bytes(request: &Request) -> usize {
+    let headers = request.headers().iter();
+    headers
+        .map(|(name, value)| name.as_str().len() + value.len())
+        .sum()
+}
+
 /// Starts the callers' port and returns its address.
 ///
 /// # Errors
@@ -83,9 +117,13 @@
     let fuse = FuseConfig::default()
         .with_http1_header_timeout(bounds.request_timeout)
         .with_request_body_timeout(bounds.request_timeout);
-    let server = Server::new(acceptor)
+    let mut server = Server::new(acceptor)
         .fuse_config(fuse)
         .max_connections(bounds.connections);
+    let buffer = (2 * bounds.header_limit).max(SMALLEST_BUFFER);
+    server.http1_mut().max_buf_size(buffer);
+    let header_limit = u32::try_from(buffer).unwrap_or(u32::MAX);
+    server.http2_mut().max_header_list_size(header_limit);
     let router = router(&context);
     let stop = context.stop.clone();
     tokio::spawn(async move {
--- a/serving/src/modules/callers/problem.rs
+++ b/serving/src/modules/callers/problem.rs
@@ -40,6 +40,8 @@
     BadRequest,
     /// The body is larger than the limit.
     TooLarge,
+    /// The headers are larger than the limit.
+    HeadersTooLarge,
     /// The body did not come in time.
     TooSlow,
     /// No such service is declared.
@@ -73,6 +75,7 @@
             Self::Unauthenticated => StatusCode::UNAUTHORIZED,
             Self::BadRequest => StatusCode::BAD_REQUEST,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::HeadersTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             Self::TooSlow => StatusCode::REQUEST_TIMEOUT,
             Self::UnknownService => StatusCode::NOT_FOUND,
             Self::Unavailable | Self::StoreUnavailable | Self::Overloaded => {
--- a/serving/src/modules/calls.rs
+++ b/serving/src/modules/calls.rs
@@ -4,6 +4,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use fastrace::future::FutureExt as _;
 use medlarfall_coordination::claim::{Identifier, Reason};
 use medlarfall_coordination::retry_budget;
 use medlarfall_schema::declaration::Service;
@@ -18,6 +19,7 @@
 use crate::modules::admission::Refusal;
 use crate::modules::claims;
 use crate::modules::peers::Identity;
+use crate::telemetry;
 use crate::utils::budget::Budget;
 
 pub mod attempts;
@@ -210,13 +212,16 @@
 /// Returns why there is no answer, and whether the call may have run.
 pub async fn run(context: &Arc<Context>, mut order: Order) -> Result<Reply, Error> {
     let context = Arc::clone(context);
-    let task = tokio::spawn(async move {
-        let stop = context.stop.clone();
-        tokio::select! {
-            () = stop.cancelled() => Err(Error::AnswerLost),
-            answer = make(&context, &mut order) => answer,
+    let task = tokio::spawn(
+        async move {
+            let stop = context.stop.clone();
+            tokio::select! {
+                () = stop.cancelled() => Err(Error::AnswerLost),
+                answer = make(&context, &mut order) => answer,
+            }
         }
-    });
+        .in_span(telemetry::hop("call")),
+    );
     task.await.unwrap_or(Err(Error::AnswerLost))
 }
 
--- a/serving/src/modules/calls/attempts.rs
+++ b/serving/src/modules/calls/attempts.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use fastrace::future::FutureExt as _;
 use medlarfall_coordination::retry_budget::Backoff;
 use uuid::Uuid;
 
@@ -12,6 +13,7 @@
 use crate::context::Context;
 use crate::modules::admission::{Need, Outcome, Permit, Refusal};
 use crate::modules::moves;
+use crate::telemetry;
 
 /// Pauses between attempts.
 pub(super) const BACKOFF: Backoff = Backoff {
@@ -160,7 +162,7 @@
         &route,
     );
     let answer = context.backend.call(server, &order.call);
-    let answer = tokio::time::timeout(timeout, answer).await;
+    let answer = tokio::time::timeout(timeout, answer.in_span(telemetry::hop("attempt"))).await;
     let good = matches!(&answer, Ok(Ok(reply)) if reply.status < CLIENT_ERROR && !reply.not_run);
     probe.end_call(!good, !matches!(answer, Ok(Ok(_))));
     let (sent, outcome) = match answer {
--- a/serving/src/modules/generation.rs
+++ b/serving/src/modules/generation.rs
@@ -3,6 +3,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use fastrace::future::FutureExt as _;
 use medlarfall_coordination::detector::{Bounds, Detector};
 use medlarfall_coordination::journal::{Attempt, Journal};
 use medlarfall_coordination::placement::prefix_hash;
@@ -15,6 +16,7 @@
 use crate::context::Context;
 use crate::modules::admission::{Need, Outcome as Report, Permit, Refusal};
 use crate::modules::moves::{self, Probe};
+use crate::telemetry;
 
 mod attempt;
 mod cancel;
@@ -199,14 +201,17 @@
 pub fn start(context: Arc<Context>, order: Order) -> Reader {
     let limit = context.settings.generation.buffered_bytes;
     let (outbox, reader) = outbox::open(&context.held, limit);
-    tokio::spawn(async move {
-        let stop = context.stop.clone();
-        let mut task = Task::new(context, order, outbox);
-        tokio::select! {
-            () = stop.cancelled() => task.leave(),
-            () = task.run() => {}
+    tokio::spawn(
+        async move {
+            let stop = context.stop.clone();
+            let mut task = Task::new(context, order, outbox);
+            tokio::select! {
+                () = stop.cancelled() => task.leave(),
+                () = task.run() => {}
+            }
         }
-    });
+        .in_span(telemetry::hop("generation")),
+    );
     reader
 }
 
@@ -422,7 +427,9 @@
         let server = Arc::clone(&permit.server);
         let mut watch = self.begin(&server, attempt, Some(permit));
         let backend = self.context.backend.clone();
-        let asked = backend.generate(&server, &generate);
+        let asked = backend
+            .generate(&server, &generate)
+            .in_span(telemetry::hop("attempt"));
         self.follow(&mut watch, asked).await
     }
 
@@ -431,7 +438,9 @@
         let reference = self.reference(attempt);
         let mut watch = self.begin(&server, attempt, None);
         let backend = self.context.backend.clone();
-        let asked = backend.attach(&server, &reference);
+        let asked = backend
+            .attach(&server, &reference)
+            .in_span(telemetry::hop("attempt"));
         match self.follow(&mut watch, asked).await {
             Outcome::Refused(_) => Outcome::Ended,
             outcome => outcome,
--- a/serving/src/modules/peers.rs
+++ b/serving/src/modules/peers.rs
@@ -10,6 +10,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
+use fastrace::future::FutureExt as _;
 use futures::StreamExt;
 use medlarfall_coordination::claim::{Claimer, Word};
 use serde::{Deserialize, Serialize};
@@ -26,6 +27,7 @@
 
 use crate::configs::keys::Secret;
 use crate::context::Context;
+use crate::telemetry;
 
 mod handshake;
 
@@ -149,7 +151,7 @@
         let client = self.client(address).await?;
         let mut context = context::current();
         context.deadline = Instant::now() + timeout;
-        let answer = call(client, context).await;
+        let answer = call(client, context).in_span(telemetry::hop("peer")).await;
         answer.map_err(|error| {
             self.forget(address);
             Error::NoAnswer {
--- a/serving/src/platform/http.rs
+++ b/serving/src/platform/http.rs
@@ -5,11 +5,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use fastrace::future::FutureExt as _;
 use hyper::{Method, StatusCode};
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
 
 use super::{Changes, Error, Instance, Item, Lease, Listing, Store};
+use crate::telemetry;
 use crate::utils::http::{self, Failure, Pool};
 
 /// Header by which an entry names itself to the platform.
@@ -67,7 +69,11 @@
             .uri(format!("http://{}{path}", self.address))
             .header(CALLER, self.caller.as_ref());
         let request = http::body(request, body).map_err(|error| unavailable(&error))?;
-        let answer = tokio::time::timeout(timeout, self.pool.send_whole(request)).await;
+        let sent = self
+            .pool
+            .send_whole(request)
+            .in_span(telemetry::hop("store"));
+        let answer = tokio::time::timeout(timeout, sent).await;
         match answer {
             Ok(Ok((parts, body))) => Ok((parts.status, body)),
             Ok(Err(Failure::NotSent { reason })) => Err(Error::Unavailable { reason }),
--- a/serving/src/telemetry.rs
+++ b/serving/src/telemetry.rs
@@ -3,10 +3,36 @@
 use std::borrow::Cow;
 
 use fastrace::collector::{Config, Reporter, SpanRecord};
+use fastrace::prelude::{Span, SpanContext};
 use log::LevelFilter;
 use logforth::append;
 use logforth::filter::rustlog::RustLogFilterBuilder;
 use logforth::layout::JsonLayout;
+use rand::Rng;
+
+/// Returns the span of a request that has just come in.
+///
+/// A caller's W3C trace context is continued as it says; of the other requests one in `every` is
+/// traced.
+pub fn request(traceparent: Option<&str>, every: u64) -> Span {
+    let parent = traceparent.and_then(SpanContext::decode_w3c_traceparent);
+    let context = parent.unwrap_or_else(|| {
+        let sampled = rand::rng().random_range(0..every.max(1)) == 0;
+        SpanContext::random().sampled(sampled)
+    });
+    Span::root("caller", context)
+}
+
+/// Returns the span of a hop, below the span that the present task runs in.
+pub fn hop(name: &'static str) -> Span {
+    Span::enter_with_local_parent(name)
+}
+
+/// Returns the W3C trace context of the span that the present task runs in.
+#[must_use]
+pub fn traceparent() -> Option<String> {
+    SpanContext::current_local_parent().map(|context| context.encode_w3c_traceparent())
+}
 
 /// Writes each span as a log line.
 struct Spans;
--- a/serving/src/utils/http.rs
+++ b/serving/src/utils/http.rs
@@ -14,11 +14,16 @@
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 use snafu::Snafu;
 
+use crate::telemetry;
+
 use super::budget::{Budget, Hold};
 
 /// Longest time to connect.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Header that carries a W3C trace context.
+pub const TRACEPARENT: &str = "traceparent";
+
 /// How long an idle connection is kept.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -74,7 +79,13 @@
     /// # Errors
     ///
     /// Returns whether the request may have reached the other side.
-    pub async fn send(&self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, Failure> {
+    pub async fn send(
+        &self,
+        mut request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, Failure> {
+        if let Some(Ok(traceparent)) = telemetry::traceparent().map(TryInto::try_into) {
+            request.headers_mut().insert(TRACEPARENT, traceparent);
+        }
         self.client.request(request).await.map_err(|error| {
             let reason = error
                 .source()
--- a/standin/src/service.rs
+++ b/standin/src/service.rs
@@ -181,7 +181,7 @@
             let value = record(path);
             return Ok(http::json(
                 StatusCode::OK,
-                &json!({ "record": value, "version": version }),
+                &json!({ "record": value, "traceparent": header(&request, "traceparent"), "version": version }),
             ));
         }
         let request_id = header(&request, REQUEST_ID);
