--- a/programs/src/bench/at_most_once.rs
+++ b/programs/src/bench/at_most_once.rs
@@ -35,6 +35,9 @@
 /// One in this many actions carries no identifier and is tried once.
 const WITHOUT_IDENTIFIER: usize = 4;
 
+/// Pause of a caller before it tries again.
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+
 /// Time between two changes of the faults.
 const FAULT_INTERVAL: Duration = Duration::from_millis(40);
 
@@ -163,6 +166,7 @@
         if ran {
             break;
         }
+        tokio::time::sleep(RETRY_PAUSE).await;
     }
     Told {
         name: action.name,
@@ -173,7 +177,7 @@
 /// Changes the faults again and again, and kills an entry once.
 async fn disturb(cluster: Arc<Cluster>, seed: u64) {
     let mut random = ChaCha8Rng::seed_from_u64(seed ^ 1);
-    let death = random.random_range(5..25);
+    let death = random.random_range(2..10);
     for step in 0.. {
         for plain in &cluster.services {
             plain.service.set_faults(service_faults(&mut random));
--- /dev/null
+++ b/programs/tests/plain_services.rs
@@ -0,0 +1,117 @@
+//! Calls to plain services: what is held for them is bounded, and what is passed on.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use hyper::Method;
+use medlarfall::cluster::{CALLER_KEY, Cluster, Plan, wait};
+use medlarfall_serving::configs::Settings;
+use medlarfall_standin::service;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+const ANSWER: usize = 6 << 20;
+const READ_TIMEOUT: Duration = Duration::from_millis(700);
+
+fn adjust(_: usize, settings: &mut Settings) {
+    settings.services.answer_limit = ANSWER + 1024;
+    settings.services.held_limit = 2 * ANSWER;
+    settings.services.read_timeout = READ_TIMEOUT;
+    settings.callers.request_timeout = READ_TIMEOUT;
+    settings.callers.body_limit = 2 * ANSWER;
+}
+
+async fn cluster() -> Cluster {
+    let plan = Plan {
+        entries: 1,
+        engines: 0,
+        adjust,
+        ..Plan::default()
+    };
+    Cluster::start(plan).await.expect("the cluster is up")
+}
+
+/// Sends the head of a request, and no more.
+async fn open(address: SocketAddr, length: usize, body: &str) -> TcpStream {
+    let mut stream = TcpStream::connect(address).await.expect("a connection");
+    let head = format!(
+        "POST /s/tracker/plots/7 HTTP/1.1\r\nhost: entry\r\nauthorization: Bearer {CALLER_KEY}\r\ncontent-length: {length}\r\n\r\n{body}"
+    );
+    stream
+        .write_all(head.as_bytes())
+        .await
+        .expect("the request is sent");
+    stream
+}
+
+async fn act(cluster: &Cluster, action: &str) -> (u16, String) {
+    let caller = cluster.caller(0);
+    let reply = caller
+        .call(Method::POST, "/s/tracker/plots/7", action)
+        .await;
+    let reply = reply.expect("a reply");
+    (reply.status, reply.run)
+}
+
+#[tokio::test]
+async fn an_answer_that_is_not_read_gives_its_room_back() {
+    let cluster = cluster().await;
+    let budget = &cluster.entries[0].context.calls.budget;
+    cluster.services[0].service.set_faults(service::Faults {
+        answer_bytes: ANSWER,
+        ..service::Faults::default()
+    });
+    let address = cluster.entries[0].addresses.callers;
+    let mut stopped = open(address, 4, "held").await;
+    wait("the answer is held", || budget.held() >= ANSWER)
+        .await
+        .expect("it is held");
+    let refused = act(&cluster, "no room").await;
+    assert_eq!(refused, (503, "not-run".to_owned()));
+    assert!(!cluster.services[0].service.runs().contains_key("no room"));
+    wait("the room is given back", || budget.held() == 0)
+        .await
+        .expect("it is given back");
+    assert_eq!(act(&cluster, "room").await, (200, "ran".to_owned()));
+    let mut rest = Vec::new();
+    let _ = stopped.read_to_end(&mut rest).await;
+    assert!(rest.len() < ANSWER, "the late reader is cut off");
+}
+
+#[tokio::test]
+async fn an_answer_that_is_read_gives_its_room_back_at_once() {
+    let cluster = cluster().await;
+    let budget = &cluster.entries[0].context.calls.budget;
+    cluster.services[0].service.set_faults(service::Faults {
+        answer_bytes: ANSWER,
+        ..service::Faults::default()
+    });
+    for index in 0..8 {
+        let ran = act(&cluster, &format!("large {index}")).await;
+        assert_eq!(ran, (200, "ran".to_owned()));
+        wait("the room is given back", || budget.held() == 0)
+            .await
+            .expect("it is given back");
+    }
+}
+
+#[tokio::test]
+async fn an_upload_that_stalls_gives_its_room_back() {
+    let cluster = cluster().await;
+    let budget = &cluster.entries[0].context.calls.budget;
+    let address = cluster.entries[0].addresses.callers;
+    let mut stalled = open(address, ANSWER, "only the start").await;
+    wait("room is held for the body", || budget.held() >= ANSWER)
+        .await
+        .expect("it is held");
+    let refused = act(&cluster, "no room").await;
+    assert_eq!(refused, (503, "not-run".to_owned()));
+    wait("the room is given back", || budget.held() == 0)
+        .await
+        .expect("it is given back");
+    assert_eq!(act(&cluster, "room").await, (200, "ran".to_owned()));
+    let mut answer = Vec::new();
+    let _ = stalled.read_to_end(&mut answer).await;
+    let runs = cluster.services[0].service.runs();
+    assert_eq!(runs.keys().collect::<Vec<_>>(), ["room"]);
+}
--- a/serving/src/modules/callers/services.rs
+++ b/serving/src/modules/callers/services.rs
@@ -129,8 +129,13 @@
         let chunked = request.headers().contains_key("transfer-encoding");
         let unknown = if chunked { limit } else { 0 };
         let declared = request.header::<usize>("content-length").unwrap_or(unknown);
-        self.context.calls.budget.take(declared.min(limit)).ok_or_else(|| {
-            let message = "this entry holds too many bodies and answers; try again later or at another entry";
+        let budget = &self.context.calls.budget;
+        // Room for the answer is looked for before the call runs, while refusing it is harmless.
+        let answerable = budget.free() >= self.context.settings.services.answer_limit;
+        let hold = budget.take(declared.min(limit));
+        hold.filter(|_| answerable).ok_or_else(|| {
+            let message =
+                "this entry holds too many bodies and answers; try again later or at another entry";
             Problem::new(Kind::Overloaded, Outcome::NotRun, message)
         })
     }
--- a/serving/src/modules/claims.rs
+++ b/serving/src/modules/claims.rs
@@ -18,7 +18,7 @@
 
 mod remainder;
 pub mod run;
-mod sweep;
+pub mod sweep;
 
 /// Most ended calls that this entry remembers.
 const LEDGER_CAPACITY: usize = 16_384;
--- a/serving/src/modules/claims/sweep.rs
+++ b/serving/src/modules/claims/sweep.rs
@@ -42,8 +42,13 @@
     }
 }
 
-/// Sweeps the buckets between the cursor and the newest one that every entry refuses.
-pub(super) async fn sweep<S: Store>(
+/// Sweeps the buckets between the cursor and the newest one that every entry refuses; `now` is the
+/// time since the Unix epoch.
+///
+/// # Errors
+///
+/// Returns the first error of the store; the next sweep goes on from the cursor.
+pub async fn sweep<S: Store>(
     store: &S,
     window: Window,
     now: Duration,
--- a/serving/src/utils/budget.rs
+++ b/serving/src/utils/budget.rs
@@ -54,6 +54,12 @@
         }
     }
 
+    /// Returns how many bytes are free.
+    #[must_use]
+    pub fn free(&self) -> usize {
+        self.free.available_permits()
+    }
+
     /// Returns how many bytes are taken.
     #[must_use]
     pub fn held(&self) -> usize {
--- /dev/null
+++ b/serving/tests/claims_sweep.rs
@@ -0,0 +1,210 @@
+//! The sweep of old claims, against a store in memory.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+use medlarfall_coordination::claim::identifier::{self, Window};
+use medlarfall_serving::modules::claims::sweep::sweep;
+use medlarfall_serving::platform::{Changes, Error, Instance, Item, Lease, Listing, Store};
+
+const WINDOW: Window = Window {
+    retention: Duration::from_hours(1),
+    skew: Duration::from_mins(1),
+};
+const NOW: Duration = Duration::from_hours(500_000);
+
+/// A store that fails after a number of calls.
+#[derive(Clone, Debug, Default)]
+struct Memory {
+    state: Arc<Mutex<State>>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    items: BTreeMap<String, Item>,
+    leased: BTreeMap<String, Lease>,
+    revision: u64,
+    calls: usize,
+    fails_after: Option<usize>,
+}
+
+impl Memory {
+    fn call(&self) -> Result<MutexGuard<'_, State>, Error> {
+        let mut state = self.state.lock().expect("no test panics under it");
+        state.calls += 1;
+        if state.fails_after.is_some_and(|calls| state.calls > calls) {
+            let reason = "the test says so".to_owned();
+            return Err(Error::Unavailable { reason });
+        }
+        Ok(state)
+    }
+
+    fn claims(&self) -> usize {
+        let state = self.state.lock().expect("no test panics under it");
+        let keys = state.items.keys();
+        keys.filter(|key| key.starts_with(identifier::PREFIX))
+            .count()
+    }
+
+    fn change(&self, change: impl FnOnce(&mut State)) {
+        change(&mut self.state.lock().expect("no test panics under it"));
+    }
+}
+
+impl Store for Memory {
+    async fn get(&self, key: &str) -> Result<Option<Item>, Error> {
+        Ok(self.call()?.items.get(key).cloned())
+    }
+
+    async fn put(
+        &self,
+        key: &str,
+        value: String,
+        expected: u64,
+        lease: Option<Lease>,
+    ) -> Result<u64, Error> {
+        let mut state = self.call()?;
+        let current = state.items.get(key).cloned();
+        if current.as_ref().map_or(0, |item| item.revision) != expected {
+            return Err(Error::Conflict { current });
+        }
+        state.revision += 1;
+        let item = Item {
+            key: key.to_owned(),
+            value,
+            revision: state.revision,
+        };
+        state.items.insert(key.to_owned(), item);
+        if let Some(lease) = lease {
+            state.leased.insert(key.to_owned(), lease);
+        }
+        Ok(state.revision)
+    }
+
+    async fn delete(&self, key: &str, expected: u64) -> Result<u64, Error> {
+        let mut state = self.call()?;
+        let current = state.items.get(key).cloned();
+        if current.as_ref().map_or(0, |item| item.revision) != expected {
+            return Err(Error::Conflict { current });
+        }
+        state.items.remove(key);
+        state.revision += 1;
+        Ok(state.revision)
+    }
+
+    async fn list(&self, prefix: &str) -> Result<Listing, Error> {
+        let state = self.call()?;
+        let items = state.items.values();
+        let items = items.filter(|item| item.key.starts_with(prefix)).cloned();
+        Ok(Listing {
+            items: items.collect(),
+            revision: state.revision,
+        })
+    }
+
+    async fn watch(&self, _: &str, _: u64, _: Duration) -> Result<Changes, Error> {
+        Ok(Changes::default())
+    }
+
+    async fn grant(&self, _: Duration) -> Result<Lease, Error> {
+        let state = self.call()?;
+        Ok(Lease(state.revision + 1))
+    }
+
+    async fn renew(&self, _: Lease) -> Result<(), Error> {
+        self.call().map(drop)
+    }
+
+    async fn revoke(&self, lease: Lease) -> Result<(), Error> {
+        let mut state = self.call()?;
+        let held: Vec<String> = state
+            .leased
+            .iter()
+            .filter(|(_, held)| **held == lease)
+            .map(|(key, _)| key.clone())
+            .collect();
+        for key in held {
+            state.items.remove(&key);
+            state.leased.remove(&key);
+        }
+        Ok(())
+    }
+
+    async fn instances(&self) -> Result<Vec<Instance>, Error> {
+        Ok(Vec::new())
+    }
+}
+
+/// Puts a claim made `age` ago into the store.
+async fn claim(store: &Memory, age: Duration) {
+    let bucket = identifier::bucket(NOW.saturating_sub(age));
+    let key = format!("{}{}", identifier::prefix(bucket), age.as_secs());
+    let written = store.put(&key, "{}".to_owned(), 0, None).await;
+    written.expect("it is written");
+}
+
+/// Returns a store whose cursor is older than the oldest of four claims, one of which is good.
+async fn filled() -> Memory {
+    let store = Memory::default();
+    let before = NOW.saturating_sub(Duration::from_mins(30));
+    sweep(&store, WINDOW, before, "entry-0")
+        .await
+        .expect("the cursor is set");
+    for minutes in [63, 70, 80] {
+        claim(&store, Duration::from_mins(minutes)).await;
+    }
+    claim(&store, Duration::from_mins(61)).await;
+    store
+}
+
+#[tokio::test(start_paused = true)]
+async fn only_claims_past_the_window_are_swept() {
+    let store = filled().await;
+    sweep(&store, WINDOW, NOW, "entry-0")
+        .await
+        .expect("it is swept");
+    assert_eq!(store.claims(), 1);
+    let later = NOW + Duration::from_mins(10);
+    sweep(&store, WINDOW, later, "entry-1")
+        .await
+        .expect("it is swept");
+    assert_eq!(store.claims(), 0);
+}
+
+#[tokio::test(start_paused = true)]
+async fn while_one_entry_sweeps_the_others_leave_it_alone() {
+    let store = filled().await;
+    let lease = store.grant(Duration::from_secs(30)).await.expect("a lease");
+    let held = store
+        .put("claims-sweeper", "entry-1".to_owned(), 0, Some(lease))
+        .await;
+    held.expect("it is held");
+    sweep(&store, WINDOW, NOW, "entry-0")
+        .await
+        .expect("nothing is done");
+    assert_eq!(store.claims(), 4);
+    store.revoke(lease).await.expect("it is given up");
+    sweep(&store, WINDOW, NOW, "entry-0")
+        .await
+        .expect("it is swept");
+    assert_eq!(store.claims(), 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_sweep_that_fails_anywhere_is_finished_by_the_next() {
+    for calls in 0..60 {
+        let store = filled().await;
+        store.change(|state| state.fails_after = Some(state.calls + calls));
+        let _ = sweep(&store, WINDOW, NOW, "entry-0").await;
+        store.change(|state| {
+            state.fails_after = None;
+            // The lease of the one that failed has run out.
+            state.items.remove("claims-sweeper");
+        });
+        sweep(&store, WINDOW, NOW, "entry-1")
+            .await
+            .expect("it is swept");
+        assert_eq!(store.claims(), 1, "after {calls} calls");
+    }
+}
