--- a/programs/src/bench.rs
+++ b/programs/src/bench.rs
@@ -6,12 +6,13 @@
 use serde_json::Value;
 
 mod baseline;
+mod resume;
 
 /// Figures of a run, by name.
 pub type Figures = BTreeMap<&'static str, Value>;
 
 /// Names of the scenarios.
-pub const SCENARIOS: [&str; 1] = ["baseline"];
+pub const SCENARIOS: [&str; 2] = ["baseline", "resume"];
 
 /// Runs a scenario and prints its figures: as a table, or as one JSON object on the last line.
 ///
@@ -35,6 +36,7 @@
 async fn figures(scenario: &str, seed: u64) -> Result<Figures, Box<dyn Error>> {
     match scenario {
         "baseline" => baseline::run(seed).await,
+        "resume" => resume::run(seed).await,
         _ => Err(format!(
             "no scenario `{scenario}`: write one of {}",
             SCENARIOS.join(", ")
--- a/programs/src/caller/answer.rs
+++ b/programs/src/caller/answer.rs
@@ -50,6 +50,15 @@
         self.losses
     }
 
+    /// Returns the address of the entry that answers now.
+    #[must_use]
+    pub fn entry(&self) -> Option<SocketAddr> {
+        let count = self.callers.len().max(1);
+        self.callers
+            .get(self.current % count)
+            .map(|caller| caller.entry)
+    }
+
     /// Returns the tokens received so far.
     #[must_use]
     pub fn tokens(&self) -> &[String] {
