--- a/coordination/src/lib.rs
+++ b/coordination/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod detector;
 pub mod ejection;
 pub mod fair_queue;
+pub mod grants;
 pub mod journal;
 pub mod memory;
 pub mod placement;
--- a/serving/src/entry.rs
+++ b/serving/src/entry.rs
@@ -80,14 +80,24 @@
     let metrics = metrics::Metrics::new();
     let clock = Clock::start();
     let directory = directory::start(platform.clone(), settings.platform, stop.clone());
+    let identity = Identity {
+        name: Arc::clone(&settings.entry.name),
+        incarnation: Arc::from(Uuid::now_v7().to_string()),
+        failure_domain: Arc::clone(&settings.entry.failure_domain),
+    };
+    let admission = admission::start(admission::Start {
+        settings: &settings,
+        identity: &identity,
+        store: platform.clone(),
+        admitted: metrics.admitted.clone(),
+        clock,
+        directory: directory.clone(),
+        stop: stop.clone(),
+    });
     let context = Arc::new(Context {
-        admission: admission::start(&settings, clock, directory.clone(), stop.clone()),
+        admission,
         clock,
-        identity: Identity {
-            name: Arc::clone(&settings.entry.name),
-            incarnation: Arc::from(Uuid::now_v7().to_string()),
-            failure_domain: Arc::clone(&settings.entry.failure_domain),
-        },
+        identity,
         peers: Peers::new(settings.keys.peers.clone()),
         backend: backend::http::Client::new(),
         declarations: declarations::start(platform.clone(), settings.platform, stop.clone()),
@@ -100,12 +110,10 @@
         stop,
     });
     generation::start_upkeep(Arc::clone(&context));
-    let callers = callers::start(Arc::clone(&context))
-        .await
-        .context(BindSnafu {
-            port: "listen.callers",
-            address: listen.callers,
-        })?;
+    let callers = callers::start(Arc::clone(&context)).context(BindSnafu {
+        port: "listen.callers",
+        address: listen.callers,
+    })?;
     let operators = operators::start(Arc::clone(&context))
         .await
         .context(BindSnafu {
--- a/serving/src/modules/callers.rs
+++ b/serving/src/modules/callers.rs
@@ -3,9 +3,10 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use salvo::conn::TcpListener;
+use salvo::conn::tcp::TcpAcceptor;
 use salvo::fuse::FuseConfig;
-use salvo::prelude::*;
+use salvo::prelude::{Depot, FlowCtrl, Handler, Request, Response, Router, Server, async_trait};
+use tokio::net::{TcpListener, TcpSocket};
 use uuid::Uuid;
 
 use crate::context::Context;
@@ -17,6 +18,15 @@
 
 use problem::{Kind, Outcome, Problem};
 
+/// Bytes that the operating system holds for a caller that does not read.
+const SEND_BUFFER: u32 = 64 << 10;
+
+/// Connections that may wait to be accepted.
+const BACKLOG: u32 = 1_024;
+
+/// Smallest buffer of a connection that the HTTP server takes, in bytes.
+const SMALLEST_BUFFER: usize = 8 << 10;
+
 /// Header that names the request.
 const REQUEST_ID: &str = "medlarfall-request-id";
 
@@ -72,19 +82,20 @@
 /// # Errors
 ///
 /// Returns the error of the operating system if the address cannot be bound.
-pub async fn start(context: Arc<Context>) -> std::io::Result<SocketAddr> {
-    let listener = TcpListener::new(context.settings.listen.callers)
-        .try_bind()
-        .await;
-    let acceptor = listener.map_err(std::io::Error::other)?;
-    let address = acceptor.local_addr()?;
+pub fn start(context: Arc<Context>) -> std::io::Result<SocketAddr> {
     let bounds = context.settings.callers;
+    let acceptor = TcpAcceptor::try_from(listen(context.settings.listen.callers)?)?;
+    let address = acceptor.local_addr()?;
     let fuse = FuseConfig::default()
         .with_http1_header_timeout(bounds.request_timeout)
+        .with_write_stall_timeout(bounds.write_stall_timeout)
         .with_request_body_timeout(bounds.request_timeout);
-    let server = Server::new(acceptor)
+    let mut server = Server::new(acceptor)
         .fuse_config(fuse)
         .max_connections(bounds.connections);
+    server
+        .http1_mut()
+        .max_buf_size(bounds.header_limit.max(SMALLEST_BUFFER));
     let router = router(&context);
     let stop = context.stop.clone();
     tokio::spawn(async move {
@@ -96,6 +107,20 @@
     Ok(address)
 }
 
+/// Listens on an address; what the system holds for a caller that does not read is bounded.
+fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = if address.is_ipv4() {
+        TcpSocket::new_v4()?
+    } else {
+        TcpSocket::new_v6()?
+    };
+    socket.set_reuseaddr(true)?;
+    // Accepted connections inherit it.
+    socket.set_send_buffer_size(SEND_BUFFER)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
 /// Returns the routes of the callers' port.
 fn router(context: &Arc<Context>) -> Router {
     let completions = completions::Handle {
