--- a/serving/src/entry.rs
+++ b/serving/src/entry.rs
@@ -110,7 +110,7 @@
         stop,
     });
     generation::start_upkeep(Arc::clone(&context));
-    let callers = callers::start(Arc::clone(&context)).context(BindSnafu {
+    let callers = callers::start(&context).context(BindSnafu {
         port: "listen.callers",
         address: listen.callers,
     })?;
--- a/serving/src/modules/callers.rs
+++ b/serving/src/modules/callers.rs
@@ -82,7 +82,7 @@
 /// # Errors
 ///
 /// Returns the error of the operating system if the address cannot be bound.
-pub fn start(context: Arc<Context>) -> std::io::Result<SocketAddr> {
+pub fn start(context: &Arc<Context>) -> std::io::Result<SocketAddr> {
     let bounds = context.settings.callers;
     let acceptor = TcpAcceptor::try_from(listen(context.settings.listen.callers)?)?;
     let address = acceptor.local_addr()?;
@@ -96,7 +96,7 @@
     server
         .http1_mut()
         .max_buf_size(bounds.header_limit.max(SMALLEST_BUFFER));
-    let router = router(&context);
+    let router = router(context);
     let stop = context.stop.clone();
     tokio::spawn(async move {
         tokio::select! {
