--- a/serving/src/modules/generation.rs
+++ b/serving/src/modules/generation.rs
@@ -5,166 +5,32 @@
 
 use medlarfall_coordination::detector::{Bounds, Detector};
 use medlarfall_coordination::journal::{Attempt, Journal};
-use medlarfall_coordination::placement::prefix_hash;
-use medlarfall_coordination::resume_token::{self, Token};
-use snafu::Snafu;
+use medlarfall_coordination::resume_token;
 use tokio::time;
 
-use crate::backend::{Engine, Generate, Reference, Server, prompt_tokens};
+use crate::backend::{Engine, Generate, Reference, Server};
 use crate::configs;
 use crate::context::Context;
-use crate::modules::admission::{Need, Outcome as Report, Permit, Refusal};
+use crate::modules::admission::{Outcome as Report, Permit, Refusal};
 
+mod admit;
 mod attempt;
 mod cancel;
 mod exclusion;
+mod order;
 pub mod outbox;
 mod watch;
 
+pub use order::{Error, Event, Order, Origin, Resumption};
+
 use attempt::Outcome;
 use exclusion::Exclusion;
 use outbox::{Demand, Outbox, Reader};
 use watch::Watch;
 
-/// How long a generation waits for a server on which it lost nothing before it takes another.
-const CHOOSY_WAIT: Duration = Duration::from_millis(250);
-
 /// Pause between two clearances of what was learnt of servers that have gone.
 const UPKEEP_INTERVAL: Duration = Duration::from_secs(30);
 
-/// A generation that a caller asked for.
-#[derive(Clone, Debug)]
-pub struct Order {
-    /// Identifier of the request.
-    pub request_id: Arc<str>,
-    /// Client account of the caller.
-    pub account: Arc<str>,
-    /// Service that was asked.
-    pub service: Arc<str>,
-    /// Version that answers.
-    pub version: Arc<str>,
-    /// The prompt.
-    pub prompt: Arc<str>,
-    /// Most tokens of the whole answer.
-    pub max_tokens: u64,
-    /// Priority; higher runs first.
-    pub priority: i32,
-    /// Whether the caller is given resume tokens, with which it may come back.
-    pub resumable: bool,
-    /// Where the generation goes on, if it began at another entry or on another connection.
-    pub resumption: Option<Resumption>,
-}
-
-/// Where a generation goes on.
-#[derive(Clone, Debug)]
-pub struct Resumption {
-    /// What the caller's resume token says.
-    pub token: Token,
-    /// The tokens that the caller holds, checked against the resume token.
-    pub held: Option<Vec<Arc<str>>>,
-}
-
-/// Where a token was generated.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Origin {
-    /// Version that answers.
-    pub version: Arc<str>,
-    /// Backend server.
-    pub server: Arc<str>,
-    /// Number of the attempt.
-    pub attempt: u64,
-}
-
-/// What the caller is told.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum Event {
-    /// The next token.
-    Token {
-        /// Index of the token.
-        index: u64,
-        /// The token.
-        text: Arc<str>,
-        /// Where it was generated.
-        origin: Arc<Origin>,
-    },
-    /// The answer is whole.
-    End {
-        /// Why the engine ended it.
-        reason: Arc<str>,
-        /// Number of tokens.
-        tokens: u64,
-        /// Version that answered.
-        version: Arc<str>,
-    },
-    /// The answer cannot be completed.
-    Failed(Error),
-}
-
-impl Event {
-    /// Returns the bytes that the event holds in memory.
-    fn bytes(&self) -> usize {
-        let text = match self {
-            Self::Token { text, .. } => text.len(),
-            Self::End { .. } => 0,
-            // It is the last thing that a generation says, and is never given up.
-            Self::Failed(_) => return 0,
-        };
-        size_of::<Self>() + text
-    }
-
-    /// Returns the index of the first token that is missing if this event is not delivered.
-    fn first_index(&self) -> Option<u64> {
-        match self {
-            Self::Token { index, .. } => Some(*index),
-            Self::End { tokens, .. } => Some(*tokens),
-            Self::Failed(_) => None,
-        }
-    }
-}
-
-/// Why a generation could not be completed.
-#[derive(Clone, Debug, Eq, PartialEq, Snafu)]
-pub enum Error {
-    /// No backend server can go on with it.
-    #[snafu(display(
-        "no backend server of this version can go on; {delivered} tokens were delivered; come back later with the last event's id"
-    ))]
-    NoServer {
-        /// Tokens delivered so far.
-        delivered: u64,
-    },
-    /// It was not admitted, and nothing of it was run.
-    #[snafu(display("{refusal}"))]
-    Refused {
-        /// Why.
-        refusal: Refusal,
-    },
-    /// The caller's deadline has passed.
-    #[snafu(display(
-        "the answer was not whole in time; {delivered} tokens were delivered; come back with the last event's id"
-    ))]
-    Timeout {
-        /// Tokens delivered so far.
-        delivered: u64,
-    },
-    /// The text generated anew differs from what the caller was given.
-    #[snafu(display(
-        "the answer could not be taken up after its {delivered} tokens; come back with the last event's id and the tokens you hold as `tokens`"
-    ))]
-    Diverged {
-        /// Tokens delivered so far.
-        delivered: u64,
-    },
-    /// The entry stops.
-    #[snafu(display(
-        "this entry stops; {delivered} tokens were delivered; go to another entry with the last event's id"
-    ))]
-    Stopping {
-        /// Tokens delivered so far.
-        delivered: u64,
-    },
-}
-
 /// Returns the failure detector of an entry.
 #[must_use]
 pub fn detector(settings: &configs::generation::Generation) -> Mutex<Detector> {
@@ -327,83 +193,6 @@
         Some((Arc::clone(server), Attempt(token.attempt)))
     }
 
-    /// Waits for a server that can make an attempt, if possible one on which nothing was lost lately.
-    async fn permit(&mut self) -> Result<Permit, Outcome> {
-        loop {
-            let now = self.context.clock.now();
-            let avoided = self.exclusion.avoided(now);
-            let refusal = if avoided.is_empty() {
-                self.ask(avoided, None).await?
-            } else {
-                match self.ask(avoided, Some(CHOOSY_WAIT)).await? {
-                    Err(Refusal::Deadline) => {
-                        let barred = self.exclusion.barred(self.context.clock.now());
-                        self.ask(barred, Some(CHOOSY_WAIT)).await?
-                    }
-                    answer => answer,
-                }
-            };
-            match refusal {
-                Ok(permit) => return Ok(permit),
-                Err(Refusal::Deadline) => self.take_version_in_force(),
-                Err(Refusal::Full) if self.delivered() > 0 => time::sleep(CHOOSY_WAIT).await,
-                Err(refusal) => return Err(Outcome::NotAdmitted(refusal)),
-            }
-        }
-    }
-
-    /// Asks for a server outside `excluded` and waits for `wait`, or else until the deadline, unless
-    /// the caller goes or another version comes into force before anything was delivered.
-    async fn ask(
-        &self,
-        excluded: Vec<Arc<str>>,
-        wait: Option<Duration>,
-    ) -> Result<Result<Permit, Refusal>, Outcome> {
-        let order = &self.order;
-        let wait = wait.unwrap_or(self.context.settings.callers.answer_timeout);
-        let begun = self.delivered() > 0;
-        let need = Need {
-            service: Arc::clone(&order.service),
-            version: Arc::clone(&order.version),
-            account: Arc::clone(&order.account),
-            weight: 1,
-            // What a caller has begun to read comes before what has not begun.
-            priority: if begun { i32::MAX } else { order.priority },
-            tokens: prompt_tokens(&order.prompt) + order.max_tokens,
-            prefix: prefix_hash(&order.prompt),
-            deadline: self.context.clock.now() + wait,
-            excluded,
-        };
-        tokio::select! {
-            answer = self.context.admission.ask(need) => Ok(answer),
-            () = self.outbox.gone() => Err(Outcome::CallerGone),
-            () = self.other_version(), if !begun => Ok(Err(Refusal::Deadline)),
-        }
-    }
-
-    /// Waits until another version of the service is declared than the one asked for.
-    async fn other_version(&self) {
-        let mut declarations = self.context.declarations.clone();
-        let waited = declarations.wait_for(|declarations| {
-            let service = declarations.service(&self.order.service);
-            service.is_some_and(|service| service.version != *self.order.version)
-        });
-        if waited.await.is_err() {
-            std::future::pending::<()>().await;
-        }
-    }
-
-    /// Takes the version that is now declared, if nothing was delivered yet.
-    fn take_version_in_force(&mut self) {
-        if self.delivered() > 0 {
-            return;
-        }
-        let declarations = Arc::clone(&self.context.declarations.borrow());
-        if let Some(service) = declarations.service(&self.order.service) {
-            self.order.version = Arc::from(service.version.as_str());
-        }
-    }
-
     /// Returns the number of tokens delivered, or about to be.
     fn delivered(&self) -> u64 {
         let skipped = self.skip.map_or(0, |skip| skip.tokens);
