--- a/programs/src/bench.rs
+++ b/programs/src/bench.rs
@@ -7,6 +7,7 @@
 use medlarfall_standin::platform::Instance;
 use serde_json::Value;
 
+mod at_most_once;
 mod baseline;
 mod resume;
 mod routing;
@@ -17,7 +18,13 @@
 pub type Figures = BTreeMap<&'static str, Value>;
 
 /// Names of the scenarios.
-pub const SCENARIOS: [&str; 4] = ["baseline", "resume", "routing", "slow-readers"];
+pub const SCENARIOS: [&str; 5] = [
+    "at-most-once",
+    "baseline",
+    "resume",
+    "routing",
+    "slow-readers",
+];
 
 /// Runs a scenario and prints its figures: as a table, or as one JSON object on the last line.
 ///
@@ -40,6 +47,7 @@
 /// Runs a scenario.
 async fn figures(scenario: &str, seed: u64) -> Result<Figures, Box<dyn Error>> {
     match scenario {
+        "at-most-once" => at_most_once::run(seed).await,
         "baseline" => baseline::run(seed).await,
         "resume" => resume::run(seed).await,
         "routing" => routing::run(seed).await,
--- a/serving/src/entry.rs
+++ b/serving/src/entry.rs
@@ -12,9 +12,11 @@
 use crate::clock::Clock;
 use crate::configs::Settings;
 use crate::context::Context;
+use crate::modules::calls::Calls;
+use crate::modules::claims::Claims;
 use crate::modules::peers::{Identity, Peers};
 use crate::modules::{
-    admission, callers, declarations, directory, generation, metrics, operators, peers,
+    admission, callers, claims, declarations, directory, generation, metrics, operators, peers,
 };
 use crate::platform;
 
@@ -96,6 +98,8 @@
     });
     let context = Arc::new(Context {
         admission,
+        calls: Calls::new(&identity, &settings.services),
+        claims: Claims::new(&identity),
         clock,
         identity,
         peers: Peers::new(settings.keys.peers.clone()),
@@ -110,6 +114,13 @@
         stop,
     });
     generation::start_upkeep(Arc::clone(&context));
+    let peers = peers::start(Arc::clone(&context))
+        .await
+        .context(BindSnafu {
+            port: "listen.peers",
+            address: listen.peers,
+        })?;
+    claims::start(&context, peers);
     let callers = callers::start(&context).context(BindSnafu {
         port: "listen.callers",
         address: listen.callers,
@@ -120,12 +131,6 @@
             port: "listen.operators",
             address: listen.operators,
         })?;
-    let peers = peers::start(Arc::clone(&context))
-        .await
-        .context(BindSnafu {
-            port: "listen.peers",
-            address: listen.peers,
-        })?;
     let metrics = metrics::start(Arc::clone(&context))
         .await
         .context(BindSnafu {
--- a/serving/src/modules.rs
+++ b/serving/src/modules.rs
@@ -2,6 +2,8 @@
 
 pub mod admission;
 pub mod callers;
+pub mod calls;
+pub mod claims;
 pub mod declarations;
 pub mod directory;
 pub mod generation;
--- a/serving/src/modules/callers.rs
+++ b/serving/src/modules/callers.rs
@@ -11,6 +11,7 @@
 
 use crate::context::Context;
 
+mod answer;
 mod completions;
 mod problem;
 mod resumption;
