--- a/serving/src/entry.rs
+++ b/serving/src/entry.rs
@@ -125,12 +125,10 @@
             address: listen.peers,
         })?;
     claims::start(&context, peers);
-    let callers = callers::start(Arc::clone(&context))
-        .await
-        .context(BindSnafu {
-            port: "listen.callers",
-            address: listen.callers,
-        })?;
+    let callers = callers::start(&context).context(BindSnafu {
+        port: "listen.callers",
+        address: listen.callers,
+    })?;
     let operators = operators::start(Arc::clone(&context))
         .await
         .context(BindSnafu {
--- a/serving/src/modules/callers.rs
+++ b/serving/src/modules/callers.rs
@@ -4,9 +4,10 @@
 use std::sync::Arc;
 
 use fastrace::future::FutureExt as _;
-use salvo::conn::TcpListener;
+use salvo::conn::tcp::TcpAcceptor;
 use salvo::fuse::FuseConfig;
-use salvo::prelude::*;
+use salvo::prelude::{Depot, FlowCtrl, Handler, Request, Response, Router, Server, async_trait};
+use tokio::net::{TcpListener, TcpSocket};
 use uuid::Uuid;
 
 use crate::context::Context;
@@ -21,12 +22,18 @@
 
 use problem::{Kind, Outcome, Problem};
 
-/// Header that names the request.
-const REQUEST_ID: &str = "medlarfall-request-id";
+/// Bytes that the operating system holds for a caller that does not read.
+const SEND_BUFFER: u32 = 64 << 10;
+
+/// Connections that may wait to be accepted.
+const BACKLOG: u32 = 1_024;
 
-/// Smallest buffer, in bytes, that the HTTP library takes for a connection.
+/// Smallest buffer of a connection that the HTTP server takes, in bytes.
 const SMALLEST_BUFFER: usize = 8 << 10;
 
+/// Header that names the request.
+const REQUEST_ID: &str = "medlarfall-request-id";
+
 /// A caller that has shown its key.
 #[derive(Clone, Debug)]
 struct Caller {
@@ -107,15 +114,13 @@
 /// # Errors
 ///
 /// Returns the error of the operating system if the address cannot be bound.
-pub async fn start(context: Arc<Context>) -> std::io::Result<SocketAddr> {
-    let listener = TcpListener::new(context.settings.listen.callers)
-        .try_bind()
-        .await;
-    let acceptor = listener.map_err(std::io::Error::other)?;
-    let address = acceptor.local_addr()?;
+pub fn start(context: &Arc<Context>) -> std::io::Result<SocketAddr> {
     let bounds = context.settings.callers;
+    let acceptor = TcpAcceptor::try_from(listen(context.settings.listen.callers)?)?;
+    let address = acceptor.local_addr()?;
     let fuse = FuseConfig::default()
         .with_http1_header_timeout(bounds.request_timeout)
+        .with_write_stall_timeout(bounds.write_stall_timeout)
         .with_request_body_timeout(bounds.request_timeout);
     let mut server = Server::new(acceptor)
         .fuse_config(fuse)
@@ -124,7 +129,7 @@
     server.http1_mut().max_buf_size(buffer);
     let header_limit = u32::try_from(buffer).unwrap_or(u32::MAX);
     server.http2_mut().max_header_list_size(header_limit);
-    let router = router(&context);
+    let router = router(context);
     let stop = context.stop.clone();
     tokio::spawn(async move {
         tokio::select! {
@@ -135,6 +140,20 @@
     Ok(address)
 }
 
+/// Listens on an address; what the system holds for a caller that does not read is bounded.
+fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = if address.is_ipv4() {
+        TcpSocket::new_v4()?
+    } else {
+        TcpSocket::new_v6()?
+    };
+    socket.set_reuseaddr(true)?;
+    // Accepted connections inherit it.
+    socket.set_send_buffer_size(SEND_BUFFER)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
 /// Returns the routes of the callers' port.
 fn router(context: &Arc<Context>) -> Router {
     let completions = completions::Handle {
