--- a/serving/src/modules/claims.rs
+++ b/serving/src/modules/claims.rs
@@ -9,6 +9,7 @@
 
 use medlarfall_coordination::claim::identifier::Window;
 use medlarfall_coordination::claim::{Claimer, Ledger, Word};
+use rand::Rng;
 use tokio::sync::{Notify, Semaphore};
 use tokio::time::Instant;
 
@@ -26,6 +27,10 @@
 /// Most bytes of answers that this entry remembers.
 const LEDGER_BYTES: usize = 4 << 20;
 
+/// Claims, over all entries, after which on average one entry looks for old ones: so the looks
+/// grow with the claims and not with the entries.
+const CLAIMS_PER_SWEEP: u32 = 500;
+
 /// Most claims that are cleared up in the store at once; others are left to the sweep.
 const CLEARING_LIMIT: usize = 256;
 
@@ -34,6 +39,7 @@
 pub struct Claims {
     ledger: Mutex<Ledger>,
     ended: Notify,
+    sweep_due: Notify,
     clearing: Arc<Semaphore>,
 }
 
@@ -50,6 +56,7 @@
         Self {
             ledger: Mutex::new(ledger),
             ended: Notify::new(),
+            sweep_due: Notify::new(),
             clearing: Arc::new(Semaphore::new(CLEARING_LIMIT)),
         }
     }
@@ -73,6 +80,9 @@
 
     /// Opens a call.
     fn open(&self) -> Claimer {
+        if rand::rng().random_ratio(1, CLAIMS_PER_SWEEP) {
+            self.sweep_due.notify_one();
+        }
         self.lock().open()
     }
 
@@ -91,14 +101,14 @@
 pub fn start(context: &Arc<Context>, address: SocketAddr) {
     let address = Arc::from(address.to_string());
     context.claims.lock().listen(address);
-    let store = context.platform.clone();
-    let window = window(&context.settings.services);
-    let name = Arc::clone(&context.identity.name);
-    let stop = context.stop.clone();
+    let context = Arc::clone(context);
     tokio::spawn(async move {
+        let store = &context.platform;
+        let window = window(&context.settings.services);
+        let due = &context.claims.sweep_due;
         tokio::select! {
-            () = stop.cancelled() => {}
-            () = sweep::keep_clear(&store, window, &name) => {}
+            () = context.stop.cancelled() => {}
+            () = sweep::keep_clear(store, window, &context.identity.name, due) => {}
         }
     });
 }
--- a/serving/src/modules/claims/sweep.rs
+++ b/serving/src/modules/claims/sweep.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, SystemTime};
 
 use medlarfall_coordination::claim::identifier::{self, Window};
-use rand::Rng;
+use tokio::sync::Notify;
 
 use crate::platform::{Error, Lease, Store};
 
@@ -16,8 +16,8 @@
 /// Key that is held, under a lease, by the entry that sweeps.
 const SWEEPER: &str = "claims-sweeper";
 
-/// Longest pause between two looks at the cursor.
-const INTERVAL: Duration = Duration::from_mins(10);
+/// Shortest pause between two sweeps of one entry.
+const INTERVAL: Duration = Duration::from_mins(1);
 
 /// Pause between two calls to the store.
 const CALL_PAUSE: Duration = Duration::from_millis(20);
@@ -28,17 +28,17 @@
 /// Calls between two renewals of the lease.
 const CALLS_PER_RENEWAL: usize = 100;
 
-/// Sweeps again and again.
-pub(super) async fn keep_clear<S: Store>(store: &S, window: Window, name: &str) {
+/// Sweeps whenever it is due.
+pub(super) async fn keep_clear<S: Store>(store: &S, window: Window, name: &str, due: &Notify) {
     loop {
-        let pause = INTERVAL.mul_f64(rand::rng().random_range(0.5..1.0));
-        tokio::time::sleep(pause).await;
+        due.notified().await;
         let now = SystemTime::now()
             .duration_since(SystemTime::UNIX_EPOCH)
             .unwrap_or_default();
         if let Err(error) = sweep(store, window, now, name).await {
             log::warn!(error = error.to_string().as_str(); "old claims could not be swept");
         }
+        tokio::time::sleep(INTERVAL).await;
     }
 }
 
