--- a/programs/src/bench.rs
+++ b/programs/src/bench.rs
@@ -9,14 +9,22 @@
 
 mod at_most_once;
 mod baseline;
+mod resume;
 mod routing;
+mod slow_readers;
 mod stopwatch;
 
 /// Figures of a run, by name.
 pub type Figures = BTreeMap<&'static str, Value>;
 
 /// Names of the scenarios.
-pub const SCENARIOS: [&str; 3] = ["at-most-once", "baseline", "routing"];
+pub const SCENARIOS: [&str; 5] = [
+    "at-most-once",
+    "baseline",
+    "resume",
+    "routing",
+    "slow-readers",
+];
 
 /// Runs a scenario and prints its figures: as a table, or as one JSON object on the last line.
 ///
@@ -41,7 +49,9 @@
     match scenario {
         "at-most-once" => at_most_once::run(seed).await,
         "baseline" => baseline::run(seed).await,
+        "resume" => resume::run(seed).await,
         "routing" => routing::run(seed).await,
+        "slow-readers" => slow_readers::run(seed).await,
         _ => Err(format!(
             "no scenario `{scenario}`: write one of {}",
             SCENARIOS.join(", ")
--- a/programs/src/caller.rs
+++ b/programs/src/caller.rs
@@ -115,9 +115,16 @@
     /// Returns a caller that talks to `entry` with `key`.
     #[must_use]
     pub fn new(entry: SocketAddr, key: &str) -> Self {
+        Self::with_receive_buffer(entry, key, None)
+    }
+
+    /// Returns a caller whose connections hold up to `bytes` that it has not read.
+    #[must_use]
+    pub fn with_receive_buffer(entry: SocketAddr, key: &str, bytes: Option<usize>) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+        connector.set_recv_buffer_size(bytes);
         Self {
             client: Client::builder(TokioExecutor::new()).build(connector),
             entry,
--- a/programs/tests/resume.rs
+++ b/programs/tests/resume.rs
@@ -125,6 +125,15 @@
     faulty_stream("crossed", faults).await;
 }
 
+#[tokio::test]
+async fn only_tokens_of_another_request_come() {
+    let faults = Faults {
+        stray_token: Some(FAULTY),
+        ..Faults::default()
+    };
+    faulty_stream("stray", faults).await;
+}
+
 #[tokio::test]
 async fn an_entry_is_killed() {
     let mut fleet = Fleet::start("entry-killed").await;
--- a/serving/src/modules/callers.rs
+++ b/serving/src/modules/callers.rs
@@ -3,12 +3,16 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use salvo::conn::TcpListener;
+use fastrace::future::FutureExt as _;
+use salvo::conn::tcp::TcpAcceptor;
 use salvo::fuse::FuseConfig;
-use salvo::prelude::*;
+use salvo::prelude::{Depot, FlowCtrl, Handler, Request, Response, Router, Server, async_trait};
+use tokio::net::{TcpListener, TcpSocket};
 use uuid::Uuid;
 
 use crate::context::Context;
+use crate::telemetry;
+use crate::utils::http::TRACEPARENT;
 
 mod answer;
 mod completions;
@@ -18,6 +22,15 @@
 
 use problem::{Kind, Outcome, Problem};
 
+/// Bytes that the operating system holds for a caller that does not read.
+const SEND_BUFFER: u32 = 64 << 10;
+
+/// Connections that may wait to be accepted.
+const BACKLOG: u32 = 1_024;
+
+/// Smallest buffer of a connection that the HTTP server takes, in bytes.
+const SMALLEST_BUFFER: usize = 8 << 10;
+
 /// Header that names the request.
 const REQUEST_ID: &str = "medlarfall-request-id";
 
@@ -46,16 +59,36 @@
     ) {
         let request_id: Arc<str> = Arc::from(Uuid::now_v7().to_string());
         let _ = response.add_header(REQUEST_ID, request_id.as_ref(), true);
+        let limit = self.context.settings.callers.header_limit;
+        if header_bytes(request) > limit {
+            let message =
+                format!("the headers are larger than {limit} bytes; send fewer or shorter ones");
+            Problem::new(Kind::HeadersTooLarge, Outcome::NotRun, message).render(response);
+            control.skip_rest();
+            return;
+        }
         let key = request.header::<String>("authorization");
         let key = key
             .as_deref()
             .and_then(|value| value.strip_prefix("Bearer "));
         let account = key.and_then(|key| self.context.settings.keys.account(key));
         if let Some(account) = account {
+            let every = self.context.settings.log.trace_every;
+            let span = telemetry::request(request.header::<String>(TRACEPARENT).as_deref(), every);
+            span.add_properties(|| {
+                [
+                    ("request", request_id.to_string()),
+                    ("account", account.to_string()),
+                ]
+            });
             depot.insert_typed(Caller {
                 account,
                 request_id,
             });
+            control
+                .call_next(request, depot, response)
+                .in_span(span)
+                .await;
             return;
         }
         Problem::new(
@@ -68,25 +101,35 @@
     }
 }
 
+/// Returns the bytes of a request's header names and values.
+fn header_bytes(request: &Request) -> usize {
+    let headers = request.headers().iter();
+    headers
+        .map(|(name, value)| name.as_str().len() + value.len())
+        .sum()
+}
+
 /// Starts the callers' port and returns its address.
 ///
 /// # Errors
 ///
 /// Returns the error of the operating system if the address cannot be bound.
-pub async fn start(context: Arc<Context>) -> std::io::Result<SocketAddr> {
-    let listener = TcpListener::new(context.settings.listen.callers)
-        .try_bind()
-        .await;
-    let acceptor = listener.map_err(std::io::Error::other)?;
-    let address = acceptor.local_addr()?;
+pub fn start(context: &Arc<Context>) -> std::io::Result<SocketAddr> {
     let bounds = context.settings.callers;
+    let acceptor = TcpAcceptor::try_from(listen(context.settings.listen.callers)?)?;
+    let address = acceptor.local_addr()?;
     let fuse = FuseConfig::default()
         .with_http1_header_timeout(bounds.request_timeout)
+        .with_write_stall_timeout(bounds.write_stall_timeout)
         .with_request_body_timeout(bounds.request_timeout);
-    let server = Server::new(acceptor)
+    let mut server = Server::new(acceptor)
         .fuse_config(fuse)
         .max_connections(bounds.connections);
-    let router = router(&context);
+    let buffer = (2 * bounds.header_limit).max(SMALLEST_BUFFER);
+    server.http1_mut().max_buf_size(buffer);
+    let header_limit = u32::try_from(buffer).unwrap_or(u32::MAX);
+    server.http2_mut().max_header_list_size(header_limit);
+    let router = router(context);
     let stop = context.stop.clone();
     tokio::spawn(async move {
         tokio::select! {
@@ -97,6 +140,20 @@
     Ok(address)
 }
 
+/// Listens on an address; what the system holds for a caller that does not read is bounded.
+fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = if address.is_ipv4() {
+        TcpSocket::new_v4()?
+    } else {
+        TcpSocket::new_v6()?
+    };
+    socket.set_reuseaddr(true)?;
+    // Accepted connections inherit it.
+    socket.set_send_buffer_size(SEND_BUFFER)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
 /// Returns the routes of the callers' port.
 fn router(context: &Arc<Context>) -> Router {
     let completions = completions::Handle {
--- a/standin/src/engine.rs
+++ b/standin/src/engine.rs
@@ -42,6 +42,8 @@
     pub cut_token: Option<u64>,
     /// Index at which each stream stops sending while its connection stays open.
     pub stall_token: Option<u64>,
+    /// Index from which on each stream sends only frames of another request, without an end.
+    pub stray_token: Option<u64>,
     /// Every n-th request fails before it runs; 0 for none.
     pub fail_every: u64,
     /// The faults `fail_every` and `slow_factor` apply only after this many requests.
@@ -60,6 +62,7 @@
             cross_token: None,
             cut_token: None,
             stall_token: None,
+            stray_token: None,
             fail_every: 0,
             after_requests: 0,
             above_running: 0,
