test(serving): retries of plain calls and their budget

Cause: nothing showed that a refused call is tried again, that only idempotent ones are sent again after a lost answer, and that retries end with the budget. Change: three tests; a success counts for the budget on whichever attempt it came (before, not on the last one). Conclusion: with 30 refused calls exactly the reserve of 10 retries is spent.

--- a/programs/tests/plain_services.rs
+++ b/programs/tests/plain_services.rs
@@ -115,3 +115,53 @@
     let runs = cluster.services[0].service.runs();
     assert_eq!(runs.keys().collect::<Vec<_>>(), ["room"]);
 }
+
+/// Retries that a service is given before its first success.
+const RETRY_RESERVE: u64 = 10;
+
+#[tokio::test]
+async fn a_refused_call_is_tried_again_and_runs_once() {
+    let cluster = cluster().await;
+    let service = &cluster.services[0].service;
+    service.set_faults(service::Faults {
+        refuse: 2,
+        ..service::Faults::default()
+    });
+    assert_eq!(act(&cluster, "again").await, (200, "ran".to_owned()));
+    assert_eq!(service.runs()["again"], 1);
+}
+
+#[tokio::test]
+async fn only_an_idempotent_call_is_sent_again_after_a_lost_answer() {
+    let cluster = cluster().await;
+    let service = &cluster.services[0].service;
+    let lost = service::Faults {
+        drop_answers: 1,
+        ..service::Faults::default()
+    };
+    service.set_faults(lost.clone());
+    let caller = cluster.caller(0);
+    let reply = caller
+        .call(Method::PUT, "/s/tracker/records/7", "put")
+        .await;
+    assert_eq!(reply.expect("a reply").run, "ran");
+    assert_eq!(service.runs()["put"], 2);
+    service.set_faults(lost);
+    assert_eq!(act(&cluster, "post").await, (502, "unknown".to_owned()));
+    assert_eq!(service.runs()["post"], 1);
+}
+
+#[tokio::test]
+async fn retries_end_with_their_budget() {
+    let cluster = cluster().await;
+    let calls = 30;
+    cluster.services[0].service.set_faults(service::Faults {
+        refuse: calls + RETRY_RESERVE,
+        ..service::Faults::default()
+    });
+    for index in 0..calls {
+        let refused = act(&cluster, &format!("refused {index}")).await;
+        assert_eq!(refused, (503, "not-run".to_owned()));
+    }
+    assert_eq!(act(&cluster, "taken").await, (200, "ran".to_owned()));
+}
--- a/serving/src/modules/calls/attempts.rs
+++ b/serving/src/modules/calls/attempts.rs
@@ -68,7 +68,7 @@
     let mut tried = vec![Arc::clone(&permit.server.name)];
     let mut last = send(context, order, permit).await;
     for retry in 1..context.settings.services.attempts {
-        if ended(context, order, &last) || !pause(context, order, retry).await {
+        if ended(order, &last) || !pause(context, order, retry).await {
             break;
         }
         let Ok(permit) = ask(context, order, &tried).await else {
@@ -86,14 +86,9 @@
 }
 
 /// Returns whether a call must not be sent again.
-fn ended(context: &Context, order: &Order, last: &Sent) -> bool {
+fn ended(order: &Order, last: &Sent) -> bool {
     match last {
-        Sent::Replied(reply) => {
-            if reply.status < SERVER_ERROR {
-                context.calls.succeeded(&order.service.name);
-            }
-            true
-        }
+        Sent::Replied(_) => true,
         Sent::NotRun(_) => false,
         Sent::Unknown(_) => !order.idempotent,
     }
@@ -173,7 +168,10 @@
         Ok(Ok(reply)) if reply.status >= SERVER_ERROR => {
             (Sent::Replied(reply), Some(Outcome::Failed))
         }
-        Ok(Ok(reply)) => (Sent::Replied(reply), Some(Outcome::Answered)),
+        Ok(Ok(reply)) => {
+            context.calls.succeeded(&order.service.name);
+            (Sent::Replied(reply), Some(Outcome::Answered))
+        }
         Ok(Err(backend::Error::NotRun { reason })) => (Sent::NotRun(reason), Some(Outcome::Failed)),
         Ok(Err(backend::Error::Lost { .. })) => {
             (Sent::Unknown(Error::AnswerLost), Some(Outcome::Failed))
