fix(coordination): nothing after the end of a call says not-run; stronger property

Change: after the end only unknown is said; a second property draws 40 interleavings from each input; a table of what a claimer cannot deny.

--- a/coordination/src/claim.rs
+++ b/coordination/src/claim.rs
@@ -269,6 +269,11 @@
                 let outcome = Outcome::Unknown(Reason::AnswerLost);
                 self.end(outcome, Remainder::Nothing, Word::Unknown)
             }
+            // Nothing that comes after the end may make it look as if the call had not run.
+            (ended @ Phase::Ended { .. }, _) => {
+                self.phase = ended;
+                Action::Finish(Outcome::Unknown(Reason::AnswerLost))
+            }
             _ => self.not_run(Reason::StoreUnavailable),
         }
     }
--- a/coordination/tests/claim.rs
+++ b/coordination/tests/claim.rs
@@ -7,6 +7,8 @@
 use medlarfall_coordination::claim::{
     Action, Answer, Call, Claimer, Held, Input, Ledger, Limits, Outcome, Record, Remainder, Word,
 };
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
 
 const ENTRIES: usize = 3;
 const CALLS: usize = 8;
@@ -279,6 +281,35 @@
         });
 }
 
+/// Worlds that each input of the test below draws.
+const WORLDS: usize = 40;
+
+#[test]
+fn no_drawn_interleaving_runs_a_call_twice_or_denies_that_it_ran() {
+    check!().with_type::<u64>().for_each(|seed| {
+        let mut random = ChaCha8Rng::seed_from_u64(*seed);
+        for _ in 0..WORLDS {
+            let mut world = World::new();
+            for _ in 0..random.random_range(20..200) {
+                world.event(random.random(), random.random());
+            }
+            world.check();
+        }
+    });
+}
+
+#[test]
+fn nothing_after_the_end_denies_that_the_call_ran() {
+    let mut world = sent();
+    world.input(0, Input::AnswerLost);
+    let call = &mut world.calls[0].call;
+    for input in [Input::Lost, Input::Refused, Input::Prepared] {
+        let action = call.step(input, Duration::ZERO);
+        assert!(matches!(action, Action::Finish(Outcome::Unknown(_))));
+        assert_eq!(call.word(), Word::Unknown);
+    }
+}
+
 /// Runs everything in its order, without faults.
 fn settle(world: &mut World) {
     for _ in 0..64 {
@@ -383,3 +414,50 @@
     assert_eq!(call.remainder(), Remainder::Nothing);
     assert_eq!(call.word(), Word::NeverSent);
 }
+
+/// Begins a call at entry 0 whose claim is confirmed, and sends it.
+fn sent() -> World {
+    let mut world = World::new();
+    world.begin(0);
+    world.effect(0, 0, false);
+    world.deliver(0, false);
+    world.calls[0].prepared = false;
+    world.input(0, Input::Prepared);
+    world
+}
+
+#[test]
+fn what_a_claimer_cannot_deny_is_never_sent_again() {
+    type Fault = fn(&mut World);
+    let faults: [(&str, Fault); 5] = [
+        ("still running", |_| {}),
+        ("the answer was lost", |world| {
+            world.input(0, Input::AnswerLost);
+        }),
+        ("the answer was lost and the claimer died", |world| {
+            world.input(0, Input::AnswerLost);
+            world.kill(0);
+        }),
+        ("the claimer died", |world| world.kill(0)),
+        ("the claimer has forgotten", |world| {
+            world.input(0, Input::AnswerLost);
+            for _ in 0..9 {
+                let sequence = world.ledgers[0].open().sequence;
+                world.ledgers[0].close(sequence, Word::NeverSent);
+            }
+        }),
+    ];
+    for (name, fault) in faults {
+        let mut world = sent();
+        fault(&mut world);
+        world.begin(1);
+        // The call of entry 0 stays on its way to the service, and may still arrive.
+        let away = world.flights.remove(1);
+        settle(&mut world);
+        let outcome = &world.calls[1].outcome;
+        assert!(matches!(outcome, Some(Outcome::Unknown(_))), "{name}");
+        world.flights.push(away);
+        settle(&mut world);
+        assert_eq!(world.calls[1].runs, 0, "{name}");
+    }
+}
