feat(configuration): revisions that only grow, and changes told truly

Cause: an operator whose answer was lost could be told of a conflict although the change was stored, when another change came right after it; a read that was out of date made a change end as unknown although it was not stored; a stored key that vanished or a list that was out of date was obeyed. Ruled out: reading back alone, since the value read may be a later one. Change: each declaration remembers its last 32 changes; a refused write's own item is believed before a read; entries hold the highest revision seen of each service and report what is older, vanished, forked or unreadable (store_refusals); deletion is a revision; a first list is checked by another after 1 s, doubling to 64 s. The platform's 5xx answers other than 503 count as lost.

--- a/programs/src/operator.rs
+++ b/programs/src/operator.rs
@@ -58,6 +58,7 @@
         let request = rpc::ApplyRequest {
             service: Some(service),
             change_id,
+            ..rpc::ApplyRequest::default()
         };
         let reply = self.client.apply(request).await?.into_inner();
         Ok(reply.service.unwrap_or_default())
--- a/serving/src/context.rs
+++ b/serving/src/context.rs
@@ -8,7 +8,7 @@
 use crate::backend;
 use crate::clock::Clock;
 use crate::configs::Settings;
-use crate::modules::declarations::Declarations;
+use crate::modules::declarations::{Board, Declarations};
 use crate::modules::directory::Directory;
 use crate::modules::metrics::Metrics;
 use crate::platform;
@@ -26,6 +26,8 @@
     pub platform: platform::http::Client,
     /// Backend servers.
     pub backend: backend::http::Client,
+    /// Highest revisions of the declarations that this entry has seen.
+    pub board: Board,
     /// Declarations in force at this entry.
     pub declarations: watch::Receiver<Arc<Declarations>>,
     /// Backend servers that this entry knows of.
--- a/serving/src/entry.rs
+++ b/serving/src/entry.rs
@@ -11,6 +11,7 @@
 use crate::clock::Clock;
 use crate::configs::Settings;
 use crate::context::Context;
+use crate::modules::spread::Duty;
 use crate::modules::{callers, declarations, directory, metrics, operators};
 use crate::platform;
 
@@ -72,10 +73,20 @@
     );
     let stop = CancellationToken::new();
     let metrics = metrics::Metrics::new();
+    let board = declarations::Board::default();
+    let duty = tokio::sync::watch::Sender::new(Duty::Watch);
+    let source = declarations::Source {
+        store: platform.clone(),
+        settings: settings.platform,
+        duty: duty.subscribe(),
+        refusals: metrics.store_refusals.clone(),
+    };
+    declarations::start(source, board.clone(), stop.clone());
     let context = Arc::new(Context {
         clock: Clock::start(),
         backend: backend::http::Client::new(),
-        declarations: declarations::start(platform.clone(), settings.platform, stop.clone()),
+        declarations: board.view(),
+        board,
         directory: directory::start(platform.clone(), settings.platform, stop.clone()),
         metrics,
         platform,
--- a/serving/src/modules.rs
+++ b/serving/src/modules.rs
@@ -7,3 +7,4 @@
 pub mod metrics;
 pub mod operators;
 pub mod routing;
+pub mod spread;
--- a/serving/src/modules/metrics.rs
+++ b/serving/src/modules/metrics.rs
@@ -23,6 +23,13 @@
     pub run: String,
 }
 
+/// Labels of an answer of the store that was not believed.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct Refusal {
+    /// `older`, `fork`, `missing` or `unreadable`.
+    pub reason: &'static str,
+}
+
 /// Metrics of one entry.
 #[derive(Debug)]
 pub struct Metrics {
@@ -31,6 +38,8 @@
     pub requests: Family<Request, Counter>,
     /// Attempts of generations that were lost.
     pub attempts_lost: Counter,
+    /// Declarations from the store that were not obeyed, by reason.
+    pub store_refusals: Family<Refusal, Counter>,
 }
 
 impl Default for Metrics {
@@ -56,10 +65,17 @@
             "Attempts of generations that were lost",
             attempts_lost.clone(),
         );
+        let store_refusals = Family::default();
+        registry.register(
+            "store_refusals",
+            "Declarations from the store that were not obeyed, by reason",
+            store_refusals.clone(),
+        );
         Self {
             registry,
             requests,
             attempts_lost,
+            store_refusals,
         }
     }
 
--- a/serving/src/modules/operators.rs
+++ b/serving/src/modules/operators.rs
@@ -10,8 +10,9 @@
 use tonic::{Request, Response, Status};
 
 use crate::context::Context;
+use crate::modules::declarations;
 
-mod apply;
+pub mod apply;
 
 /// Answers operators.
 struct Handle {
@@ -60,9 +61,13 @@
     ) -> Result<Response<rpc::ApplyReply>, Status> {
         let request = request.into_inner();
         let change = apply::Change::try_from(request)?;
-        let stored = apply::store(&self.context.platform, change).await?;
+        let board = &self.context.board;
+        let held = board.get(change.name());
+        let stored = apply::store(&self.context.platform, held.as_deref(), change).await?;
+        board.offer(declarations::record(stored.clone()));
         Ok(Response::new(rpc::ApplyReply {
             service: Some(stored),
+            ..rpc::ApplyReply::default()
         }))
     }
 
--- a/serving/src/platform/http.rs
+++ b/serving/src/platform/http.rs
@@ -193,6 +193,12 @@
     match status {
         StatusCode::GONE => Error::LeaseEnded,
         StatusCode::PAYLOAD_TOO_LARGE => Error::TooLarge,
+        // Something between here and the store may have failed after the call took effect.
+        status if status.is_server_error() && status != StatusCode::SERVICE_UNAVAILABLE => {
+            Error::Lost {
+                reason: format!("it answered {status}"),
+            }
+        }
         status => Error::Unavailable {
             reason: format!("it answered {status}"),
         },
--- /dev/null
+++ b/serving/tests/configuration/declarations.rs
@@ -0,0 +1,178 @@
+//! Declarations in force while the store is down, out of date or has lost keys.
+
+use std::time::Duration;
+
+use medlarfall_schema::declaration::Service;
+use medlarfall_serving::configs::platform::Platform;
+use medlarfall_serving::modules::declarations::{self, Board, PREFIX, Source};
+use medlarfall_serving::modules::metrics::{Metrics, Refusal};
+use medlarfall_serving::modules::spread::Duty;
+use medlarfall_serving::platform::Store;
+use tokio::sync::watch;
+use tokio::time::{Instant, sleep};
+use tokio_util::sync::{CancellationToken, DropGuard};
+
+use crate::memory::{Fault, Memory};
+
+/// Bound within which a change must be in force.
+const IN_FORCE: Duration = Duration::from_secs(2);
+
+/// A reader of the store.
+struct Reader {
+    board: Board,
+    duty: watch::Sender<Duty>,
+    metrics: Metrics,
+    _stop: DropGuard,
+}
+
+impl Reader {
+    fn start(store: Memory, duty: Duty) -> Self {
+        let stop = CancellationToken::new();
+        let reader = Self {
+            board: Board::default(),
+            duty: watch::Sender::new(duty),
+            metrics: Metrics::new(),
+            _stop: stop.clone().drop_guard(),
+        };
+        let source = Source {
+            store,
+            settings: Platform::new(([127, 0, 0, 1], 1).into()),
+            duty: reader.duty.subscribe(),
+            refusals: reader.metrics.store_refusals.clone(),
+        };
+        let board = reader.board.clone();
+        declarations::start(source, board, stop);
+        reader
+    }
+
+    fn refused(&self, reason: &'static str) -> u64 {
+        let refusals = &self.metrics.store_refusals;
+        refusals.get_or_create(&Refusal { reason }).get()
+    }
+
+    fn revision(&self) -> u64 {
+        self.board.revision("briefs").unwrap_or_default()
+    }
+
+    async fn reaches(&self, revision: u64) {
+        let mut view = self.board.view();
+        let reached = view.wait_for(|_| self.revision() >= revision);
+        let reached = tokio::time::timeout(IN_FORCE, reached).await;
+        assert!(reached.is_ok(), "revision {revision} is not in force");
+    }
+}
+
+/// Writes a declaration past all rules, as a store that lost data would show it.
+async fn write(store: &Memory, revision: u64, deleted: bool) {
+    let key = format!("{PREFIX}briefs");
+    let held = store.get(&key).await.expect("a read");
+    let service = Service {
+        name: "briefs".to_owned(),
+        version: format!("v{revision}"),
+        revision,
+        deleted,
+        ..Service::default()
+    };
+    let value = serde_json::to_string(&service).expect("a value");
+    let expected = held.map_or(0, |item| item.revision);
+    store
+        .put(&key, value, expected, None)
+        .await
+        .expect("a write");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_change_is_in_force_at_once_and_an_older_one_never() {
+    let store = Memory::new();
+    let reader = Reader::start(store.clone(), Duty::Watch);
+    write(&store, 1, false).await;
+    reader.reaches(1).await;
+    write(&store, 5, false).await;
+    reader.reaches(5).await;
+    write(&store, 3, false).await;
+    sleep(Duration::from_secs(5)).await;
+    assert_eq!(reader.revision(), 5);
+    assert!(reader.refused("older") > 0);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_first_list_that_is_out_of_date_is_made_good() {
+    let store = Memory::new();
+    write(&store, 1, false).await;
+    write(&store, 2, false).await;
+    let reader = Reader::start(store.with(&[Fault::Stale]), Duty::Watch);
+    reader.reaches(2).await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_vanished_key_is_reported_and_a_deletion_is_obeyed() {
+    let store = Memory::new();
+    let reader = Reader::start(store.clone(), Duty::Watch);
+    write(&store, 1, false).await;
+    reader.reaches(1).await;
+    let key = format!("{PREFIX}briefs");
+    let item = store.get(&key).await.expect("a read").expect("an item");
+    store.delete(&key, item.revision).await.expect("a delete");
+    sleep(Duration::from_secs(5)).await;
+    assert!(reader.board.view().borrow().service("briefs").is_some());
+    assert!(reader.refused("missing") > 0);
+    write(&store, 2, true).await;
+    reader.reaches(2).await;
+    let declarations = reader.board.view().borrow().clone();
+    assert!(declarations.service("briefs").is_none());
+    assert!(declarations.deleted.contains_key("briefs"));
+}
+
+#[tokio::test(start_paused = true)]
+async fn declarations_stay_in_an_outage_and_catch_up_after_it() {
+    let store = Memory::new();
+    let reader = Reader::start(store.clone(), Duty::Watch);
+    write(&store, 1, false).await;
+    reader.reaches(1).await;
+    store.set_down(true);
+    sleep(Duration::from_mins(10)).await;
+    assert_eq!(reader.revision(), 1);
+    assert!(!reader.board.view().borrow().store_reachable);
+    let calls = store.calls();
+    sleep(Duration::from_mins(1)).await;
+    assert!(
+        store.calls() - calls <= 61,
+        "calls in a minute of outage: {}",
+        store.calls() - calls
+    );
+    store.set_down(false);
+    write(&store, 2, false).await;
+    // The longest pause is 2 s with a jitter of half of it.
+    sleep(Duration::from_secs(3)).await;
+    reader.reaches(2).await;
+    assert!(reader.board.view().borrow().store_reachable);
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_entry_alone_in_an_outage_has_loaded_nothing() {
+    let store = Memory::new();
+    store.set_down(true);
+    let reader = Reader::start(store.clone(), Duty::Watch);
+    sleep(Duration::from_secs(30)).await;
+    assert!(!reader.board.view().borrow().loaded);
+    store.set_down(false);
+    sleep(Duration::from_secs(4)).await;
+    assert!(reader.board.view().borrow().loaded);
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_entry_that_polls_makes_few_calls_until_it_has_to_watch() {
+    let store = Memory::new();
+    write(&store, 1, false).await;
+    let before = store.calls();
+    let interval = Duration::from_mins(1);
+    let reader = Reader::start(store.clone(), Duty::Poll(interval));
+    reader.reaches(1).await;
+    let started = Instant::now();
+    sleep(Duration::from_mins(10)).await;
+    let calls = store.calls() - before;
+    assert!(calls <= 11, "{calls} calls in {:?}", started.elapsed());
+    reader.duty.send_replace(Duty::Watch);
+    write(&store, 2, false).await;
+    reader.reaches(2).await;
+}
