--- a/serving/src/context.rs
+++ b/serving/src/context.rs
@@ -8,9 +8,11 @@
 use crate::backend;
 use crate::clock::Clock;
 use crate::configs::Settings;
+use crate::modules::admission::Admission;
 use crate::modules::declarations::{Board, Declarations};
 use crate::modules::directory::Directory;
 use crate::modules::metrics::Metrics;
+use crate::modules::peers::{Identity, Peers};
 use crate::platform;
 
 /// The context of one entry instance.
@@ -24,6 +26,10 @@
     pub metrics: Metrics,
     /// The platform.
     pub platform: platform::http::Client,
+    /// What this entry says of itself to its peers.
+    pub identity: Identity,
+    /// Connections to the other entries.
+    pub peers: Peers,
     /// Backend servers.
     pub backend: backend::http::Client,
     /// Highest revisions of the declarations that this entry has seen.
@@ -32,6 +38,8 @@
     pub declarations: watch::Receiver<Arc<Declarations>>,
     /// Backend servers that this entry knows of.
     pub directory: watch::Receiver<Arc<Directory>>,
+    /// Admission of requests to backend servers.
+    pub admission: Admission,
     /// Cancelled when the entry stops.
     pub stop: CancellationToken,
 }
--- a/serving/src/modules.rs
+++ b/serving/src/modules.rs
@@ -1,10 +1,11 @@
 //! The features of an entry, one module each.
 
+pub mod admission;
 pub mod callers;
 pub mod declarations;
 pub mod directory;
 pub mod generation;
 pub mod metrics;
 pub mod operators;
-pub mod routing;
+pub mod peers;
 pub mod spread;
