feat(membership): probes, suspicion and rumours as a pure machine

Cause: entries need a hint of who is up without a cost that grows with the fleet. Ruled out: heartbeats to all (cost grows with the entries); the platform's leases (calls to the store grow with the entries, and nothing is known in an outage). Change: the shape of SWIM with the own failure domain in full and a few contacts in each other; an entry that stood still moves its deadlines before it judges others.

--- a/coordination/src/lib.rs
+++ b/coordination/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod ejection;
 pub mod fair_queue;
 pub mod journal;
+pub mod membership;
 pub mod memory;
 pub mod placement;
 pub mod revision;
--- /dev/null
+++ b/coordination/src/membership/probe.rs
@@ -0,0 +1,196 @@
+//! Probes: who is asked in each period, and what its silence means.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::seq::IteratorRandom;
+
+use super::{Kind, Member, Members, Send, State, Update, shuffled};
+
+/// Every how many periods a contact in another failure domain is asked instead of a neighbour.
+const CONTACT_PERIODS: u64 = 3;
+
+/// The probe of the present period.
+#[derive(Debug)]
+pub(super) struct Probe {
+    sequence: u64,
+    target: Member,
+    started: Duration,
+    relayed: bool,
+}
+
+/// A ping that was sent for another entry.
+#[derive(Debug)]
+pub(super) struct Relay {
+    sequence: u64,
+    client: Member,
+    asked: u64,
+    pub(super) expires: Duration,
+}
+
+impl Members {
+    /// Asks one member, and from time to time joins somebody.
+    pub(super) fn begin_period(&mut self, now: Duration, sends: &mut Vec<Send>) {
+        let joins = self.periods.is_multiple_of(self.config.join_periods);
+        self.periods += 1;
+        if joins || self.table.up(true).next().is_none() {
+            sends.extend(self.join());
+        }
+        let Some(target) = self.next_target() else {
+            return;
+        };
+        let sequence = self.next_sequence();
+        sends.push(self.to(&target, Kind::Ping(sequence)));
+        self.probe = Some(Probe {
+            sequence,
+            target,
+            started: now,
+            relayed: false,
+        });
+    }
+
+    /// Suspects the target of the last period's probe if it was silent.
+    pub(super) fn end_probe(&mut self, now: Duration) {
+        let Some(probe) = self.probe.take() else {
+            return;
+        };
+        let known = self.table.get(&probe.target.name);
+        let suspected = known
+            .filter(|known| known.state == State::Alive)
+            .map(|known| known.member.clone());
+        if let Some(member) = suspected {
+            self.learn(
+                Update {
+                    member,
+                    state: State::Suspect,
+                },
+                now,
+            );
+        }
+    }
+
+    /// Asks a silent target through others.
+    pub(super) fn ask_through_others(&mut self, now: Duration, sends: &mut Vec<Send>) {
+        let Some(probe) = &mut self.probe else {
+            return;
+        };
+        let waits = probe.relayed || now < probe.started + self.config.ping_timeout;
+        if waits {
+            return;
+        }
+        probe.relayed = true;
+        let (sequence, target) = (probe.sequence, probe.target.clone());
+        let helpers = self
+            .neighbours()
+            .filter(|member| member.name != target.name)
+            .cloned()
+            .collect::<Vec<_>>();
+        let helpers = helpers
+            .into_iter()
+            .choose_multiple(&mut self.random, self.config.relays);
+        for helper in helpers {
+            sends.push(self.to(&helper, Kind::Relay(sequence, target.address)));
+        }
+    }
+
+    /// Takes an acknowledgement, of an own probe or of one for another entry.
+    pub(super) fn acknowledged(&mut self, sequence: u64) -> Vec<Send> {
+        let own = |probe: &Probe| probe.sequence == sequence;
+        if self.probe.as_ref().is_some_and(own) {
+            self.probe = None;
+            return Vec::new();
+        }
+        let relay = self
+            .relays
+            .iter()
+            .position(|relay| relay.sequence == sequence);
+        let Some(relay) = relay.map(|index| self.relays.swap_remove(index)) else {
+            return Vec::new();
+        };
+        vec![self.to(&relay.client, Kind::Ack(relay.asked))]
+    }
+
+    /// Pings a member for another entry.
+    pub(super) fn relay(
+        &mut self,
+        client: &Member,
+        asked: u64,
+        target: SocketAddr,
+        now: Duration,
+    ) -> Vec<Send> {
+        let known = self.table.at(target).cloned();
+        let Some(target) = known else {
+            return Vec::new();
+        };
+        let sequence = self.next_sequence();
+        self.relays.push(Relay {
+            sequence,
+            client: client.clone(),
+            asked,
+            expires: now + self.config.period,
+        });
+        vec![self.to(&target, Kind::Ping(sequence))]
+    }
+
+    /// Moves all deadlines by the time for which this entry itself stood still, so that it does
+    /// not take its own pause for the silence of others.
+    pub(super) fn forgive_own_pause(&mut self, now: Duration) {
+        let last = self.last_tick.replace(now).unwrap_or(now);
+        let pause = now.saturating_sub(last);
+        if pause < self.config.period {
+            return;
+        }
+        self.probe = None;
+        self.table.postpone(pause);
+    }
+
+    /// Returns a join to somebody who may not know this entry yet.
+    fn join(&mut self) -> Option<Send> {
+        let known = |address: &SocketAddr| {
+            let member = self.table.at(*address);
+            member.is_some_and(|member| self.state(&member.name) == Some(State::Alive))
+        };
+        let strangers: Vec<SocketAddr> = self
+            .seeds
+            .iter()
+            .filter(|address| **address != self.me.address && !known(address))
+            .copied()
+            .collect();
+        let stranger = strangers.into_iter().choose(&mut self.random);
+        let neighbour = self.table.up(true).choose(&mut self.random);
+        let to = stranger.or(neighbour.map(|known| known.member.address))?;
+        let message = super::Message {
+            from: self.me.clone(),
+            kind: Kind::Join,
+            updates: Vec::new(),
+        };
+        Some(Send { to, message })
+    }
+
+    /// Returns the member to probe: each neighbour once in a round, and a contact now and then.
+    fn next_target(&mut self) -> Option<Member> {
+        let contact = self.table.up(false).choose(&mut self.random);
+        let contact = contact.map(|known| known.member.clone());
+        if self.periods.is_multiple_of(CONTACT_PERIODS) && contact.is_some() {
+            return contact;
+        }
+        if self.queue.is_empty() {
+            let names = self.neighbours().map(|member| Arc::clone(&member.name));
+            self.queue = shuffled(names.collect(), &mut self.random);
+        }
+        while let Some(name) = self.queue.pop() {
+            let known = self.table.get(&name).filter(|known| known.is_up());
+            if let Some(known) = known {
+                return Some(known.member.clone());
+            }
+        }
+        contact
+    }
+
+    /// Returns the number of the next ping.
+    fn next_sequence(&mut self) -> u64 {
+        self.sequence += 1;
+        self.sequence
+    }
+}
