--- a/coordination/src/lib.rs
+++ b/coordination/src/lib.rs
@@ -11,3 +11,4 @@
 pub mod memory;
 pub mod placement;
 pub mod revision;
+pub mod spread;
--- a/coordination/src/membership.rs
+++ b/coordination/src/membership.rs
@@ -217,6 +217,11 @@
         self.table.up(false).map(|known| &known.member)
     }
 
+    /// Returns the members that are known to be down.
+    pub fn down(&self) -> impl Iterator<Item = &Member> {
+        self.table.down().map(|known| &known.member)
+    }
+
     /// Returns what is known of a member.
     #[must_use]
     pub fn state(&self, name: &str) -> Option<State> {
--- a/coordination/src/membership/table.rs
+++ b/coordination/src/membership/table.rs
@@ -80,6 +80,11 @@
             .filter(|known| known.is_up())
     }
 
+    /// Returns the members that are known to be down.
+    pub(super) fn down(&self) -> impl Iterator<Item = &Known> {
+        self.known.values().filter(|known| !known.is_up())
+    }
+
     /// Takes news of a member if it is newer than what is known.
     pub(super) fn merge(&mut self, update: Update, now: Duration, random: &mut ChaCha8Rng) -> bool {
         let newer = match self.known.get(&update.member.name) {
--- /dev/null
+++ b/coordination/src/spread.rs
@@ -0,0 +1,30 @@
+//! Which entries read the platform for the others.
+//!
+//! ```
+//! use medlarfall_coordination::spread::rank;
+//!
+//! let entries = ["entry-1", "entry-2", "entry-3"];
+//! let mut ranks = entries.map(|own| {
+//!     rank("declarations", own, entries.into_iter().filter(|other| *other != own))
+//! });
+//! ranks.sort_unstable();
+//! assert_eq!(ranks, [0, 1, 2]);
+//! ```
+
+use std::hash::{Hash, Hasher};
+
+use xxhash_rust::xxh3::Xxh3;
+
+/// Returns the place of `own` among all entries for a topic, by rendezvous hashing: 0 is the first,
+/// and the loss of one entry changes nothing among the others.
+pub fn rank<'a>(topic: &str, own: &str, others: impl Iterator<Item = &'a str>) -> usize {
+    let own = weight(topic, own);
+    others.filter(|other| weight(topic, other) > own).count()
+}
+
+/// Returns the weight of an entry for a topic; the name settles ties.
+fn weight<'a>(topic: &str, name: &'a str) -> (u64, &'a str) {
+    let mut hasher = Xxh3::new();
+    (topic, name).hash(&mut hasher);
+    (hasher.finish(), name)
+}
--- a/programs/src/cluster.rs
+++ b/programs/src/cluster.rs
@@ -205,7 +205,7 @@
         Ok(())
     }
 
-    /// Starts one more entry.
+    /// Starts one more entry and puts it on the instance list.
     ///
     /// # Errors
     ///
@@ -218,6 +218,9 @@
         let entry = entry::start(settings)
             .await
             .map_err(|error| failed(&name, &error))?;
+        let mut instance = self.instance("entry", "", index);
+        instance.address = entry.addresses.peers.to_string();
+        self.platform.register(instance);
         self.entries.push(entry);
         Ok(())
     }
@@ -301,6 +304,14 @@
             generation: configs::generation::Generation::default(),
             admission: configs::admission::Admission::default(),
             services: configs::services::Services::default(),
+            peers: configs::peers::Peers {
+                seeds: self
+                    .entries
+                    .iter()
+                    .map(|entry| entry.addresses.peers)
+                    .collect(),
+                advertise: None,
+            },
             log: configs::log::Log::default(),
         }
     }
--- a/serving/src/context.rs
+++ b/serving/src/context.rs
@@ -10,7 +10,8 @@
 use crate::configs::Settings;
 use crate::modules::admission::Admission;
 use crate::modules::declarations::{Board, Declarations};
-use crate::modules::directory::Directory;
+use crate::modules::directory::{Directory, Roll};
+use crate::modules::membership;
 use crate::modules::metrics::Metrics;
 use crate::modules::peers::{Identity, Peers};
 use crate::platform;
@@ -32,6 +33,10 @@
     pub peers: Peers,
     /// Backend servers.
     pub backend: backend::http::Client,
+    /// The other entries that are held to be up.
+    pub membership: membership::Handle,
+    /// What was last seen of each instance.
+    pub roll: Roll,
     /// Highest revisions of the declarations that this entry has seen.
     pub board: Board,
     /// Declarations in force at this entry.
--- a/serving/src/entry.rs
+++ b/serving/src/entry.rs
@@ -5,6 +5,7 @@
 
 use serde::Serialize;
 use snafu::{ResultExt, Snafu};
+use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 use uuid::Uuid;
 
@@ -13,8 +14,10 @@
 use crate::configs::Settings;
 use crate::context::Context;
 use crate::modules::peers::{Identity, Peers};
-use crate::modules::spread::Duty;
-use crate::modules::{admission, callers, declarations, directory, metrics, operators, peers};
+use crate::modules::spread::{self, Duty};
+use crate::modules::{
+    admission, callers, declarations, directory, membership, metrics, operators, peers,
+};
 use crate::platform;
 
 /// Why an entry could not start.
@@ -77,19 +80,34 @@
     );
     let stop = CancellationToken::new();
     let metrics = metrics::Metrics::new();
+    let (membership, inbox) = membership::channel();
     let board = declarations::Board::default();
-    let duty = tokio::sync::watch::Sender::new(Duty::Watch);
-    let source = declarations::Source {
+    let roll = directory::Roll::default();
+    let duty = watch::Sender::new(Duty::Lead);
+    let declarations = declarations::Source {
         store: platform.clone(),
         settings: settings.platform,
         duty: duty.subscribe(),
         refusals: metrics.store_refusals.clone(),
     };
-    declarations::start(source, board.clone(), stop.clone());
+    declarations::start(declarations, board.clone(), stop.clone());
+    let instances = directory::Source {
+        store: platform.clone(),
+        settings: settings.platform,
+        duty: duty.subscribe(),
+        writer: rand::random(),
+    };
+    directory::start(instances, roll.clone(), stop.clone());
     let clock = Clock::start();
-    let directory = directory::start(platform.clone(), settings.platform, stop.clone());
+    let directory = roll.view();
     let context = Arc::new(Context {
-        admission: admission::start(&settings, clock, directory.clone(), stop.clone()),
+        admission: admission::start(
+            &settings,
+            metrics.admitted.clone(),
+            clock,
+            directory.clone(),
+            stop.clone(),
+        ),
         clock,
         identity: Identity {
             name: Arc::clone(&settings.entry.name),
@@ -101,6 +119,8 @@
         declarations: board.view(),
         board,
         directory,
+        membership,
+        roll,
         metrics,
         platform,
         settings,
@@ -124,6 +144,9 @@
             port: "listen.peers",
             address: listen.peers,
         })?;
+    let advertised = context.settings.peers.advertise.unwrap_or(peers);
+    membership::start(Arc::clone(&context), inbox, advertised);
+    spread::start(&context, duty);
     let metrics = metrics::start(Arc::clone(&context))
         .await
         .context(BindSnafu {
--- a/serving/src/modules.rs
+++ b/serving/src/modules.rs
@@ -5,6 +5,7 @@
 pub mod declarations;
 pub mod directory;
 pub mod generation;
+pub mod membership;
 pub mod metrics;
 pub mod operators;
 pub mod peers;
--- a/serving/src/modules/declarations.rs
+++ b/serving/src/modules/declarations.rs
@@ -3,7 +3,7 @@
 //! They come from the platform's store and from peers. A revision below the highest seen, or a
 //! key that has vanished, is reported and not obeyed: a service ends with a revision that says so.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -67,6 +67,13 @@
     pub fn service(&self, name: &str) -> Option<&Arc<Service>> {
         self.services.get(name)
     }
+
+    /// Returns the revision in force of a service, also of a deleted one.
+    #[must_use]
+    pub fn revision(&self, name: &str) -> Option<u64> {
+        let held = self.services.get(name).or_else(|| self.deleted.get(name));
+        held.map(|service| service.revision)
+    }
 }
 
 impl View<u64, Arc<Service>> for Declarations {
@@ -133,7 +140,7 @@
         loop {
             let duty = *self.source.duty.borrow_and_update();
             let read = match duty {
-                Duty::Watch => self.follow().await,
+                Duty::Lead | Duty::Second => self.follow().await,
                 Duty::Poll(interval) => self.poll(interval).await,
             };
             if let Err(error) = read {
@@ -198,11 +205,11 @@
         for item in &items {
             self.take(&item.key, &item.value);
         }
-        let listed = items
+        let listed: HashSet<&str> = items
             .iter()
             .filter_map(|item| item.key.strip_prefix(PREFIX))
             .collect();
-        for key in self.board.missing(&listed) {
+        for key in self.board.missing(|key| listed.contains(key)) {
             self.refuse("missing", &key);
         }
         self.pause = RETRY_PAUSE;
--- a/serving/src/modules/operators.rs
+++ b/serving/src/modules/operators.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use medlarfall_schema::operator as rpc;
 use medlarfall_schema::operator::operator_server::{Operator, OperatorServer};
@@ -13,6 +14,7 @@
 use crate::modules::declarations;
 
 pub mod apply;
+pub mod confirm;
 
 /// Answers operators.
 struct Handle {
@@ -60,15 +62,21 @@
         request: Request<rpc::ApplyRequest>,
     ) -> Result<Response<rpc::ApplyReply>, Status> {
         let request = request.into_inner();
+        let (wait, wait_ms) = (request.wait, request.wait_ms);
         let change = apply::Change::try_from(request)?;
         let board = &self.context.board;
         let held = board.get(change.name());
         let stored = apply::store(&self.context.platform, held.as_deref(), change).await?;
         board.offer(declarations::record(stored.clone()));
-        Ok(Response::new(rpc::ApplyReply {
-            service: Some(stored),
-            ..rpc::ApplyReply::default()
-        }))
+        let mut reply = rpc::ApplyReply::default();
+        if wait {
+            let limit = Duration::from_millis(wait_ms);
+            let found = confirm::wait(&self.context, &stored.name, stored.revision, limit).await;
+            reply.confirmed = found.confirmed.len() as u64;
+            reply.missing = found.missing.iter().map(ToString::to_string).collect();
+        }
+        reply.service = Some(stored);
+        Ok(Response::new(reply))
     }
 
     async fn list(&self, _: Request<rpc::ListRequest>) -> Result<Response<rpc::ListReply>, Status> {
--- a/serving/src/modules/peers.rs
+++ b/serving/src/modules/peers.rs
@@ -11,6 +11,7 @@
 use std::time::{Duration, Instant};
 
 use futures::StreamExt;
+use medlarfall_coordination::membership;
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 use tarpc::context;
@@ -25,6 +26,10 @@
 
 use crate::configs::keys::Secret;
 use crate::context::Context;
+use crate::modules::operators::confirm::{self, Confirmation, Question};
+use crate::modules::spread::{
+    DeclarationsExchange, DeclarationsMessage, Exchange, InstancesExchange, InstancesMessage,
+};
 
 mod handshake;
 
@@ -57,6 +62,14 @@
 pub trait Peer {
     /// Returns what the entry says of itself.
     async fn identity() -> Identity;
+    /// Takes a message of membership and returns the answers to its sender.
+    async fn gossip(message: membership::Message) -> Vec<membership::Message>;
+    /// Takes a message of an exchange of declarations.
+    async fn declarations(message: DeclarationsMessage) -> DeclarationsExchange;
+    /// Takes a message of an exchange of instances.
+    async fn instances(message: InstancesMessage) -> InstancesExchange;
+    /// Returns where a revision is in force.
+    async fn confirm(question: Question) -> Confirmation;
 }
 
 /// Why a peer could not be asked.
@@ -201,6 +214,34 @@
     async fn identity(self, _: context::Context) -> Identity {
         self.context.identity.clone()
     }
+
+    async fn gossip(
+        self,
+        _: context::Context,
+        message: membership::Message,
+    ) -> Vec<membership::Message> {
+        self.context.membership.receive(message).await
+    }
+
+    async fn declarations(
+        self,
+        _: context::Context,
+        message: DeclarationsMessage,
+    ) -> DeclarationsExchange {
+        let loaded = self.context.declarations.borrow().loaded;
+        let message = self.context.board.answer(message);
+        Exchange { loaded, message }
+    }
+
+    async fn instances(self, _: context::Context, message: InstancesMessage) -> InstancesExchange {
+        let message = self.context.roll.answer(message);
+        let loaded = true;
+        Exchange { loaded, message }
+    }
+
+    async fn confirm(self, _: context::Context, question: Question) -> Confirmation {
+        confirm::answer(&self.context, question).await
+    }
 }
 
 /// Starts the peers' port and returns its address.
--- a/serving/src/modules/spread.rs
+++ b/serving/src/modules/spread.rs
@@ -1,6 +1,5 @@
 //! Values that all entries hold alike: read from the platform by a few, passed on between peers.
 
-use std::collections::HashSet;
 use std::hash::Hash;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -8,6 +7,12 @@
 use medlarfall_coordination::revision::{Ledger, Message, Record, Verdict};
 use tokio::sync::{broadcast, watch};
 
+mod task;
+
+pub use task::{
+    DeclarationsExchange, DeclarationsMessage, Exchange, InstancesExchange, InstancesMessage, start,
+};
+
 /// Groups of new records kept for the task that passes them on; more are left to the comparison
 /// with peers.
 const LEARNT_KEPT: usize = 1024;
@@ -15,8 +20,10 @@
 /// What an entry does to keep a topic current.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Duty {
-    /// It follows the platform and passes changes on.
-    Watch,
+    /// It is the first of its failure domain that follows the platform and passes changes on.
+    Lead,
+    /// It follows the platform as well, in case the first does not.
+    Second,
     /// It learns from its peers and reads the platform once in a long while.
     Poll(Duration),
 }
@@ -95,13 +102,13 @@
         self.lock().get(key).map(|record| record.revision)
     }
 
-    /// Returns the keys that are held and not in `listed`.
+    /// Returns the keys that are held and not listed.
     #[must_use]
-    pub fn missing(&self, listed: &HashSet<&str>) -> Vec<Arc<str>> {
+    pub fn missing(&self, listed: impl Fn(&str) -> bool) -> Vec<String> {
         self.lock()
             .iter()
-            .filter(|record| !listed.contains(record.key.as_ref()))
-            .map(|record| Arc::clone(&record.key))
+            .filter(|record| !listed(&record.key))
+            .map(|record| record.key.to_string())
             .collect()
     }
 
--- a/serving/tests/configuration/declarations.rs
+++ b/serving/tests/configuration/declarations.rs
@@ -56,7 +56,7 @@
 
     async fn reaches(&self, revision: u64) {
         let mut view = self.board.view();
-        let reached = view.wait_for(|_| self.revision() >= revision);
+        let reached = view.wait_for(|held| held.revision("briefs") >= Some(revision));
         let reached = tokio::time::timeout(IN_FORCE, reached).await;
         assert!(reached.is_ok(), "revision {revision} is not in force");
     }
@@ -84,7 +84,7 @@
 #[tokio::test(start_paused = true)]
 async fn a_change_is_in_force_at_once_and_an_older_one_never() {
     let store = Memory::new();
-    let reader = Reader::start(store.clone(), Duty::Watch);
+    let reader = Reader::start(store.clone(), Duty::Lead);
     write(&store, 1, false).await;
     reader.reaches(1).await;
     write(&store, 5, false).await;
@@ -100,14 +100,14 @@
     let store = Memory::new();
     write(&store, 1, false).await;
     write(&store, 2, false).await;
-    let reader = Reader::start(store.with(&[Fault::Stale]), Duty::Watch);
+    let reader = Reader::start(store.with(&[Fault::Stale]), Duty::Lead);
     reader.reaches(2).await;
 }
 
 #[tokio::test(start_paused = true)]
 async fn a_vanished_key_is_reported_and_a_deletion_is_obeyed() {
     let store = Memory::new();
-    let reader = Reader::start(store.clone(), Duty::Watch);
+    let reader = Reader::start(store.clone(), Duty::Lead);
     write(&store, 1, false).await;
     reader.reaches(1).await;
     let key = format!("{PREFIX}briefs");
@@ -126,7 +126,7 @@
 #[tokio::test(start_paused = true)]
 async fn declarations_stay_in_an_outage_and_catch_up_after_it() {
     let store = Memory::new();
-    let reader = Reader::start(store.clone(), Duty::Watch);
+    let reader = Reader::start(store.clone(), Duty::Lead);
     write(&store, 1, false).await;
     reader.reaches(1).await;
     store.set_down(true);
@@ -152,7 +152,7 @@
 async fn an_entry_alone_in_an_outage_has_loaded_nothing() {
     let store = Memory::new();
     store.set_down(true);
-    let reader = Reader::start(store.clone(), Duty::Watch);
+    let reader = Reader::start(store.clone(), Duty::Lead);
     sleep(Duration::from_secs(30)).await;
     assert!(!reader.board.view().borrow().loaded);
     store.set_down(false);
@@ -172,7 +172,7 @@
     sleep(Duration::from_mins(10)).await;
     let calls = store.calls() - before;
     assert!(calls <= 11, "{calls} calls in {:?}", started.elapsed());
-    reader.duty.send_replace(Duty::Watch);
+    reader.duty.send_replace(Duty::Lead);
     write(&store, 2, false).await;
     reader.reaches(2).await;
 }
--- a/standin/src/platform.rs
+++ b/standin/src/platform.rs
@@ -39,6 +39,8 @@
     pub stale_reads: u64,
     /// Entries, by the header `medlarfall-caller`, whose calls are never answered.
     pub cut_off: Vec<String>,
+    /// Every call to the instance list is answered with 503.
+    pub instances_down: bool,
 }
 
 /// How a platform is started.
@@ -157,16 +159,26 @@
             return self.control(control, request).await;
         }
         self.life.running().await;
-        if let Some(name) = path.strip_prefix("/instances") {
-            return Ok(self.instances(name.trim_start_matches('/'), request).await);
-        }
         let faults = self.lock().faults.clone();
         let caller = request
             .headers()
             .get("medlarfall-caller")
             .and_then(|value| value.to_str().ok());
         let cut_off = caller.is_some_and(|caller| faults.cut_off.iter().any(|name| name == caller));
-        if faults.hang || cut_off {
+        if cut_off {
+            self.life.stop().cancelled().await;
+            return Err(Cut);
+        }
+        if let Some(name) = path.strip_prefix("/instances") {
+            if faults.instances_down {
+                return Ok(http::problem(
+                    StatusCode::SERVICE_UNAVAILABLE,
+                    "the instance list is down",
+                ));
+            }
+            return Ok(self.instances(name.trim_start_matches('/'), request).await);
+        }
+        if faults.hang {
             self.life.stop().cancelled().await;
             return Err(Cut);
         }
