--- a/serving/src/context.rs
+++ b/serving/src/context.rs
@@ -1,7 +1,8 @@
 //! What every module of an entry shares, passed by reference.
 
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 
+use medlarfall_coordination::detector::Detector;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
@@ -11,6 +12,7 @@
 use crate::modules::admission::Admission;
 use crate::modules::declarations::{Board, Declarations};
 use crate::modules::directory::{Directory, Roll};
+use crate::modules::generation::outbox::Ledger;
 use crate::modules::membership;
 use crate::modules::metrics::Metrics;
 use crate::modules::peers::{Identity, Peers};
@@ -43,6 +45,10 @@
     pub declarations: watch::Receiver<Arc<Declarations>>,
     /// Backend servers that this entry knows of.
     pub directory: watch::Receiver<Arc<Directory>>,
+    /// What was learnt of the silences of engines.
+    pub detector: Mutex<Detector>,
+    /// Text held for readers of generations.
+    pub held: Arc<Ledger>,
     /// Admission of requests to backend servers.
     pub admission: Admission,
     /// Cancelled when the entry stops.
--- a/serving/src/entry.rs
+++ b/serving/src/entry.rs
@@ -16,7 +16,7 @@
 use crate::modules::peers::{Identity, Peers};
 use crate::modules::spread::{self, Duty};
 use crate::modules::{
-    admission, callers, declarations, directory, membership, metrics, operators, peers,
+    admission, callers, declarations, directory, generation, membership, metrics, operators, peers,
 };
 use crate::platform;
 
@@ -100,24 +100,30 @@
     directory::start(instances, roll.clone(), stop.clone());
     let clock = Clock::start();
     let directory = roll.view();
+    let identity = Identity {
+        name: Arc::clone(&settings.entry.name),
+        incarnation: Arc::from(Uuid::now_v7().to_string()),
+        failure_domain: Arc::clone(&settings.entry.failure_domain),
+    };
+    let admission = admission::start(admission::Start {
+        settings: &settings,
+        identity: &identity,
+        store: platform.clone(),
+        admitted: metrics.admitted.clone(),
+        clock,
+        directory: directory.clone(),
+        stop: stop.clone(),
+    });
     let context = Arc::new(Context {
-        admission: admission::start(
-            &settings,
-            metrics.admitted.clone(),
-            clock,
-            directory.clone(),
-            stop.clone(),
-        ),
+        admission,
         clock,
-        identity: Identity {
-            name: Arc::clone(&settings.entry.name),
-            incarnation: Arc::from(Uuid::now_v7().to_string()),
-            failure_domain: Arc::clone(&settings.entry.failure_domain),
-        },
+        identity,
         peers: Peers::new(settings.keys.peers.clone()),
         backend: backend::http::Client::new(),
         declarations: board.view(),
         board,
+        detector: generation::detector(&settings.generation),
+        held: generation::outbox::Ledger::new(settings.generation.held_limit, &metrics),
         directory,
         membership,
         roll,
@@ -126,6 +132,7 @@
         settings,
         stop,
     });
+    generation::start_upkeep(Arc::clone(&context));
     let callers = callers::start(Arc::clone(&context))
         .await
         .context(BindSnafu {
