--- a/programs/src/operator.rs
+++ b/programs/src/operator.rs
@@ -58,11 +58,21 @@
         let request = rpc::ApplyRequest {
             service: Some(service),
             change_id,
+            ..rpc::ApplyRequest::default()
         };
         let reply = self.client.apply(request).await?.into_inner();
         Ok(reply.service.unwrap_or_default())
     }
 
+    /// Makes a call to declare a service, as it is written, and returns the answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns the entry's refusal.
+    pub async fn change(&mut self, request: rpc::ApplyRequest) -> Result<rpc::ApplyReply, Status> {
+        Ok(self.client.apply(request).await?.into_inner())
+    }
+
     /// Returns the declarations in force at the entry.
     ///
     /// # Errors
