feat(stops): planned stops move generations before the server leaves

A server that stops used to be noticed only when the instance list said so or the connection broke: its generations were cut and resumed after the loss.

An operator plans a stop of a server, a failure domain or an entry; it is stored by compare-and-swap, settled by reading back. Every entry watches the stops and gives a leaving server no new work. A generation that would outlast the date gets its next attempt on another server, and the present one ends only when the next has produced a token. An entry that leaves refuses new requests as not run and ends its streams.

Judged: adopting the next attempt when it is opened (the caller would wait for its prefill); moving everything at once (a burst of prefills on the others). The metric attempts_lost existed but was never counted; it is now.

--- a/coordination/src/journal.rs
+++ b/coordination/src/journal.rs
@@ -49,6 +49,7 @@
 pub struct Journal {
     tokens: Vec<Arc<str>>,
     attempt: u64,
+    reserved: u64,
     ended: bool,
 }
 
@@ -61,8 +62,22 @@
 
     /// Begins an attempt, which makes every earlier one stale.
     pub fn begin_attempt(&mut self) -> Attempt {
-        self.attempt += 1;
-        Attempt(self.attempt)
+        let attempt = self.reserve_attempt();
+        self.adopt(attempt);
+        attempt
+    }
+
+    /// Returns the number of an attempt that is prepared while the present one goes on; it is not
+    /// current before it is adopted.
+    pub fn reserve_attempt(&mut self) -> Attempt {
+        self.reserved += 1;
+        Attempt(self.reserved)
+    }
+
+    /// Makes a reserved attempt the current one, and every earlier one stale; an attempt older than
+    /// the current one stays stale.
+    pub fn adopt(&mut self, attempt: Attempt) {
+        self.attempt = self.attempt.max(attempt.0);
     }
 
     /// Judges a token, and writes it down if it is to be delivered.
--- a/coordination/src/lib.rs
+++ b/coordination/src/lib.rs
@@ -5,3 +5,4 @@
 //! of events. Times are [`std::time::Duration`]s since an arbitrary origin that never goes back.
 
 pub mod journal;
+pub mod planned_stop;
--- /dev/null
+++ b/coordination/src/planned_stop.rs
@@ -0,0 +1,219 @@
+//! Planned stops: what a stop concerns, and when a generation is moved off a leaving server.
+//!
+//! ```
+//! use std::time::Duration;
+//! use medlarfall_coordination::planned_stop::{Decision, Policy, Stand};
+//!
+//! let policy = Policy { lead: Duration::from_secs(5), margin_percent: 50 };
+//! let stand = Stand {
+//!     accepted: Duration::ZERO,
+//!     date: Duration::from_secs(60),
+//!     share: 0.5,
+//!     remaining_tokens: 100,
+//!     token_interval: Some(Duration::from_millis(10)),
+//! };
+//! // One second of work and half of it as margin end well before the date.
+//! assert_eq!(policy.decide(&stand, Duration::ZERO), Decision::Stay);
+//! let long = Stand { remaining_tokens: 100_000, ..stand };
+//! let moment = Duration::from_millis(27_500);
+//! assert_eq!(policy.decide(&long, Duration::ZERO), Decision::MoveAt(moment));
+//! assert_eq!(policy.decide(&long, moment), Decision::MoveNow);
+//! ```
+
+use std::fmt;
+use std::str::FromStr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use snafu::Snafu;
+
+/// What a planned stop concerns.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub enum Target {
+    /// One backend server, by name.
+    Server(Arc<str>),
+    /// Every instance of a failure domain, by its name.
+    FailureDomain(Arc<str>),
+    /// One entry, by name.
+    Entry(Arc<str>),
+}
+
+/// A target that cannot be read.
+#[derive(Clone, Debug, Eq, PartialEq, Snafu)]
+#[snafu(display(
+    "`target = {value}` cannot be used: write `server/NAME`, `failure-domain/NAME` or `entry/NAME`"
+))]
+pub struct Malformed {
+    /// The value.
+    pub value: String,
+}
+
+impl FromStr for Target {
+    type Err = Malformed;
+
+    fn from_str(value: &str) -> Result<Self, Malformed> {
+        let malformed = || Malformed {
+            value: value.to_owned(),
+        };
+        let (scope, name) = value.split_once('/').ok_or_else(malformed)?;
+        let allowed = |character: char| {
+            character.is_ascii_alphanumeric() || matches!(character, '-' | '.' | '_')
+        };
+        match scope {
+            _ if name.is_empty() || !name.chars().all(allowed) => Err(malformed()),
+            "server" => Ok(Self::Server(Arc::from(name))),
+            "failure-domain" => Ok(Self::FailureDomain(Arc::from(name))),
+            "entry" => Ok(Self::Entry(Arc::from(name))),
+            _ => Err(malformed()),
+        }
+    }
+}
+
+impl fmt::Display for Target {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Server(name) => write!(formatter, "server/{name}"),
+            Self::FailureDomain(name) => write!(formatter, "failure-domain/{name}"),
+            Self::Entry(name) => write!(formatter, "entry/{name}"),
+        }
+    }
+}
+
+impl Target {
+    /// Returns whether the target covers a backend server.
+    #[must_use]
+    pub fn covers_server(&self, server: &str, failure_domain: &str) -> bool {
+        match self {
+            Self::Server(name) => name.as_ref() == server,
+            Self::FailureDomain(name) => name.as_ref() == failure_domain,
+            Self::Entry(_) => false,
+        }
+    }
+
+    /// Returns whether the target covers an entry.
+    #[must_use]
+    pub fn covers_entry(&self, entry: &str, failure_domain: &str) -> bool {
+        match self {
+            Self::Entry(name) => name.as_ref() == entry,
+            Self::FailureDomain(name) => name.as_ref() == failure_domain,
+            Self::Server(_) => false,
+        }
+    }
+}
+
+/// How early generations are moved.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Policy {
+    /// Time before the date at which the last generations are moved.
+    pub lead: Duration,
+    /// Share added to the estimate of a generation's remaining time, in percent.
+    pub margin_percent: u32,
+}
+
+/// How a generation stands towards the stop of its server. Times are since one origin.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Stand {
+    /// When the stop came to be known.
+    pub accepted: Duration,
+    /// When the server stops.
+    pub date: Duration,
+    /// Where in the time between, from 0 to 1, this generation is moved; spreads the moves.
+    pub share: f64,
+    /// Most tokens that are still to come.
+    pub remaining_tokens: u64,
+    /// Measured time between two tokens; nothing before two tokens have come.
+    pub token_interval: Option<Duration>,
+}
+
+/// What is to be done with a generation on a leaving server.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Decision {
+    /// It ends in time: look again at each token.
+    Stay,
+    /// It does not end in time: move it at this time unless it is judged anew before.
+    MoveAt(Duration),
+    /// Move it now.
+    MoveNow,
+}
+
+impl Policy {
+    /// Returns the last time at which a generation is moved.
+    #[must_use]
+    pub fn latest(&self, date: Duration) -> Duration {
+        date.saturating_sub(self.lead)
+    }
+
+    /// Decides what is to be done at `now`.
+    #[must_use]
+    pub fn decide(&self, stand: &Stand, now: Duration) -> Decision {
+        let latest = self.latest(stand.date);
+        if now >= latest {
+            return Decision::MoveNow;
+        }
+        let ends = stand
+            .token_interval
+            .map(|interval| self.ends(now, stand.remaining_tokens, interval));
+        let moment = moment(stand.accepted, latest, stand.share);
+        match ends {
+            Some(ends) if ends <= latest => Decision::Stay,
+            None => Decision::MoveAt(latest),
+            Some(_) if now >= moment => Decision::MoveNow,
+            Some(_) => Decision::MoveAt(moment),
+        }
+    }
+
+    /// Returns when a generation ends by its estimate, margin included.
+    fn ends(&self, now: Duration, tokens: u64, interval: Duration) -> Duration {
+        let tokens = u32::try_from(tokens).unwrap_or(u32::MAX);
+        let work = interval.saturating_mul(tokens);
+        let margin = work.saturating_mul(self.margin_percent) / 100;
+        now.saturating_add(work).saturating_add(margin)
+    }
+}
+
+/// Returns the time that lies at `share` between two times.
+fn moment(accepted: Duration, latest: Duration, share: f64) -> Duration {
+    let share = if share.is_finite() {
+        share.clamp(0.0, 1.0)
+    } else {
+        0.0
+    };
+    accepted + latest.saturating_sub(accepted).mul_f64(share)
+}
+
+/// Returns the share of a request between 0 and 1, the same each time.
+#[must_use]
+pub fn share(request_id: &str) -> f64 {
+    let hash = xxhash_rust::xxh3::xxh3_64(request_id.as_bytes());
+    f64::from(u32::try_from(hash >> 32).unwrap_or(u32::MAX)) / f64::from(u32::MAX)
+}
+
+/// Judges whether anything still holds a stop. Reports of what a server runs lag, so that nothing
+/// must have held it for a while.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Quiet {
+    settle: Duration,
+    since: Option<Duration>,
+}
+
+impl Quiet {
+    /// Returns the judge of a stop that has finished once nothing held it for `settle`.
+    #[must_use]
+    pub fn new(settle: Duration) -> Self {
+        Self {
+            settle,
+            since: None,
+        }
+    }
+
+    /// Notes at `now` how many requests hold the stop, or that this could not be read; returns
+    /// whether it has finished.
+    pub fn observe(&mut self, now: Duration, held: Option<u64>) -> bool {
+        if held != Some(0) {
+            self.since = None;
+            return false;
+        }
+        let since = *self.since.get_or_insert(now);
+        now.saturating_sub(since) >= self.settle
+    }
+}
--- a/programs/src/bin/medlarfalld.rs
+++ b/programs/src/bin/medlarfalld.rs
@@ -4,6 +4,7 @@
 
 use medlarfall_serving::configs::Settings;
 use medlarfall_serving::{entry, telemetry};
+use tokio::signal::unix::{SignalKind, signal};
 
 /// Arguments, parsed by `xflags`, which writes the code without comments.
 #[allow(missing_docs)]
@@ -34,7 +35,7 @@
     }
 }
 
-/// Runs the entry until the process is interrupted.
+/// Runs the entry until the process is interrupted; when it is told to terminate, it leaves first.
 async fn run(settings: Settings) -> ExitCode {
     telemetry::start(settings.log.level);
     let entry = match entry::start(settings).await {
@@ -45,7 +46,20 @@
         }
     };
     println!("{}", serde_json::json!({ "listening": entry.addresses }));
-    let _ = tokio::signal::ctrl_c().await;
+    let interrupted = tokio::signal::ctrl_c();
+    let mut terminated = match signal(SignalKind::terminate()) {
+        Ok(terminated) => terminated,
+        Err(error) => {
+            eprintln!("medlarfalld: the termination signal cannot be caught: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    tokio::select! {
+        _ = interrupted => {}
+        _ = terminated.recv() => {
+            entry.leave().await;
+        }
+    }
     fastrace::flush();
     ExitCode::SUCCESS
 }
--- a/programs/src/commands.rs
+++ b/programs/src/commands.rs
@@ -11,6 +11,8 @@
 use crate::caller::{Caller, Completion};
 use crate::operator::Operator;
 
+pub mod stops;
+
 /// What a subcommand returns.
 pub type Result = std::result::Result<(), Box<dyn Error>>;
 
--- a/programs/src/main.rs
+++ b/programs/src/main.rs
@@ -1,6 +1,7 @@
 //! The command line for operators and callers.
 
 use std::process::ExitCode;
+use std::time::Duration;
 
 use medlarfall::caller::Completion;
 use medlarfall::{bench, commands, demo};
@@ -50,6 +51,36 @@
                 /// Operators' address of an entry.
                 required --entry entry: SocketAddr
             }
+            /// Plans, watches and cancels stops of backend servers, failure domains and entries.
+            cmd stop {
+                /// Plans a stop, or changes its date.
+                cmd plan {
+                    /// Operators' address of an entry.
+                    required --entry entry: SocketAddr
+                    /// What stops: server/NAME, failure-domain/NAME or entry/NAME.
+                    required target: String
+                    /// Seconds until it stops.
+                    required --seconds seconds: u64
+                    /// Why, for other operators.
+                    optional --note note: String
+                    /// Revision of the stop that you change; 0 by default, for a new one.
+                    optional --revision revision: u64
+                }
+                /// Prints what still holds a stop until it has finished.
+                cmd watch {
+                    /// Operators' address of an entry.
+                    required --entry entry: SocketAddr
+                    /// What stops.
+                    required target: String
+                }
+                /// Takes a planned stop back.
+                cmd cancel {
+                    /// Operators' address of an entry.
+                    required --entry entry: SocketAddr
+                    /// What was to stop.
+                    required target: String
+                }
+            }
             /// Asks for a generation and prints it as it comes.
             cmd generate {
                 /// Callers' address of an entry.
@@ -97,6 +128,7 @@
         }
         flags::MedlarfallCmd::List(flags) => commands::list(flags.entry, &key()?, json).await,
         flags::MedlarfallCmd::Status(flags) => commands::status(flags.entry, &key()?).await,
+        flags::MedlarfallCmd::Stop(flags) => stop(flags.subcommand, json).await,
         flags::MedlarfallCmd::Generate(flags) => {
             let completion = Completion {
                 model: flags.model,
@@ -109,6 +141,28 @@
     }
 }
 
+/// Runs a subcommand of `stop`.
+async fn stop(command: flags::StopCmd, json: bool) -> commands::Result {
+    let key = key()?;
+    match command {
+        flags::StopCmd::Plan(flags) => {
+            let plan = commands::stops::Plan {
+                target: flags.target,
+                notice: Duration::from_secs(flags.seconds),
+                note: flags.note.unwrap_or_default(),
+                revision: flags.revision.unwrap_or(0),
+            };
+            commands::stops::plan(flags.entry, &key, plan, json).await
+        }
+        flags::StopCmd::Watch(flags) => {
+            commands::stops::watch(flags.entry, &key, &flags.target, json).await
+        }
+        flags::StopCmd::Cancel(flags) => {
+            commands::stops::cancel(flags.entry, &key, &flags.target, json).await
+        }
+    }
+}
+
 /// Reads the key from the environment.
 fn key() -> Result<String, String> {
     std::env::var(KEY_VARIABLE).map_err(|_| format!("set {KEY_VARIABLE} to your key"))
--- a/programs/src/operator.rs
+++ b/programs/src/operator.rs
@@ -2,14 +2,14 @@
 
 use std::net::SocketAddr;
 
-use medlarfall_schema::declaration::Service;
+use medlarfall_schema::declaration::{Service, Stop};
 use medlarfall_schema::operator as rpc;
 use medlarfall_schema::operator::operator_client::OperatorClient;
 use tonic::metadata::{Ascii, MetadataValue};
 use tonic::service::Interceptor;
 use tonic::service::interceptor::InterceptedService;
 use tonic::transport::{Channel, Endpoint};
-use tonic::{Request, Status};
+use tonic::{Request, Status, Streaming};
 use uuid::Uuid;
 
 /// Adds the operators' key to each call.
@@ -77,6 +77,49 @@
             .services)
     }
 
+    /// Plans a stop and returns it as stored.
+    ///
+    /// # Errors
+    ///
+    /// Returns the entry's refusal.
+    pub async fn plan_stop(&mut self, stop: Stop) -> Result<Stop, Status> {
+        let request = rpc::PlanStopRequest {
+            stop: Some(stop),
+            change_id: Uuid::now_v7().to_string(),
+        };
+        let reply = self.client.plan_stop(request).await?.into_inner();
+        Ok(reply.stop.unwrap_or_default())
+    }
+
+    /// Takes a planned stop back and returns it as stored.
+    ///
+    /// # Errors
+    ///
+    /// Returns the entry's refusal.
+    pub async fn cancel_stop(&mut self, target: &str) -> Result<Stop, Status> {
+        let request = rpc::CancelStopRequest {
+            target: target.to_owned(),
+            change_id: Uuid::now_v7().to_string(),
+        };
+        let reply = self.client.cancel_stop(request).await?.into_inner();
+        Ok(reply.stop.unwrap_or_default())
+    }
+
+    /// Returns the stream of what still holds a stop.
+    ///
+    /// # Errors
+    ///
+    /// Returns the entry's refusal.
+    pub async fn watch_stop(
+        &mut self,
+        target: &str,
+    ) -> Result<Streaming<rpc::StopProgress>, Status> {
+        let request = rpc::WatchStopRequest {
+            target: target.to_owned(),
+        };
+        Ok(self.client.watch_stop(request).await?.into_inner())
+    }
+
     /// Returns what the entry knows of the system.
     ///
     /// # Errors
--- a/serving/src/configs.rs
+++ b/serving/src/configs.rs
@@ -17,6 +17,7 @@
 pub mod log;
 pub mod platform;
 pub mod services;
+pub mod stops;
 mod value;
 
 pub use value::Problem;
@@ -67,6 +68,8 @@
     pub generation: generation::Generation,
     /// How plain services are called.
     pub services: services::Services,
+    /// How planned stops are carried out.
+    pub stops: stops::Stops,
     /// Logs.
     pub log: log::Log,
 }
@@ -110,6 +113,7 @@
             callers: raw.callers.unwrap_or_default().try_into()?,
             generation: raw.generation.unwrap_or_default().try_into()?,
             services: raw.services.unwrap_or_default().try_into()?,
+            stops: raw.stops.unwrap_or_default().try_into()?,
             log: raw.log.unwrap_or_default().try_into()?,
         })
     }
--- a/serving/src/context.rs
+++ b/serving/src/context.rs
@@ -12,6 +12,7 @@
 use crate::modules::directory::Directory;
 use crate::modules::metrics::Metrics;
 use crate::modules::peers::{Identity, Peers};
+use crate::modules::stops::Stops;
 use crate::platform;
 
 /// The context of one entry instance.
@@ -35,6 +36,8 @@
     pub declarations: watch::Receiver<Arc<Declarations>>,
     /// Backend servers that this entry knows of.
     pub directory: watch::Receiver<Arc<Directory>>,
+    /// Planned stops, and what holds them.
+    pub stops: Stops,
     /// Cancelled when the entry stops.
     pub stop: CancellationToken,
 }
--- a/serving/src/entry.rs
+++ b/serving/src/entry.rs
@@ -13,7 +13,7 @@
 use crate::configs::Settings;
 use crate::context::Context;
 use crate::modules::peers::{Identity, Peers};
-use crate::modules::{callers, declarations, directory, metrics, operators, peers};
+use crate::modules::{callers, declarations, directory, metrics, operators, peers, stops};
 use crate::platform;
 
 /// Why an entry could not start.
@@ -56,6 +56,14 @@
 }
 
 impl Entry {
+    /// Leaves: takes no new requests, ends those in progress within the entry's window, then ends the
+    /// entry's tasks. Returns whether every request ended on its own.
+    pub async fn leave(&self) -> bool {
+        let whole = stops::leave(&self.context).await;
+        self.kill();
+        whole
+    }
+
     /// Ends the entry's tasks at once, as the death of the process would.
     pub fn kill(&self) {
         self.context.stop.cancel();
@@ -88,10 +96,12 @@
         declarations: declarations::start(platform.clone(), settings.platform, stop.clone()),
         directory: directory::start(platform.clone(), settings.platform, stop.clone()),
         metrics,
+        stops: stops::Stops::new(),
         platform,
         settings,
         stop,
     });
+    stops::start(&context);
     let callers = callers::start(Arc::clone(&context))
         .await
         .context(BindSnafu {
--- a/serving/src/modules.rs
+++ b/serving/src/modules.rs
@@ -8,3 +8,4 @@
 pub mod operators;
 pub mod peers;
 pub mod routing;
+pub mod stops;
--- a/serving/src/modules/callers.rs
+++ b/serving/src/modules/callers.rs
@@ -49,6 +49,16 @@
             .as_deref()
             .and_then(|value| value.strip_prefix("Bearer "));
         let account = key.and_then(|key| self.context.settings.keys.account(key));
+        if self.context.stops.leaving() {
+            Problem::new(
+                Kind::EntryLeaving,
+                Outcome::NotRun,
+                "this entry is leaving; send the request to another entry",
+            )
+            .render(response);
+            control.skip_rest();
+            return;
+        }
         if let Some(account) = account {
             depot.insert_typed(Caller {
                 account,
--- a/serving/src/modules/callers/completions.rs
+++ b/serving/src/modules/callers/completions.rs
@@ -129,15 +129,19 @@
 
     /// Streams a generation as server-sent events.
     fn stream(&self, order: Order, response: &mut Response) {
+        let holding = self.context.stops.holding.request();
         let events = generation::start(Arc::clone(&self.context), order.clone());
         let _ = response.add_header(RUN, Outcome::Ran.as_str(), true);
-        let events = ReceiverStream::new(events)
-            .map(move |event| Ok::<_, Infallible>(event_text(&order, &event)));
+        let events = ReceiverStream::new(events).map(move |event| {
+            let _ = &holding;
+            Ok::<_, Infallible>(event_text(&order, &event))
+        });
         sse::stream(response, events);
     }
 
     /// Answers a generation as a whole.
     async fn whole(&self, order: Order, response: &mut Response) {
+        let _holding = self.context.stops.holding.request();
         let events = generation::start(Arc::clone(&self.context), order.clone());
         match collect(events).await {
             Ok((text, reason, tokens)) => {
--- a/serving/src/modules/callers/problem.rs
+++ b/serving/src/modules/callers/problem.rs
@@ -48,6 +48,8 @@
     Unavailable,
     /// The answer was lost on the way.
     AnswerLost,
+    /// This entry is leaving.
+    EntryLeaving,
 }
 
 impl Kind {
@@ -59,7 +61,7 @@
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::TooSlow => StatusCode::REQUEST_TIMEOUT,
             Self::UnknownService => StatusCode::NOT_FOUND,
-            Self::Unavailable => StatusCode::SERVICE_UNAVAILABLE,
+            Self::EntryLeaving | Self::Unavailable => StatusCode::SERVICE_UNAVAILABLE,
             Self::AnswerLost => StatusCode::BAD_GATEWAY,
         }
     }
--- a/serving/src/modules/callers/services.rs
+++ b/serving/src/modules/callers/services.rs
@@ -43,6 +43,7 @@
     async fn answer(&self, request: &mut Request, caller: &Caller) -> Result<Reply, Problem> {
         let name = request.param::<String>("service").unwrap_or_default();
         let service = self.service(&name)?;
+        let _holding = self.context.stops.holding.request();
         let body = read_body(request, self.context.settings.callers.body_limit).await?;
         let rest = request.param::<String>("rest").unwrap_or_default();
         let query = request
@@ -89,6 +90,7 @@
             };
             tried.push(Arc::clone(&server.name));
             call.attempt += 1;
+            let _holding = self.context.stops.holding.attempt(&server.name);
             let answer = tokio::time::timeout(
                 bounds.call_timeout,
                 self.context.backend.call(&server, &call),
--- a/serving/src/modules/generation.rs
+++ b/serving/src/modules/generation.rs
@@ -9,6 +9,7 @@
 use crate::backend::{Engine, Frame, Frames, Generate, Reference, Server};
 use crate::context::Context;
 use crate::modules::routing;
+use crate::modules::stops::handover::{Handover, Interruption, Prepared};
 
 /// A generation that a caller asked for.
 #[derive(Clone, Debug)]
@@ -59,6 +60,14 @@
         /// Tokens delivered so far.
         delivered: u64,
     },
+    /// The entry leaves before the answer is whole.
+    #[snafu(display(
+        "this entry is leaving; {delivered} tokens were delivered; go on at another entry"
+    ))]
+    EntryLeaves {
+        /// Tokens delivered so far.
+        delivered: u64,
+    },
 }
 
 /// How an attempt ended.
@@ -67,6 +76,10 @@
     Whole(Arc<str>),
     /// The attempt was lost; another may go on.
     Lost(String),
+    /// The generation runs on another server already, since the present one is leaving.
+    Moved(Box<Prepared>),
+    /// This entry leaves and its window is over.
+    EntryLeaves,
     /// The caller has gone.
     CallerGone,
 }
@@ -103,21 +116,34 @@
     /// Makes attempts until the answer is whole.
     async fn run(mut self) {
         let mut tried = Vec::new();
-        for _ in 0..self.context.settings.generation.attempts {
-            let server = routing::pick(
-                &self.context,
-                &self.order.service,
-                &self.order.version,
-                &tried,
-            );
+        let mut attempts = self.context.settings.generation.attempts;
+        let mut moved: Option<Box<Prepared>> = None;
+        loop {
+            let server = match &moved {
+                Some(prepared) => Some(Arc::clone(&prepared.server)),
+                None if attempts == 0 => None,
+                None => routing::pick(
+                    &self.context,
+                    &self.order.service,
+                    &self.order.version,
+                    &tried,
+                ),
+            };
             let Some(server) = server else {
                 break;
             };
+            attempts -= usize::from(moved.is_none());
             tried.push(Arc::clone(&server.name));
-            match self.attempt(&server).await {
+            match self.attempt(&server, moved.take()).await {
+                Outcome::Moved(prepared) => {
+                    self.context.metrics.generations_moved.inc();
+                    moved = Some(prepared);
+                }
+                Outcome::EntryLeaves => return self.leave().await,
                 Outcome::Whole(reason) => return self.finish(reason).await,
                 Outcome::CallerGone => return,
                 Outcome::Lost(reason) => {
+                    self.context.metrics.attempts_lost.inc();
                     let server = server.name.as_ref();
                     log::warn!(request = self.order.request_id.as_ref(), server, reason = reason.as_str(); "attempt lost");
                 }
@@ -136,9 +162,21 @@
         let _ = self.sender.send(Event::End { reason, tokens }).await;
     }
 
-    /// Makes one attempt.
-    async fn attempt(&mut self, server: &Server) -> Outcome {
-        let attempt = self.journal.begin_attempt();
+    /// Tells the caller that the entry leaves.
+    async fn leave(&self) {
+        let delivered = self.journal.next_index();
+        let failed = Event::Failed(Error::EntryLeaves { delivered });
+        let _ = self.sender.send(failed).await;
+    }
+
+    /// Makes one attempt, or goes on with one that was prepared.
+    async fn attempt(&mut self, server: &Arc<Server>, moved: Option<Box<Prepared>>) -> Outcome {
+        let _holding = self.context.stops.holding.attempt(&server.name);
+        let attempt = match &moved {
+            Some(prepared) => prepared.attempt,
+            None => self.journal.reserve_attempt(),
+        };
+        self.journal.adopt(attempt);
         let generate = Generate {
             request_id: Arc::clone(&self.order.request_id),
             attempt: attempt.0,
@@ -148,11 +186,23 @@
             max_tokens: self.order.max_tokens,
             priority: self.order.priority,
         };
-        let mut frames = match self.context.backend.generate(server, &generate).await {
-            Ok(frames) => frames,
-            Err(error) => return Outcome::Lost(error.to_string()),
+        let mut handover =
+            Handover::new(&self.context, &self.order.service, server, generate.clone());
+        let (first, mut frames) = match moved {
+            Some(prepared) => (Some(prepared.first), prepared.frames),
+            None => match self.context.backend.generate(server, &generate).await {
+                Ok(frames) => (None, frames),
+                Err(error) => return Outcome::Lost(error.to_string()),
+            },
+        };
+        let early = match first {
+            Some(frame) => self.take(attempt, frame).await,
+            None => None,
+        };
+        let outcome = match early {
+            Some(outcome) => outcome,
+            None => self.follow(attempt, &mut frames, &mut handover).await,
         };
-        let outcome = self.follow(attempt, &mut frames).await;
         if !matches!(outcome, Outcome::Whole(_)) {
             self.cancel(server, attempt);
         }
@@ -160,10 +210,23 @@
     }
 
     /// Delivers an attempt's frames until it ends, fails or falls silent.
-    async fn follow<F: Frames>(&mut self, attempt: Attempt, frames: &mut F) -> Outcome {
+    async fn follow<F: Frames>(
+        &mut self,
+        attempt: Attempt,
+        frames: &mut F,
+        handover: &mut Handover,
+    ) -> Outcome {
         let silence = self.context.settings.generation.silence_ceiling;
         loop {
-            let frame = match tokio::time::timeout(silence, frames.next()).await {
+            let next = tokio::select! {
+                biased;
+                next = tokio::time::timeout(silence, frames.next()) => next,
+                interruption = handover.interruption(&mut self.journal) => match interruption {
+                    Interruption::Moved(prepared) => return Outcome::Moved(prepared),
+                    Interruption::EntryLeaves => return Outcome::EntryLeaves,
+                },
+            };
+            let frame = match next {
                 Ok(Ok(Some(frame))) => frame,
                 Ok(Ok(None)) => return Outcome::Lost("the stream ended early".to_owned()),
                 Ok(Err(error)) => return Outcome::Lost(error.to_string()),
--- a/serving/src/modules/metrics.rs
+++ b/serving/src/modules/metrics.rs
@@ -31,6 +31,8 @@
     pub requests: Family<Request, Counter>,
     /// Attempts of generations that were lost.
     pub attempts_lost: Counter,
+    /// Generations moved off a leaving server while it still ran them.
+    pub generations_moved: Counter,
 }
 
 impl Default for Metrics {
@@ -56,10 +58,17 @@
             "Attempts of generations that were lost",
             attempts_lost.clone(),
         );
+        let generations_moved = Counter::default();
+        registry.register(
+            "generations_moved",
+            "Generations moved off a leaving server while it still ran them",
+            generations_moved.clone(),
+        );
         Self {
             registry,
             requests,
             attempts_lost,
+            generations_moved,
         }
     }
 
@@ -128,6 +137,10 @@
 
 /// Answers whether the entry can take requests.
 fn ready(context: &Context) -> (StatusCode, String) {
+    if context.stops.leaving() {
+        let reason = "not ready: this entry is leaving; send requests to another entry\n";
+        return (StatusCode::SERVICE_UNAVAILABLE, reason.to_owned());
+    }
     if context.declarations.borrow().loaded {
         return (StatusCode::OK, "ready\n".to_owned());
     }
--- a/serving/src/modules/operators.rs
+++ b/serving/src/modules/operators.rs
@@ -12,6 +12,7 @@
 use crate::context::Context;
 
 mod apply;
+mod stops;
 
 /// Answers operators.
 struct Handle {
@@ -77,6 +78,32 @@
         }))
     }
 
+    async fn plan_stop(
+        &self,
+        request: Request<rpc::PlanStopRequest>,
+    ) -> Result<Response<rpc::PlanStopReply>, Status> {
+        let stop = stops::plan(&self.context, request.into_inner()).await?;
+        Ok(Response::new(rpc::PlanStopReply { stop: Some(stop) }))
+    }
+
+    type WatchStopStream = stops::Progress;
+
+    async fn watch_stop(
+        &self,
+        request: Request<rpc::WatchStopRequest>,
+    ) -> Result<Response<Self::WatchStopStream>, Status> {
+        let progress = stops::watch(&self.context, &request.into_inner().target).await?;
+        Ok(Response::new(progress))
+    }
+
+    async fn cancel_stop(
+        &self,
+        request: Request<rpc::CancelStopRequest>,
+    ) -> Result<Response<rpc::PlanStopReply>, Status> {
+        let stop = stops::cancel(&self.context, request.into_inner()).await?;
+        Ok(Response::new(rpc::PlanStopReply { stop: Some(stop) }))
+    }
+
     async fn status(
         &self,
         _: Request<rpc::StatusRequest>,
--- a/serving/src/modules/routing.rs
+++ b/serving/src/modules/routing.rs
@@ -6,6 +6,7 @@
 
 use crate::backend::Server;
 use crate::context::Context;
+use crate::modules::stops;
 
 /// Returns a backend server of `service` and `version` that is not leaving and not in `tried`,
 /// from the entry's own failure domain if there is one.
@@ -22,6 +23,7 @@
         .iter()
         .filter(|server| server.version.as_ref() == version && !server.leaving)
         .filter(|server| !tried.contains(&server.name))
+        .filter(|server| stops::accepts(context, server))
         .collect();
     let own = &context.settings.entry.failure_domain;
     let near: Vec<&Arc<Server>> = candidates
--- /dev/null
+++ b/serving/src/modules/stops.rs
@@ -0,0 +1,214 @@
+//! Planned stops in force at this entry: which servers get no new work, what still holds them, and
+//! whether this entry itself is leaving.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use medlarfall_coordination::planned_stop::Target;
+use medlarfall_schema::declaration::Stop;
+use tokio::sync::watch;
+
+use crate::backend::Server;
+use crate::clock::Clock;
+use crate::context::Context;
+
+mod follow;
+pub mod handover;
+pub mod holding;
+
+use holding::Holding;
+
+/// Prefix of the keys that hold planned stops.
+pub const PREFIX: &str = "stops/";
+
+/// Time in which the last bytes of answers reach the callers before an entry that leaves ends.
+const FLUSH_GRACE: Duration = Duration::from_millis(200);
+
+/// A planned stop that this entry knows of.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Planned {
+    /// The stop as stored.
+    pub stop: Stop,
+    /// When this entry came to know of it, by the entry's clock.
+    pub known: Duration,
+    /// Its date, by the entry's clock.
+    pub date: Duration,
+}
+
+/// The planned stops that this entry knows of, cancelled ones included.
+#[derive(Clone, Debug, Default)]
+pub struct Declared {
+    stops: BTreeMap<Target, Planned>,
+}
+
+impl Declared {
+    /// Returns the stop of a target, even if it was cancelled.
+    #[must_use]
+    pub fn find(&self, target: &Target) -> Option<&Planned> {
+        self.stops.get(target)
+    }
+
+    /// Returns all stops, cancelled ones included.
+    pub fn iter(&self) -> impl Iterator<Item = (&Target, &Planned)> {
+        self.stops.iter()
+    }
+
+    /// Returns the earliest stop in force that covers a backend server.
+    #[must_use]
+    pub fn of_server(&self, server: &Server) -> Option<&Planned> {
+        self.earliest(|target| target.covers_server(&server.name, &server.failure_domain))
+    }
+
+    /// Returns the earliest stop in force that covers an entry.
+    #[must_use]
+    pub fn of_entry(&self, entry: &str, failure_domain: &str) -> Option<&Planned> {
+        self.earliest(|target| target.covers_entry(entry, failure_domain))
+    }
+
+    fn earliest(&self, covers: impl Fn(&Target) -> bool) -> Option<&Planned> {
+        self.stops
+            .iter()
+            .filter(|(target, planned)| !planned.stop.cancelled && covers(target))
+            .map(|(_, planned)| planned)
+            .min_by_key(|planned| planned.date)
+    }
+
+    /// Takes a stop unless the same or a newer revision of it is in force; returns whether it did.
+    fn take(&mut self, stop: Stop, clock: Clock) -> bool {
+        let target: Target = match stop.target.parse() {
+            Ok(target) => target,
+            Err(error) => {
+                log::error!(error:% = error; "a stored stop cannot be read");
+                return false;
+            }
+        };
+        let newest = self.stops.get(&target).map_or(0, |held| held.stop.revision);
+        if stop.revision <= newest {
+            return false;
+        }
+        let known = clock.now();
+        let notice = stop.date_ms.saturating_sub(unix_milliseconds());
+        let planned = Planned {
+            stop,
+            known,
+            date: known + Duration::from_millis(notice),
+        };
+        self.stops.insert(target, planned);
+        true
+    }
+}
+
+/// That this entry is leaving.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Leave {
+    /// When the callers of requests still in progress are sent elsewhere, by the entry's clock.
+    pub until: Duration,
+}
+
+/// Planned stops, and what holds the servers.
+#[derive(Debug)]
+pub struct Stops {
+    declared: watch::Sender<Arc<Declared>>,
+    own: watch::Sender<Option<Leave>>,
+    /// Requests of this entry in progress, by backend server.
+    pub holding: Holding,
+}
+
+impl Default for Stops {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Stops {
+    /// Returns the stops of an entry that knows of none.
+    #[must_use]
+    pub fn new() -> Self {
+        Self {
+            declared: watch::Sender::new(Arc::default()),
+            own: watch::Sender::new(None),
+            holding: Holding::new(),
+        }
+    }
+
+    /// Returns the planned stops that this entry knows of, and tells of changes.
+    #[must_use]
+    pub fn declared(&self) -> watch::Receiver<Arc<Declared>> {
+        self.declared.subscribe()
+    }
+
+    /// Returns whether this entry is leaving, and tells of changes.
+    #[must_use]
+    pub fn own(&self) -> watch::Receiver<Option<Leave>> {
+        self.own.subscribe()
+    }
+
+    /// Returns whether this entry is leaving and takes no new requests.
+    #[must_use]
+    pub fn leaving(&self) -> bool {
+        self.own.borrow().is_some()
+    }
+
+    /// Takes stops that the store, an operator or a peer told of; returns whether any was new.
+    pub fn take(&self, stops: impl IntoIterator<Item = Stop>, clock: Clock) -> bool {
+        self.declared.send_if_modified(|declared| {
+            let mut next = Declared::clone(declared);
+            let new = stops
+                .into_iter()
+                .filter(|stop| next.take(stop.clone(), clock));
+            let changed = new.count() > 0;
+            if changed {
+                *declared = Arc::new(next);
+            }
+            changed
+        })
+    }
+}
+
+/// Returns whether a backend server gets new work.
+#[must_use]
+pub fn accepts(context: &Context, server: &Server) -> bool {
+    context.stops.declared.borrow().of_server(server).is_none()
+}
+
+/// Starts the tasks that follow the planned stops.
+pub fn start(context: &Arc<Context>) {
+    let stop = context.stop.clone();
+    let context = Arc::clone(context);
+    tokio::spawn(async move {
+        tokio::select! {
+            () = stop.cancelled() => {}
+            () = follow::store(&context) => {}
+            () = follow::own(&context) => {}
+        }
+    });
+}
+
+/// Leaves: takes no new requests and waits until those in progress have ended, at most for the
+/// entry's window; then their callers are sent elsewhere. Returns whether all ended before that.
+pub async fn leave(context: &Context) -> bool {
+    let until = context.clock.now() + context.settings.stops.entry_window;
+    context.stops.own.send_replace(Some(Leave { until }));
+    log::info!("leaving: no new requests are taken");
+    let ended = context.stops.holding.none();
+    let whole = tokio::time::timeout_at(context.clock.instant(until), ended)
+        .await
+        .is_ok();
+    if !whole {
+        // The callers have been told; what is left is to let them read it.
+        let told = context.stops.holding.none();
+        let _ = tokio::time::timeout(FLUSH_GRACE, told).await;
+    }
+    tokio::time::sleep(FLUSH_GRACE).await;
+    whole
+}
+
+/// Returns the milliseconds since the Unix epoch.
+#[must_use]
+pub fn unix_milliseconds() -> u64 {
+    let since = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/serving/src/modules/stops/handover.rs
@@ -0,0 +1,207 @@
+//! Moving a generation off a leaving server: the next attempt runs before the present one ends.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use medlarfall_coordination::journal::{Attempt, Journal};
+use medlarfall_coordination::planned_stop::{self, Decision, Stand};
+use tokio::sync::watch;
+use tokio::time::Instant;
+use tokio_util::task::AbortOnDropHandle;
+
+use super::{Declared, Leave};
+use crate::backend::http::Lines;
+use crate::backend::{Engine, Frame, Frames, Generate, Server};
+use crate::context::Context;
+use crate::modules::routing;
+
+/// Pause after a vain try to move a generation.
+const RETRY_PAUSE: Duration = Duration::from_millis(200);
+
+/// An attempt that runs on another server and has produced its first frame.
+#[derive(Debug)]
+pub struct Prepared {
+    /// Server that it runs on.
+    pub server: Arc<Server>,
+    /// Number of the attempt, reserved in the journal and still to be adopted.
+    pub attempt: Attempt,
+    /// First frame of the attempt.
+    pub first: Frame,
+    /// The frames after it.
+    pub frames: Lines,
+}
+
+/// Why the present attempt is to end before its answer is whole.
+#[derive(Debug)]
+pub enum Interruption {
+    /// The generation runs on another server already.
+    Moved(Box<Prepared>),
+    /// This entry leaves and its window is over.
+    EntryLeaves,
+}
+
+/// Watches over one attempt of a generation.
+#[derive(Debug)]
+pub struct Handover {
+    context: Arc<Context>,
+    server: Arc<Server>,
+    service: Arc<str>,
+    request: Generate,
+    declared: watch::Receiver<Arc<Declared>>,
+    own: watch::Receiver<Option<Leave>>,
+    began: Option<(Duration, u64)>,
+    tried: Vec<Arc<str>>,
+    opening: Option<AbortOnDropHandle<Option<Prepared>>>,
+    retry: Duration,
+}
+
+impl Handover {
+    /// Returns the watch over the attempt that `request` began on `server`.
+    #[must_use]
+    pub fn new(
+        context: &Arc<Context>,
+        service: &Arc<str>,
+        server: &Arc<Server>,
+        request: Generate,
+    ) -> Self {
+        Self {
+            declared: context.stops.declared(),
+            own: context.stops.own(),
+            context: Arc::clone(context),
+            server: Arc::clone(server),
+            service: Arc::clone(service),
+            request,
+            began: None,
+            tried: Vec::new(),
+            opening: None,
+            retry: Duration::ZERO,
+        }
+    }
+
+    /// Waits until the present attempt is to end. Dropping the future loses nothing.
+    pub async fn interruption(&mut self, journal: &mut Journal) -> Interruption {
+        loop {
+            let now = self.context.clock.now();
+            let until = self.own.borrow_and_update().map(|leave| leave.until);
+            if until.is_some_and(|until| now >= until) {
+                return Interruption::EntryLeaves;
+            }
+            let wake = self.step(journal, now);
+            let wake = [wake, until].into_iter().flatten().min();
+            if let Some(prepared) = self.wait(wake).await {
+                return Interruption::Moved(Box::new(prepared));
+            }
+        }
+    }
+
+    /// Opens the next attempt if it is time; returns when to look again.
+    fn step(&mut self, journal: &mut Journal, now: Duration) -> Option<Duration> {
+        self.measure(journal, now);
+        let stand = self.stand(journal, now)?;
+        if self.opening.is_some() {
+            return None;
+        }
+        match self.context.settings.stops.policy.decide(&stand, now) {
+            Decision::Stay => None,
+            Decision::MoveAt(moment) => Some(moment),
+            Decision::MoveNow if now < self.retry => Some(self.retry),
+            Decision::MoveNow => {
+                self.retry = now + RETRY_PAUSE;
+                self.open(journal);
+                Some(self.retry)
+            }
+        }
+    }
+
+    /// Notes when the first token of this attempt came.
+    fn measure(&mut self, journal: &Journal, now: Duration) {
+        let began_at = self.request.resume.len() as u64;
+        if self.began.is_none() && journal.next_index() > began_at {
+            self.began = Some((now, journal.next_index()));
+        }
+    }
+
+    /// Returns how the generation stands towards the stop of its server, if there is one.
+    fn stand(&mut self, journal: &Journal, now: Duration) -> Option<Stand> {
+        let declared = Arc::clone(&self.declared.borrow_and_update());
+        let planned = declared.of_server(&self.server)?;
+        let interval = self.began.and_then(|(began, first)| {
+            let tokens = u32::try_from(journal.next_index() - first).unwrap_or(u32::MAX);
+            now.saturating_sub(began).checked_div(tokens)
+        });
+        Some(Stand {
+            accepted: planned.known,
+            date: planned.date,
+            share: planned_stop::share(&self.request.request_id),
+            remaining_tokens: self.request.max_tokens.saturating_sub(journal.next_index()),
+            token_interval: interval,
+        })
+    }
+
+    /// Waits for a change, for `wake`, or until the next attempt has produced its first frame.
+    async fn wait(&mut self, wake: Option<Duration>) -> Option<Prepared> {
+        let clock = self.context.clock;
+        let alarm = async {
+            match wake {
+                Some(wake) => tokio::time::sleep_until(clock.instant(wake)).await,
+                None => std::future::pending().await,
+            }
+        };
+        let opening = async {
+            match &mut self.opening {
+                Some(opening) => opening.await.ok().flatten(),
+                None => std::future::pending().await,
+            }
+        };
+        tokio::select! {
+            prepared = opening => {
+                self.opening = None;
+                prepared
+            }
+            _ = self.declared.changed() => None,
+            _ = self.own.changed() => None,
+            () = alarm => None,
+        }
+    }
+
+    /// Starts the next attempt on another server, resumed from what was delivered.
+    fn open(&mut self, journal: &mut Journal) {
+        let mut tried = self.tried.clone();
+        tried.push(Arc::clone(&self.server.name));
+        let picked = routing::pick(&self.context, &self.service, &self.request.version, &tried);
+        let Some(server) = picked else {
+            self.tried.clear();
+            return;
+        };
+        self.tried.push(Arc::clone(&server.name));
+        let attempt = journal.reserve_attempt();
+        let request = Generate {
+            attempt: attempt.0,
+            resume: journal.tokens().to_vec(),
+            ..self.request.clone()
+        };
+        let context = Arc::clone(&self.context);
+        let opening = prepare(context, server, attempt, request);
+        self.opening = Some(AbortOnDropHandle::new(tokio::spawn(opening)));
+    }
+}
+
+/// Starts an attempt and waits for its first frame.
+async fn prepare(
+    context: Arc<Context>,
+    server: Arc<Server>,
+    attempt: Attempt,
+    request: Generate,
+) -> Option<Prepared> {
+    let deadline = Instant::now() + context.settings.generation.silence_ceiling;
+    let opened = context.backend.generate(&server, &request);
+    let mut frames = tokio::time::timeout_at(deadline, opened).await.ok()?.ok()?;
+    let first = tokio::time::timeout_at(deadline, frames.next()).await;
+    let first = first.ok()?.ok()??;
+    Some(Prepared {
+        server,
+        attempt,
+        first,
+        frames,
+    })
+}
--- /dev/null
+++ b/serving/src/modules/stops/holding.rs
@@ -0,0 +1,101 @@
+//! Requests of this entry in progress, counted by the backend server that they hold.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use tokio::sync::watch;
+
+/// Counts by backend server.
+type Counts = BTreeMap<Arc<str>, u64>;
+
+/// Requests in progress.
+#[derive(Debug)]
+pub struct Holding {
+    requests: watch::Sender<u64>,
+    servers: watch::Sender<Counts>,
+}
+
+/// Counts one request of this entry for as long as it lives.
+#[derive(Debug)]
+pub struct Request(watch::Sender<u64>);
+
+/// Counts one attempt at a backend server for as long as it lives.
+#[derive(Debug)]
+pub struct Attempt {
+    servers: watch::Sender<Counts>,
+    server: Arc<str>,
+}
+
+impl Default for Holding {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Holding {
+    /// Returns a count of nothing.
+    #[must_use]
+    pub fn new() -> Self {
+        Self {
+            requests: watch::Sender::new(0),
+            servers: watch::Sender::new(BTreeMap::new()),
+        }
+    }
+
+    /// Counts a request until the returned guard is dropped.
+    #[must_use]
+    pub fn request(&self) -> Request {
+        self.requests.send_modify(|requests| *requests += 1);
+        Request(self.requests.clone())
+    }
+
+    /// Counts an attempt at a backend server until the returned guard is dropped.
+    #[must_use]
+    pub fn attempt(&self, server: &Arc<str>) -> Attempt {
+        self.servers.send_modify(|servers| {
+            *servers.entry(Arc::clone(server)).or_default() += 1;
+        });
+        Attempt {
+            servers: self.servers.clone(),
+            server: Arc::clone(server),
+        }
+    }
+
+    /// Returns the number of attempts at a backend server in progress.
+    #[must_use]
+    pub fn at(&self, server: &str) -> u64 {
+        self.servers.borrow().get(server).copied().unwrap_or(0)
+    }
+
+    /// Returns the number of requests in progress.
+    #[must_use]
+    pub fn requests(&self) -> u64 {
+        *self.requests.borrow()
+    }
+
+    /// Waits until no request is in progress.
+    pub async fn none(&self) {
+        let mut requests = self.requests.subscribe();
+        let _ = requests.wait_for(|requests| *requests == 0).await;
+    }
+}
+
+impl Drop for Request {
+    fn drop(&mut self) {
+        self.0.send_modify(|requests| *requests -= 1);
+    }
+}
+
+impl Drop for Attempt {
+    fn drop(&mut self) {
+        self.servers.send_modify(|servers| {
+            let Some(count) = servers.get_mut(&self.server) else {
+                return;
+            };
+            *count -= 1;
+            if *count == 0 {
+                servers.remove(&self.server);
+            }
+        });
+    }
+}
--- a/serving/src/utils.rs
+++ b/serving/src/utils.rs
@@ -2,3 +2,4 @@
 
 pub mod http;
 pub mod mac;
+pub mod settle;
