--- a/programs/tests/stops.rs
+++ b/programs/tests/stops.rs
@@ -231,7 +231,7 @@
     let mut operator = cluster.operator(0).expect("an operator");
     let target = "server/engine-0";
     operator
-        .plan_stop(stop(target, Duration::from_secs(600)))
+        .plan_stop(stop(target, Duration::from_mins(10)))
         .await
         .expect("the stop is accepted");
     let mut watch = operator.watch_stop(target).await.expect("a watch");
@@ -248,7 +248,7 @@
 async fn a_stop_that_cannot_be_planned_names_the_remedy() {
     let cluster = Cluster::start(plan(1)).await.expect("a cluster");
     let mut operator = cluster.operator(0).expect("an operator");
-    let notice = Duration::from_secs(600);
+    let notice = Duration::from_mins(10);
     for (target, remedy) in [
         ("engine-0", "write `server/NAME`"),
         ("server/", "write `server/NAME`"),
