--- a/coordination/src/journal.rs
+++ b/coordination/src/journal.rs
@@ -49,7 +49,7 @@
 pub struct Journal {
     tokens: Vec<Arc<str>>,
     attempt: u64,
-    reserved: u64,
+    used: u64,
     ended: bool,
 }
 
@@ -60,21 +60,38 @@
         Self::default()
     }
 
+    /// Returns the journal of a generation whose `tokens` were delivered and whose last attempt was
+    /// `attempt`, which goes on as the current one.
+    #[must_use]
+    pub fn restore(tokens: Vec<Arc<str>>, attempt: Attempt) -> Self {
+        Self {
+            tokens,
+            attempt: attempt.0,
+            used: attempt.0,
+            ended: false,
+        }
+    }
+
     /// Begins an attempt, which makes every earlier one stale.
     pub fn begin_attempt(&mut self) -> Attempt {
-        let attempt = self.reserve_attempt();
+        let attempt = self.prepared_attempt(0);
         self.adopt(attempt);
         attempt
     }
 
-    /// Returns the number of an attempt that is prepared while the present one goes on; it is not
-    /// current before it is adopted.
-    pub fn reserve_attempt(&mut self) -> Attempt {
-        self.reserved += 1;
-        Attempt(self.reserved)
+    /// Returns the number for an attempt that is prepared while the current one goes on, after
+    /// `others` that were prepared before it.
+    #[must_use]
+    pub fn prepared_attempt(&self, others: u64) -> Attempt {
+        Attempt(self.attempt.max(self.used) + 1 + others)
     }
 
-    /// Makes a reserved attempt the current one, and every earlier one stale; an attempt older than
+    /// Notes the highest number given to a prepared attempt, so that none gets it again.
+    pub fn note_used(&mut self, attempt: Attempt) {
+        self.used = self.used.max(attempt.0);
+    }
+
+    /// Makes a prepared attempt the current one, and every earlier one stale; an attempt older than
     /// the current one stays stale.
     pub fn adopt(&mut self, attempt: Attempt) {
         self.attempt = self.attempt.max(attempt.0);
@@ -107,6 +124,14 @@
         }
     }
 
+    /// Strikes the tokens from `length` on, which nobody was given; the current attempt becomes stale.
+    pub fn truncate(&mut self, length: u64) {
+        self.tokens
+            .truncate(usize::try_from(length).unwrap_or(usize::MAX));
+        self.attempt += 1;
+        self.ended = false;
+    }
+
     /// Returns the index of the next token to deliver.
     #[must_use]
     pub fn next_index(&self) -> u64 {
--- a/coordination/tests/planned_stop.rs
+++ b/coordination/tests/planned_stop.rs
@@ -140,7 +140,12 @@
             for (kind, pick, index) in events {
                 let attempt = attempts[usize::from(*pick) % attempts.len()];
                 match kind % 4 {
-                    0 => attempts.push(journal.reserve_attempt()),
+                    0 => {
+                        let prepared = journal.prepared_attempt(u64::from(*pick));
+                        assert!(!attempts.contains(&prepared), "a number was given twice");
+                        journal.note_used(prepared);
+                        attempts.push(prepared);
+                    }
                     1 => {
                         journal.adopt(attempt);
                         current = current.max(attempt);
--- a/programs/tests/stops.rs
+++ b/programs/tests/stops.rs
@@ -195,10 +195,7 @@
     let entry = cluster.entries[0].clone();
     let leaving = tokio::spawn(async move { entry.leave().await });
     let error = stream.text().await.expect_err("the entry leaves");
-    assert!(
-        error.to_string().contains("go on at another entry"),
-        "{error}"
-    );
+    assert!(error.to_string().contains("go to another entry"), "{error}");
     assert!(!leaving.await.expect("the entry left"));
 }
 
--- a/serving/src/entry.rs
+++ b/serving/src/entry.rs
@@ -13,7 +13,9 @@
 use crate::configs::Settings;
 use crate::context::Context;
 use crate::modules::peers::{Identity, Peers};
-use crate::modules::{callers, declarations, directory, metrics, operators, peers, stops};
+use crate::modules::{
+    callers, declarations, directory, generation, metrics, operators, peers, stops,
+};
 use crate::platform;
 
 /// Why an entry could not start.
@@ -95,6 +97,8 @@
         backend: backend::http::Client::new(),
         declarations: declarations::start(platform.clone(), settings.platform, stop.clone()),
         directory: directory::start(platform.clone(), settings.platform, stop.clone()),
+        detector: generation::detector(&settings.generation),
+        held: generation::outbox::Ledger::new(settings.generation.held_limit, &metrics),
         metrics,
         stops: stops::Stops::new(),
         platform,
@@ -102,6 +106,7 @@
         stop,
     });
     stops::start(&context);
+    generation::start_upkeep(Arc::clone(&context));
     let callers = callers::start(Arc::clone(&context))
         .await
         .context(BindSnafu {
--- a/serving/src/modules/callers/problem.rs
+++ b/serving/src/modules/callers/problem.rs
@@ -50,6 +50,10 @@
     AnswerLost,
     /// This entry is leaving.
     EntryLeaving,
+    /// The resume token cannot be used.
+    ResumeRefused,
+    /// The answer was not whole when its time was over.
+    Timeout,
 }
 
 impl Kind {
@@ -63,6 +67,8 @@
             Self::UnknownService => StatusCode::NOT_FOUND,
             Self::EntryLeaving | Self::Unavailable => StatusCode::SERVICE_UNAVAILABLE,
             Self::AnswerLost => StatusCode::BAD_GATEWAY,
+            Self::ResumeRefused => StatusCode::CONFLICT,
+            Self::Timeout => StatusCode::GATEWAY_TIMEOUT,
         }
     }
 }
--- a/serving/src/modules/stops.rs
+++ b/serving/src/modules/stops.rs
@@ -204,6 +204,26 @@
     whole
 }
 
+/// Waits until this entry leaves and its window for requests in progress is over.
+pub async fn window_over(context: &Context) {
+    let mut own = context.stops.own();
+    loop {
+        let until = own.borrow_and_update().map(|leave| leave.until);
+        let over = async {
+            match until {
+                Some(until) => tokio::time::sleep_until(context.clock.instant(until)).await,
+                None => std::future::pending().await,
+            }
+        };
+        tokio::select! {
+            () = over => return,
+            changed = own.changed() => if changed.is_err() {
+                return;
+            },
+        }
+    }
+}
+
 /// Returns the milliseconds since the Unix epoch.
 #[must_use]
 pub fn unix_milliseconds() -> u64 {
--- a/serving/src/modules/stops/handover.rs
+++ b/serving/src/modules/stops/handover.rs
@@ -9,7 +9,7 @@
 use tokio::time::Instant;
 use tokio_util::task::AbortOnDropHandle;
 
-use super::{Declared, Leave};
+use super::Declared;
 use crate::backend::http::Lines;
 use crate::backend::{Engine, Frame, Frames, Generate, Server};
 use crate::context::Context;
@@ -31,15 +31,6 @@
     pub frames: Lines,
 }
 
-/// Why the present attempt is to end before its answer is whole.
-#[derive(Debug)]
-pub enum Interruption {
-    /// The generation runs on another server already.
-    Moved(Box<Prepared>),
-    /// This entry leaves and its window is over.
-    EntryLeaves,
-}
-
 /// Watches over one attempt of a generation.
 #[derive(Debug)]
 pub struct Handover {
@@ -48,54 +39,59 @@
     service: Arc<str>,
     request: Generate,
     declared: watch::Receiver<Arc<Declared>>,
-    own: watch::Receiver<Option<Leave>>,
+    first_index: u64,
     began: Option<(Duration, u64)>,
+    prepared: u64,
     tried: Vec<Arc<str>>,
     opening: Option<AbortOnDropHandle<Option<Prepared>>>,
     retry: Duration,
 }
 
 impl Handover {
-    /// Returns the watch over the attempt that `request` began on `server`.
+    /// Returns the watch over the attempt that `request` began on `server` and that produces the
+    /// tokens from `first_index` on.
     #[must_use]
     pub fn new(
         context: &Arc<Context>,
         service: &Arc<str>,
         server: &Arc<Server>,
         request: Generate,
+        first_index: u64,
     ) -> Self {
         Self {
             declared: context.stops.declared(),
-            own: context.stops.own(),
             context: Arc::clone(context),
             server: Arc::clone(server),
             service: Arc::clone(service),
             request,
+            first_index,
             began: None,
+            prepared: 0,
             tried: Vec::new(),
             opening: None,
             retry: Duration::ZERO,
         }
     }
 
-    /// Waits until the present attempt is to end. Dropping the future loses nothing.
-    pub async fn interruption(&mut self, journal: &mut Journal) -> Interruption {
+    /// Waits until the generation runs on another server. Dropping the future loses nothing.
+    pub async fn moved(&mut self, journal: &Journal) -> Box<Prepared> {
         loop {
-            let now = self.context.clock.now();
-            let until = self.own.borrow_and_update().map(|leave| leave.until);
-            if until.is_some_and(|until| now >= until) {
-                return Interruption::EntryLeaves;
-            }
-            let wake = self.step(journal, now);
-            let wake = [wake, until].into_iter().flatten().min();
+            let wake = self.step(journal, self.context.clock.now());
             if let Some(prepared) = self.wait(wake).await {
-                return Interruption::Moved(Box::new(prepared));
+                return Box::new(prepared);
             }
         }
     }
 
+    /// Returns the highest number given to an attempt that was prepared.
+    #[must_use]
+    pub fn last_prepared(&self, journal: &Journal) -> Option<Attempt> {
+        let others = self.prepared.checked_sub(1)?;
+        Some(journal.prepared_attempt(others))
+    }
+
     /// Opens the next attempt if it is time; returns when to look again.
-    fn step(&mut self, journal: &mut Journal, now: Duration) -> Option<Duration> {
+    fn step(&mut self, journal: &Journal, now: Duration) -> Option<Duration> {
         self.measure(journal, now);
         let stand = self.stand(journal, now)?;
         if self.opening.is_some() {
@@ -115,8 +111,7 @@
 
     /// Notes when the first token of this attempt came.
     fn measure(&mut self, journal: &Journal, now: Duration) {
-        let began_at = self.request.resume.len() as u64;
-        if self.began.is_none() && journal.next_index() > began_at {
+        if self.began.is_none() && journal.next_index() > self.first_index {
             self.began = Some((now, journal.next_index()));
         }
     }
@@ -159,13 +154,12 @@
                 prepared
             }
             _ = self.declared.changed() => None,
-            _ = self.own.changed() => None,
             () = alarm => None,
         }
     }
 
     /// Starts the next attempt on another server, resumed from what was delivered.
-    fn open(&mut self, journal: &mut Journal) {
+    fn open(&mut self, journal: &Journal) {
         let mut tried = self.tried.clone();
         tried.push(Arc::clone(&self.server.name));
         let picked = routing::pick(&self.context, &self.service, &self.request.version, &tried);
@@ -174,7 +168,8 @@
             return;
         };
         self.tried.push(Arc::clone(&server.name));
-        let attempt = journal.reserve_attempt();
+        let attempt = journal.prepared_attempt(self.prepared);
+        self.prepared += 1;
         let request = Generate {
             attempt: attempt.0,
             resume: journal.tokens().to_vec(),
