feat(orders): orders with fencing numbers, and leaving engines told to drain

Two entries could order one engine at once, and an old order could arrive after a newer one. A holder takes a lock whose revision is its fencing number. Servers declared to enforce fencing refuse old numbers; for the others a holder orders only while its lease outlasts the order, waits out the longest order in flight and reads before and after.

The entry that accepted a stop tells the engine to drain at once, and the entries of its failure domain look after it: an entry cut off from the store sends it no work either.

--- a/coordination/src/lib.rs
+++ b/coordination/src/lib.rs
@@ -5,6 +5,7 @@
 //! of events. Times are [`std::time::Duration`]s since an arbitrary origin that never goes back.
 
 pub mod detector;
+pub mod fencing;
 pub mod journal;
 pub mod planned_stop;
 pub mod resume_token;
--- a/programs/src/cluster.rs
+++ b/programs/src/cluster.rs
@@ -300,6 +300,7 @@
             callers: configs::callers::Callers::default(),
             generation: configs::generation::Generation::default(),
             services: configs::services::Services::default(),
+            orders: configs::orders::Orders::default(),
             stops: configs::stops::Stops::default(),
             log: configs::log::Log::default(),
         }
--- a/programs/src/commands/stops.rs
+++ b/programs/src/commands/stops.rs
@@ -1,10 +1,10 @@
-//! `stop plan`, `stop watch` and `stop cancel`.
+//! `stop plan`, `stop watch`, `stop cancel` and `order`.
 
 use std::net::SocketAddr;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use medlarfall_schema::declaration::Stop;
-use medlarfall_schema::operator::{StopProgress, StopState};
+use medlarfall_schema::operator::{OrderRequest, StopProgress, StopState};
 
 use super::{Result, message};
 use crate::operator::Operator;
@@ -75,6 +75,29 @@
     }
 }
 
+/// Orders a backend server into a state.
+///
+/// # Errors
+///
+/// Returns the entry's refusal, or that the server did not come to be in that state.
+pub async fn order(entry: SocketAddr, key: &str, order: OrderRequest, json: bool) -> Result {
+    let server = order.server.clone();
+    let reply = Operator::new(entry, key)?.order(order).await;
+    let state = reply.map_err(|status| message(&status))?;
+    let (versions, role, draining) = (&state.versions, &state.role, state.draining);
+    if json {
+        let fencing = state.fencing;
+        println!(
+            "{}",
+            serde_json::json!({ "server": server, "fencing": fencing, "versions": versions, "role": role, "draining": draining })
+        );
+        return Ok(());
+    }
+    let versions = versions.join(", ");
+    println!("{server}: versions [{versions}], role {role}, draining: {draining}");
+    Ok(())
+}
+
 /// Prints a stored stop.
 fn print(stop: &Stop, json: bool) -> Result {
     if json {
--- a/programs/src/main.rs
+++ b/programs/src/main.rs
@@ -5,6 +5,7 @@
 
 use medlarfall::caller::Completion;
 use medlarfall::{bench, commands, demo};
+use medlarfall_schema::operator::OrderRequest;
 
 /// Arguments, parsed by `xflags`, which writes the code without comments.
 #[allow(missing_docs)]
@@ -51,6 +52,19 @@
                 /// Operators' address of an entry.
                 required --entry entry: SocketAddr
             }
+            /// Orders a backend server to load versions, change its role or drain.
+            cmd order {
+                /// Operators' address of an entry.
+                required --entry entry: SocketAddr
+                /// Name of the backend server.
+                required server: String
+                /// Version that shall be loaded; repeat it for several, all others are unloaded.
+                repeated --version version: String
+                /// Role that the server shall have.
+                optional --role role: String
+                /// Whether the server shall take no new work: true or false.
+                optional --drain drain: bool
+            }
             /// Plans, watches and cancels stops of backend servers, failure domains and entries.
             cmd stop {
                 /// Plans a stop, or changes its date.
@@ -128,6 +142,15 @@
         }
         flags::MedlarfallCmd::List(flags) => commands::list(flags.entry, &key()?, json).await,
         flags::MedlarfallCmd::Status(flags) => commands::status(flags.entry, &key()?).await,
+        flags::MedlarfallCmd::Order(flags) => {
+            let order = OrderRequest {
+                server: flags.server,
+                versions: flags.version,
+                role: flags.role,
+                drain: flags.drain,
+            };
+            commands::stops::order(flags.entry, &key()?, order, json).await
+        }
         flags::MedlarfallCmd::Stop(flags) => stop(flags.subcommand, json).await,
         flags::MedlarfallCmd::Generate(flags) => {
             let completion = Completion {
--- a/programs/src/operator.rs
+++ b/programs/src/operator.rs
@@ -105,6 +105,15 @@
         Ok(reply.stop.unwrap_or_default())
     }
 
+    /// Orders a backend server into a state and returns the state in which it then is.
+    ///
+    /// # Errors
+    ///
+    /// Returns the entry's refusal, or that the server did not come to be in that state.
+    pub async fn order(&mut self, request: rpc::OrderRequest) -> Result<rpc::OrderReply, Status> {
+        Ok(self.client.order(request).await?.into_inner())
+    }
+
     /// Returns the stream of what still holds a stop.
     ///
     /// # Errors
--- a/programs/tests/stops.rs
+++ b/programs/tests/stops.rs
@@ -7,6 +7,8 @@
 use medlarfall::cluster::{BRIEFS, Cluster, Plan, wait};
 use medlarfall_schema::declaration::Stop;
 use medlarfall_schema::operator::StopState;
+use medlarfall_serving::backend::http::Client;
+use medlarfall_serving::backend::{Engine as _, OrderState, Server};
 use medlarfall_serving::modules::stops::unix_milliseconds;
 use medlarfall_standin::{oracle, platform};
 
@@ -81,6 +83,69 @@
     .expect("the generations run");
 }
 
+/// Returns what orders have made of an engine.
+async fn state(cluster: &Cluster, engine: usize) -> OrderState {
+    let instance = serde_json::to_value(&cluster.engines[engine].instance).expect("JSON");
+    let instance: medlarfall_serving::platform::Instance =
+        serde_json::from_value(instance).expect("an instance");
+    let server = Server::try_from(instance).expect("a server");
+    Client::new().order_state(&server).await.expect("its state")
+}
+
+/// Waits until an engine was told to drain, or that it may work again.
+async fn draining(cluster: &Cluster, engine: usize, drains: bool) {
+    let told = async {
+        while state(cluster, engine).await.draining != drains {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    tokio::time::timeout(Duration::from_secs(5), told)
+        .await
+        .expect("the engine is told within 5 s");
+}
+
+#[tokio::test]
+async fn an_entry_cut_off_from_the_store_sends_a_leaving_engine_no_work() {
+    let cluster = Cluster::start(plan(4)).await.expect("a cluster");
+    cluster.platform.set_faults(platform::Faults {
+        cut_off: vec!["entry-1".to_owned()],
+        ..platform::Faults::default()
+    });
+    let mut operator = cluster.operator(0).expect("an operator");
+    operator
+        .plan_stop(stop("server/engine-1", Duration::from_mins(10)))
+        .await
+        .expect("the stop is accepted");
+    draining(&cluster, 1, true).await;
+    let before = cluster.engines[1].engine.stats().requests;
+    let generations: Vec<_> = (0..8)
+        .map(|index| {
+            let prompt = format!("late {index}");
+            tokio::spawn(generate(cluster.caller(1), prompt, 20))
+        })
+        .collect();
+    assert_eq!(wrong(generations).await, 0);
+    assert_eq!(cluster.engines[1].engine.stats().requests, before);
+}
+
+#[tokio::test]
+async fn an_engine_is_told_to_drain_though_the_entry_that_accepted_its_stop_is_lost() {
+    let cluster = Cluster::start(plan(4)).await.expect("a cluster");
+    let mut operator = cluster.operator(0).expect("an operator");
+    operator
+        .plan_stop(stop("server/engine-1", Duration::from_mins(10)))
+        .await
+        .expect("the stop is accepted");
+    cluster.entries[0].kill();
+    draining(&cluster, 1, true).await;
+    let mut operator = cluster.operator(1).expect("an operator");
+    operator
+        .cancel_stop("server/engine-1")
+        .await
+        .expect("it is cancelled");
+    draining(&cluster, 1, false).await;
+}
+
 #[tokio::test]
 async fn an_engine_stops_without_cutting_long_generations() {
     let cluster = Cluster::start(plan(4)).await.expect("a cluster");
--- a/serving/src/backend.rs
+++ b/serving/src/backend.rs
@@ -144,6 +144,15 @@
     pub draining: bool,
 }
 
+/// An engine's answer to an order.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Ordered {
+    /// It carried the order out.
+    Done(OrderState),
+    /// It refused the fencing number, since it has obeyed a higher one.
+    Fenced,
+}
+
 /// A call to a plain service.
 #[derive(Clone, Debug)]
 pub struct Call {
@@ -244,12 +253,12 @@
         after: u64,
     ) -> impl Future<Output = Result<Vec<CacheEvent>, Error>> + Send;
 
-    /// Gives an order; a refusal for its fencing number is [`Error::NotRun`].
+    /// Gives an order.
     fn order(
         &self,
         server: &Server,
         order: &Order,
-    ) -> impl Future<Output = Result<OrderState, Error>> + Send;
+    ) -> impl Future<Output = Result<Ordered, Error>> + Send;
 
     /// Reads what orders have made of the engine.
     fn order_state(
--- a/serving/src/backend/http.rs
+++ b/serving/src/backend/http.rs
@@ -9,8 +9,8 @@
 use serde::de::DeserializeOwned;
 
 use super::{
-    CacheEvent, Call, Engine, Error, Frame, Frames, Generate, Load, Order, OrderState, Reference,
-    Reply, Server, Service,
+    CacheEvent, Call, Engine, Error, Frame, Frames, Generate, Load, Order, OrderState, Ordered,
+    Reference, Reply, Server, Service,
 };
 use crate::utils::http::{self, Pool};
 
@@ -126,8 +126,16 @@
             .await
     }
 
-    async fn order(&self, server: &Server, order: &Order) -> Result<OrderState, Error> {
-        self.json(post(server, "/orders", order)?).await
+    async fn order(&self, server: &Server, order: &Order) -> Result<Ordered, Error> {
+        let request = post(server, "/orders", order)?;
+        let (parts, body) = self.pool.send_whole(request).await?;
+        match parts.status {
+            StatusCode::OK => serde_json::from_slice(&body)
+                .map(Ordered::Done)
+                .map_err(|error| lost(error.to_string())),
+            StatusCode::PRECONDITION_FAILED => Ok(Ordered::Fenced),
+            status => Err(not_run(format!("the server answered {status}"))),
+        }
     }
 
     async fn order_state(&self, server: &Server) -> Result<OrderState, Error> {
--- a/serving/src/configs.rs
+++ b/serving/src/configs.rs
@@ -15,6 +15,7 @@
 pub mod keys;
 pub mod listen;
 pub mod log;
+pub mod orders;
 pub mod platform;
 pub mod services;
 pub mod stops;
@@ -68,6 +69,8 @@
     pub generation: generation::Generation,
     /// How plain services are called.
     pub services: services::Services,
+    /// How orders are given to backend servers.
+    pub orders: orders::Orders,
     /// How planned stops are carried out.
     pub stops: stops::Stops,
     /// Logs.
@@ -113,6 +116,7 @@
             callers: raw.callers.unwrap_or_default().try_into()?,
             generation: raw.generation.unwrap_or_default().try_into()?,
             services: raw.services.unwrap_or_default().try_into()?,
+            orders: raw.orders.unwrap_or_default().try_into()?,
             stops: raw.stops.unwrap_or_default().try_into()?,
             log: raw.log.unwrap_or_default().try_into()?,
         })
--- a/serving/src/context.rs
+++ b/serving/src/context.rs
@@ -13,6 +13,7 @@
 use crate::modules::directory::Directory;
 use crate::modules::generation::outbox::Ledger;
 use crate::modules::metrics::Metrics;
+use crate::modules::orders;
 use crate::modules::peers::{Identity, Peers};
 use crate::modules::stops::Stops;
 use crate::platform;
@@ -47,3 +48,24 @@
     /// Cancelled when the entry stops.
     pub stop: CancellationToken,
 }
+
+impl Context {
+    /// Returns the way in which orders reach backend servers.
+    #[must_use]
+    pub fn orders(&self) -> orders::Way<platform::http::Client, backend::http::Client> {
+        orders::Way {
+            store: self.platform.clone(),
+            engine: self.backend.clone(),
+            clock: self.clock,
+            settings: self.settings.orders,
+        }
+    }
+
+    /// Returns whether a backend server is declared to refuse old fencing numbers.
+    #[must_use]
+    pub fn enforces_fencing(&self, server: &backend::Server) -> bool {
+        let declarations = Arc::clone(&self.declarations.borrow());
+        let service = declarations.service(&server.service);
+        service.is_some_and(|service| service.fencing)
+    }
+}
--- a/serving/src/modules.rs
+++ b/serving/src/modules.rs
@@ -6,6 +6,7 @@
 pub mod generation;
 pub mod metrics;
 pub mod operators;
+pub mod orders;
 pub mod peers;
 pub mod routing;
 pub mod stops;
--- a/serving/src/modules/operators.rs
+++ b/serving/src/modules/operators.rs
@@ -12,6 +12,7 @@
 use crate::context::Context;
 
 mod apply;
+mod orders;
 mod stops;
 
 /// Answers operators.
@@ -104,6 +105,14 @@
         Ok(Response::new(rpc::PlanStopReply { stop: Some(stop) }))
     }
 
+    async fn order(
+        &self,
+        request: Request<rpc::OrderRequest>,
+    ) -> Result<Response<rpc::OrderReply>, Status> {
+        let reply = orders::order(&self.context, request.into_inner()).await?;
+        Ok(Response::new(reply))
+    }
+
     async fn status(
         &self,
         _: Request<rpc::StatusRequest>,
--- a/serving/src/modules/operators/stops.rs
+++ b/serving/src/modules/operators/stops.rs
@@ -93,7 +93,7 @@
     next: impl Fn(Option<Stop>) -> Result<Stop, Error> + Send,
 ) -> Result<Stop, Status> {
     let stored = settle::update(&context.platform, key, change_id, next).await?;
-    context.stops.take([stored.clone()], context.clock);
+    context.stops.accept(stored.clone(), context.clock);
     Ok(stored)
 }
 
--- /dev/null
+++ b/serving/src/modules/orders.rs
@@ -0,0 +1,278 @@
+//! Orders to backend servers, given by one holder of the server's lock at a time.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use medlarfall_coordination::fencing::{Action, Answer, Ending, Holder, Outcome};
+use snafu::Snafu;
+use uuid::Uuid;
+
+use crate::backend::{self, Engine, Order, OrderState, Ordered, Server};
+use crate::clock::Clock;
+use crate::configs::orders::Orders;
+use crate::platform::{self, Lease, Store};
+
+/// Prefix of the keys of the locks, one for each backend server.
+const PREFIX: &str = "orders/";
+
+/// Pause before the lock that another holds is asked for again.
+const LOCK_PAUSE: Duration = Duration::from_millis(250);
+
+/// The state that a server shall end in; what is absent stays as it is.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Desired {
+    /// Versions that shall be loaded.
+    pub versions: Option<BTreeSet<String>>,
+    /// Role that the server shall have.
+    pub role: Option<String>,
+    /// Whether the server shall take no new work.
+    pub drain: Option<bool>,
+}
+
+impl Desired {
+    /// Returns whether a server is in this state.
+    #[must_use]
+    pub fn holds(&self, state: &OrderState) -> bool {
+        let versions = self.versions.as_ref();
+        let role = self.role.as_ref();
+        versions.is_none_or(|versions| *versions == state.versions)
+            && role.is_none_or(|role| *role == state.role)
+            && self.drain.is_none_or(|drain| drain == state.draining)
+    }
+}
+
+/// Why a server did not come to be in the state that it was ordered into.
+#[derive(Clone, Debug, Eq, PartialEq, Snafu)]
+pub enum Error {
+    /// Another holder gave a newer order.
+    #[snafu(display(
+        "`{server}` has obeyed a newer order: look at its state, then order again if you still want to"
+    ))]
+    Superseded {
+        /// Name of the server.
+        server: Arc<str>,
+    },
+    /// The lock could not be had in time.
+    #[snafu(display(
+        "the lock of `{server}` could not be had: {reason}; order again when the platform is back or the other holder is done"
+    ))]
+    NoLock {
+        /// Name of the server.
+        server: Arc<str>,
+        /// What happened.
+        reason: String,
+    },
+    /// The server did not come to be in the state.
+    #[snafu(display(
+        "`{server}` did not come to be in the ordered state: {reason}; look at the server, then order again"
+    ))]
+    Failed {
+        /// Name of the server.
+        server: Arc<str>,
+        /// What happened last.
+        reason: String,
+    },
+}
+
+/// How orders reach a server.
+#[derive(Clone, Debug)]
+pub struct Way<S, E> {
+    /// The platform's store.
+    pub store: S,
+    /// The adapter to the server.
+    pub engine: E,
+    /// The entry's clock.
+    pub clock: Clock,
+    /// Bounds.
+    pub settings: Orders,
+}
+
+/// One order on its way.
+struct Task<'a, S, E> {
+    way: &'a Way<S, E>,
+    server: &'a Server,
+    desired: &'a Desired,
+    token: String,
+    lease: Option<Lease>,
+    holder: Holder,
+    reason: String,
+}
+
+/// Gives an order and returns the state in which the server then is. `enforced` says whether the
+/// server refuses old fencing numbers; the lock is asked for until `patience` has passed.
+///
+/// # Errors
+///
+/// Returns why the server is not known to be in the state.
+pub async fn give<S: Store, E: Engine>(
+    way: &Way<S, E>,
+    server: &Server,
+    desired: &Desired,
+    enforced: bool,
+    patience: Duration,
+) -> Result<OrderState, Error> {
+    let mut task = Task {
+        way,
+        server,
+        desired,
+        token: Uuid::now_v7().to_string(),
+        lease: None,
+        holder: Holder::new(way.settings.policy, enforced),
+        reason: "no order was sent".to_owned(),
+    };
+    let deadline = way.clock.now() + patience;
+    let ending = task.run(deadline).await?;
+    let state = task.end(ending.outcome).await;
+    if ending.release {
+        task.release().await;
+    }
+    state
+}
+
+impl<S: Store, E: Engine> Task<'_, S, E> {
+    /// Does what the holder says until it has ended.
+    async fn run(&mut self, deadline: Duration) -> Result<Ending, Error> {
+        loop {
+            let now = self.way.clock.now();
+            match self.holder.next(now) {
+                Action::Acquire => self.acquire(deadline).await?,
+                Action::Wait { until } => {
+                    tokio::time::sleep_until(self.way.clock.instant(until)).await;
+                }
+                Action::Read => {
+                    let state = self.state().await;
+                    let in_state = state.map(|state| self.desired.holds(&state));
+                    self.holder.read(in_state);
+                }
+                Action::Order { fencing } => {
+                    let answer = self.order(fencing).await;
+                    self.holder.answered(self.way.clock.now(), answer);
+                }
+                Action::End(ending) => return Ok(ending),
+            }
+        }
+    }
+
+    /// Takes the lock, or waits a little while another holds it.
+    async fn acquire(&mut self, deadline: Duration) -> Result<(), Error> {
+        match self.lock().await {
+            Ok((fencing, until)) => {
+                self.holder.acquired(self.way.clock.now(), fencing, until);
+                Ok(())
+            }
+            Err(reason) if self.way.clock.now() >= deadline => Err(Error::NoLock {
+                server: Arc::clone(&self.server.name),
+                reason,
+            }),
+            Err(_) => {
+                tokio::time::sleep(LOCK_PAUSE).await;
+                Ok(())
+            }
+        }
+    }
+
+    /// Asks for the lock; returns its revision and until when its lease surely lasts.
+    async fn lock(&mut self) -> Result<(u64, Duration), String> {
+        let asked = self.way.clock.now();
+        let key = format!("{PREFIX}{}", self.server.name);
+        let duration = self.way.settings.lease();
+        let lease = self.way.store.grant(duration).await;
+        let lease = lease.map_err(|error| error.to_string())?;
+        let put = self
+            .way
+            .store
+            .put(&key, self.token.clone(), 0, Some(lease))
+            .await;
+        let fencing = match put {
+            Ok(fencing) => Ok(fencing),
+            Err(platform::Error::Lost { reason }) => self.settle(&key).await.ok_or(reason),
+            Err(platform::Error::Conflict { .. }) => Err("another holds it".to_owned()),
+            Err(error) => Err(error.to_string()),
+        };
+        match fencing {
+            Ok(fencing) => {
+                self.lease = Some(lease);
+                Ok((fencing, asked + duration))
+            }
+            Err(reason) => {
+                // What cannot be revoked runs out.
+                let _ = self.way.store.revoke(lease).await;
+                Err(reason)
+            }
+        }
+    }
+
+    /// Returns the revision of the lock if it turns out to be this holder's.
+    async fn settle(&self, key: &str) -> Option<u64> {
+        let item = self.way.store.get(key).await.ok()??;
+        (item.value == self.token).then_some(item.revision)
+    }
+
+    /// Reads the state of the server, or nothing if it cannot be read.
+    async fn state(&mut self) -> Option<OrderState> {
+        let timeout = self.way.settings.policy.order_timeout;
+        let read = self.way.engine.order_state(self.server);
+        match tokio::time::timeout(timeout, read).await {
+            Ok(Ok(state)) => Some(state),
+            Ok(Err(error)) => {
+                self.reason = format!("its state cannot be read: {error}");
+                None
+            }
+            Err(_) => {
+                "its state was not told in time".clone_into(&mut self.reason);
+                None
+            }
+        }
+    }
+
+    /// Sends the order.
+    async fn order(&mut self, fencing: u64) -> Answer {
+        let order = Order {
+            fencing,
+            versions: self.desired.versions.clone(),
+            role: self.desired.role.clone(),
+            drain: self.desired.drain,
+        };
+        let timeout = self.way.settings.policy.order_timeout;
+        let sent = self.way.engine.order(self.server, &order);
+        match tokio::time::timeout(timeout, sent).await {
+            Ok(Ok(Ordered::Done(_))) => Answer::Done,
+            Ok(Ok(Ordered::Fenced)) => Answer::Fenced,
+            Ok(Err(backend::Error::NotRun { reason })) => {
+                self.reason = reason;
+                Answer::NotRun
+            }
+            Ok(Err(backend::Error::Lost { reason })) => {
+                self.reason = reason;
+                Answer::Lost
+            }
+            Err(_) => {
+                "it did not answer in time".clone_into(&mut self.reason);
+                Answer::Lost
+            }
+        }
+    }
+
+    /// Gives the lock up.
+    async fn release(&mut self) {
+        if let Some(lease) = self.lease.take() {
+            // What cannot be revoked runs out.
+            let _ = self.way.store.revoke(lease).await;
+        }
+    }
+
+    /// Returns what came of the order.
+    async fn end(&mut self, outcome: Outcome) -> Result<OrderState, Error> {
+        let server = Arc::clone(&self.server.name);
+        let state = match outcome {
+            Outcome::Achieved => self.state().await,
+            Outcome::Superseded => return Err(Error::Superseded { server }),
+            Outcome::Failed => None,
+        };
+        state.ok_or_else(|| Error::Failed {
+            server,
+            reason: self.reason.clone(),
+        })
+    }
+}
--- a/serving/src/modules/stops.rs
+++ b/serving/src/modules/stops.rs
@@ -13,6 +13,7 @@
 use crate::clock::Clock;
 use crate::context::Context;
 
+mod drain;
 mod follow;
 pub mod handover;
 pub mod holding;
@@ -34,6 +35,8 @@
     pub known: Duration,
     /// Its date, by the entry's clock.
     pub date: Duration,
+    /// Whether this entry accepted it from an operator.
+    pub here: bool,
 }
 
 /// The planned stops that this entry knows of, cancelled ones included.
@@ -66,6 +69,16 @@
         self.earliest(|target| target.covers_entry(entry, failure_domain))
     }
 
+    /// Returns a cancelled stop that covers a backend server, the newest known.
+    fn cancelled(&self, server: &Server) -> Option<&Planned> {
+        self.stops
+            .iter()
+            .filter(|(target, _)| target.covers_server(&server.name, &server.failure_domain))
+            .map(|(_, planned)| planned)
+            .filter(|planned| planned.stop.cancelled)
+            .max_by_key(|planned| planned.known)
+    }
+
     fn earliest(&self, covers: impl Fn(&Target) -> bool) -> Option<&Planned> {
         self.stops
             .iter()
@@ -75,7 +88,7 @@
     }
 
     /// Takes a stop unless the same or a newer revision of it is in force; returns whether it did.
-    fn take(&mut self, stop: Stop, clock: Clock) -> bool {
+    fn take(&mut self, stop: Stop, here: bool, clock: Clock) -> bool {
         let target: Target = match stop.target.parse() {
             Ok(target) => target,
             Err(error) => {
@@ -83,9 +96,13 @@
                 return false;
             }
         };
-        let newest = self.stops.get(&target).map_or(0, |held| held.stop.revision);
-        if stop.revision <= newest {
-            return false;
+        match self.stops.get_mut(&target) {
+            Some(held) if stop.revision == held.stop.revision && here && !held.here => {
+                held.here = true;
+                return true;
+            }
+            Some(held) if stop.revision <= held.stop.revision => return false,
+            Some(_) | None => {}
         }
         let known = clock.now();
         let notice = stop.date_ms.saturating_sub(unix_milliseconds());
@@ -93,6 +110,7 @@
             stop,
             known,
             date: known + Duration::from_millis(notice),
+            here,
         };
         self.stops.insert(target, planned);
         true
@@ -150,13 +168,22 @@
         self.own.borrow().is_some()
     }
 
-    /// Takes stops that the store, an operator or a peer told of; returns whether any was new.
+    /// Takes a stop that this entry accepted from an operator.
+    pub fn accept(&self, stop: Stop, clock: Clock) {
+        self.take_all([stop], true, clock);
+    }
+
+    /// Takes stops that the store or a peer told of; returns whether any was new.
     pub fn take(&self, stops: impl IntoIterator<Item = Stop>, clock: Clock) -> bool {
+        self.take_all(stops, false, clock)
+    }
+
+    fn take_all(&self, stops: impl IntoIterator<Item = Stop>, here: bool, clock: Clock) -> bool {
         self.declared.send_if_modified(|declared| {
             let mut next = Declared::clone(declared);
             let new = stops
                 .into_iter()
-                .filter(|stop| next.take(stop.clone(), clock));
+                .filter(|stop| next.take(stop.clone(), here, clock));
             let changed = new.count() > 0;
             if changed {
                 *declared = Arc::new(next);
@@ -181,6 +208,7 @@
             () = stop.cancelled() => {}
             () = follow::store(&context) => {}
             () = follow::own(&context) => {}
+            () = drain::run(&context) => {}
         }
     });
 }
