--- a/coordination/src/lib.rs
+++ b/coordination/src/lib.rs
@@ -5,7 +5,11 @@
 //! of events. Times are [`std::time::Duration`]s since an arbitrary origin that never goes back.
 
 pub mod detector;
+pub mod ejection;
+pub mod fair_queue;
 pub mod fencing;
 pub mod journal;
+pub mod memory;
+pub mod placement;
 pub mod planned_stop;
 pub mod resume_token;
--- a/serving/src/entry.rs
+++ b/serving/src/entry.rs
@@ -14,7 +14,7 @@
 use crate::context::Context;
 use crate::modules::peers::{Identity, Peers};
 use crate::modules::{
-    callers, declarations, directory, generation, metrics, operators, peers, stops,
+    admission, callers, declarations, directory, generation, metrics, operators, peers, stops,
 };
 use crate::platform;
 
@@ -86,8 +86,13 @@
     );
     let stop = CancellationToken::new();
     let metrics = metrics::Metrics::new();
+    let clock = Clock::start();
+    let stops = stops::Stops::new();
+    let directory = directory::start(platform.clone(), settings.platform, stop.clone());
+    let directory = stops::mark_leaving(directory, &stops, stop.clone());
     let context = Arc::new(Context {
-        clock: Clock::start(),
+        admission: admission::start(&settings, clock, directory.clone(), stop.clone()),
+        clock,
         identity: Identity {
             name: Arc::clone(&settings.entry.name),
             incarnation: Arc::from(Uuid::now_v7().to_string()),
@@ -96,11 +101,11 @@
         peers: Peers::new(settings.keys.peers.clone()),
         backend: backend::http::Client::new(),
         declarations: declarations::start(platform.clone(), settings.platform, stop.clone()),
-        directory: directory::start(platform.clone(), settings.platform, stop.clone()),
         detector: generation::detector(&settings.generation),
         held: generation::outbox::Ledger::new(settings.generation.held_limit, &metrics),
+        directory,
         metrics,
-        stops: stops::Stops::new(),
+        stops,
         platform,
         settings,
         stop,
--- a/serving/src/modules.rs
+++ b/serving/src/modules.rs
@@ -1,5 +1,6 @@
 //! The features of an entry, one module each.
 
+pub mod admission;
 pub mod callers;
 pub mod declarations;
 pub mod directory;
@@ -8,5 +9,4 @@
 pub mod operators;
 pub mod orders;
 pub mod peers;
-pub mod routing;
 pub mod stops;
--- a/serving/src/modules/callers/completions.rs
+++ b/serving/src/modules/callers/completions.rs
@@ -14,6 +14,7 @@
 use super::resumption::Sealer;
 use super::{Caller, REQUEST_ID, services};
 use crate::context::Context;
+use crate::modules::admission::Refusal;
 use crate::modules::generation::outbox::Reader;
 use crate::modules::generation::{self, Event, Order, Resumption};
 
@@ -129,6 +130,7 @@
             .transpose()?;
         let mut order = Order {
             request_id: Arc::clone(&caller.request_id),
+            account: Arc::clone(&caller.account),
             service: Arc::from(service.name.as_str()),
             version: Arc::from(service.version.as_str()),
             prompt: Arc::from(completion.prompt),
@@ -266,14 +268,18 @@
 
 /// Returns the problem of a generation that could not be completed.
 fn failed(error: &generation::Error) -> Problem {
-    let kind = match error {
-        generation::Error::Timeout { .. } => Kind::Timeout,
-        generation::Error::Diverged { .. } => Kind::ResumeRefused,
+    let (kind, run) = match error {
+        generation::Error::Refused {
+            refusal: Refusal::TooLarge { .. },
+        } => (Kind::TooLarge, Outcome::NotRun),
+        generation::Error::Refused { .. } => (Kind::Unavailable, Outcome::NotRun),
+        generation::Error::Timeout { .. } => (Kind::Timeout, Outcome::Unknown),
+        generation::Error::Diverged { .. } => (Kind::ResumeRefused, Outcome::Unknown),
         generation::Error::NoServer { .. } | generation::Error::Stopping { .. } => {
-            Kind::Unavailable
+            (Kind::Unavailable, Outcome::Unknown)
         }
     };
-    Problem::new(kind, Outcome::Unknown, error.to_string())
+    Problem::new(kind, run, error.to_string())
 }
 
 /// Returns a chunk of an answer.
--- a/serving/src/modules/generation/attempt.rs
+++ b/serving/src/modules/generation/attempt.rs
@@ -12,6 +12,7 @@
 use super::watch::Watch;
 use super::{Event, Task};
 use crate::backend::{self, Engine, Frame, Frames};
+use crate::modules::admission::Refusal;
 use crate::modules::stops::handover::{Handover, Prepared};
 
 /// Longest wait for a sign of life of an engine whose first token is late.
@@ -23,6 +24,8 @@
     Whole(Arc<str>),
     /// The attempt that the caller's resume token names had ended on its engine.
     Ended,
+    /// Admission gave no server.
+    NotAdmitted(Refusal),
     /// The attempt never ran.
     Refused(String),
     /// The attempt was lost; another may go on.
@@ -112,10 +115,10 @@
 
     /// Returns whether the engine of the running attempt answers.
     async fn alive(&self) -> bool {
-        let Some((server, _)) = &self.running else {
+        let Some(running) = &self.running else {
             return false;
         };
-        let probe = self.context.backend.load(server);
+        let probe = self.context.backend.load(&running.server);
         matches!(time::timeout(PROBE_TIMEOUT, probe).await, Ok(Ok(_)))
     }
 
--- a/serving/src/modules/stops.rs
+++ b/serving/src/modules/stops.rs
@@ -8,10 +8,12 @@
 use medlarfall_coordination::planned_stop::Target;
 use medlarfall_schema::declaration::Stop;
 use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
 
 use crate::backend::Server;
 use crate::clock::Clock;
 use crate::context::Context;
+use crate::modules::directory::Directory;
 
 mod drain;
 mod follow;
@@ -193,10 +195,49 @@
     }
 }
 
-/// Returns whether a backend server gets new work.
+/// Returns the directory with each backend server marked as leaving for which a stop is planned.
 #[must_use]
-pub fn accepts(context: &Context, server: &Server) -> bool {
-    context.stops.declared.borrow().of_server(server).is_none()
+pub fn mark_leaving(
+    mut listed: watch::Receiver<Arc<Directory>>,
+    stops: &Stops,
+    stop: CancellationToken,
+) -> watch::Receiver<Arc<Directory>> {
+    let mut declared = stops.declared();
+    let (sender, receiver) = watch::channel(Arc::clone(&listed.borrow()));
+    let mark = async move {
+        loop {
+            let servers = Arc::clone(&listed.borrow_and_update());
+            let stops = Arc::clone(&declared.borrow_and_update());
+            sender.send_replace(marked(servers, &stops));
+            let ended = tokio::select! {
+                changed = listed.changed() => changed.is_err(),
+                changed = declared.changed() => changed.is_err(),
+            };
+            if ended {
+                return;
+            }
+        }
+    };
+    tokio::spawn(async move {
+        tokio::select! {
+            () = stop.cancelled() => {}
+            () = mark => {}
+        }
+    });
+    receiver
+}
+
+/// Returns the directory with the leaving backend servers marked.
+fn marked(servers: Arc<Directory>, stops: &Declared) -> Arc<Directory> {
+    let stays = |server: &Server| server.leaving || stops.of_server(server).is_none();
+    if servers.iter().all(|server| stays(server)) {
+        return servers;
+    }
+    let marked = servers.iter().map(|server| Server {
+        leaving: !stays(server) || server.leaving,
+        ..server.as_ref().clone()
+    });
+    Arc::new(marked.collect())
 }
 
 /// Starts the tasks that follow the planned stops.
--- a/serving/src/modules/stops/handover.rs
+++ b/serving/src/modules/stops/handover.rs
@@ -5,15 +5,14 @@
 
 use medlarfall_coordination::journal::{Attempt, Journal};
 use medlarfall_coordination::planned_stop::{self, Decision, Stand};
-use tokio::sync::watch;
+use tokio::sync::{oneshot, watch};
 use tokio::time::Instant;
-use tokio_util::task::AbortOnDropHandle;
 
 use super::Declared;
 use crate::backend::http::Lines;
-use crate::backend::{Engine, Frame, Frames, Generate, Server};
+use crate::backend::{Engine, Frame, Frames, Generate, Reference, Server};
 use crate::context::Context;
-use crate::modules::routing;
+use crate::modules::admission::{Need, Permit};
 
 /// Pause after a vain try to move a generation.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
@@ -21,8 +20,8 @@
 /// An attempt that runs on another server and has produced its first frame.
 #[derive(Debug)]
 pub struct Prepared {
-    /// Server that it runs on.
-    pub server: Arc<Server>,
+    /// Names the server that it runs on, and holds its memory.
+    pub permit: Permit,
     /// Number of the attempt, reserved in the journal and still to be adopted.
     pub attempt: Attempt,
     /// First frame of the attempt.
@@ -36,14 +35,14 @@
 pub struct Handover {
     context: Arc<Context>,
     server: Arc<Server>,
-    service: Arc<str>,
     request: Generate,
+    need: Need,
+    patience: Duration,
     declared: watch::Receiver<Arc<Declared>>,
     first_index: u64,
     began: Option<(Duration, u64)>,
     prepared: u64,
-    tried: Vec<Arc<str>>,
-    opening: Option<AbortOnDropHandle<Option<Prepared>>>,
+    opening: Option<oneshot::Receiver<Option<Prepared>>>,
     retry: Duration,
 }
 
@@ -53,21 +52,21 @@
     #[must_use]
     pub fn new(
         context: &Arc<Context>,
-        service: &Arc<str>,
         server: &Arc<Server>,
         request: Generate,
+        need: Need,
         first_index: u64,
     ) -> Self {
         Self {
             declared: context.stops.declared(),
             context: Arc::clone(context),
             server: Arc::clone(server),
-            service: Arc::clone(service),
             request,
+            patience: need.deadline.saturating_sub(context.clock.now()),
+            need,
             first_index,
             began: None,
             prepared: 0,
-            tried: Vec::new(),
             opening: None,
             retry: Duration::ZERO,
         }
@@ -160,43 +159,71 @@
 
     /// Starts the next attempt on another server, resumed from what was delivered.
     fn open(&mut self, journal: &Journal) {
-        let mut tried = self.tried.clone();
-        tried.push(Arc::clone(&self.server.name));
-        let picked = routing::pick(&self.context, &self.service, &self.request.version, &tried);
-        let Some(server) = picked else {
-            self.tried.clear();
-            return;
-        };
-        self.tried.push(Arc::clone(&server.name));
         let attempt = journal.prepared_attempt(self.prepared);
         self.prepared += 1;
+        let need = Need {
+            deadline: self.context.clock.now() + self.patience,
+            excluded: vec![Arc::clone(&self.server.name)],
+            ..self.need.clone()
+        };
         let request = Generate {
             attempt: attempt.0,
             resume: journal.tokens().to_vec(),
             ..self.request.clone()
         };
         let context = Arc::clone(&self.context);
-        let opening = prepare(context, server, attempt, request);
-        self.opening = Some(AbortOnDropHandle::new(tokio::spawn(opening)));
+        let (sender, receiver) = oneshot::channel();
+        self.opening = Some(receiver);
+        tokio::spawn(async move {
+            let prepared = prepare(&context, need, attempt, &request).await;
+            // What nobody waits for any more is given up.
+            if let Err(Some(prepared)) = sender.send(prepared) {
+                give_up(&context, prepared.permit, &request).await;
+            }
+        });
     }
 }
 
 /// Starts an attempt and waits for its first frame.
 async fn prepare(
-    context: Arc<Context>,
-    server: Arc<Server>,
+    context: &Context,
+    need: Need,
     attempt: Attempt,
-    request: Generate,
+    request: &Generate,
 ) -> Option<Prepared> {
-    let deadline = Instant::now() + context.settings.generation.silence_ceiling;
-    let opened = context.backend.generate(&server, &request);
-    let mut frames = tokio::time::timeout_at(deadline, opened).await.ok()?.ok()?;
-    let first = tokio::time::timeout_at(deadline, frames.next()).await;
-    let first = first.ok()?.ok()??;
+    let permit = context.admission.ask(need).await.ok()?;
+    let deadline = Instant::now() + context.settings.generation.first_token_timeout;
+    let opened = async {
+        let mut frames = context
+            .backend
+            .generate(&permit.server, request)
+            .await
+            .ok()?;
+        let first = frames.next().await.ok()??;
+        Some((first, frames))
+    };
+    let opened = tokio::time::timeout_at(deadline, opened).await;
+    let Ok(Some((first, frames))) = opened else {
+        give_up(context, permit, request).await;
+        return None;
+    };
     Some(Prepared {
-        server,
+        permit,
         attempt,
         first,
         frames,
     })
 }
+
+/// Cancels an attempt that is not wanted; its memory stays reserved meanwhile.
+async fn give_up(context: &Context, permit: Permit, request: &Generate) {
+    let reference = Reference {
+        request_id: Arc::clone(&request.request_id),
+        attempt: request.attempt,
+        from: 0,
+    };
+    let cancelling = context.backend.cancel(&permit.server, &reference);
+    let timeout = context.settings.generation.silence_ceiling;
+    let _ = tokio::time::timeout(timeout, cancelling).await;
+    drop(permit);
+}
