--- a/coordination/src/lib.rs
+++ b/coordination/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod ejection;
 pub mod fair_queue;
 pub mod fencing;
+pub mod grants;
 pub mod journal;
 pub mod memory;
 pub mod placement;
