--- a/coordination/src/lib.rs
+++ b/coordination/src/lib.rs
@@ -4,8 +4,10 @@
 //! decisions. None owns a socket, a task or a clock, so that a test can drive it through any order
 //! of events. Times are [`std::time::Duration`]s since an arbitrary origin that never goes back.
 
+pub mod claim;
 pub mod detector;
 pub mod ejection;
+pub mod evidence;
 pub mod fair_queue;
 pub mod fencing;
 pub mod grants;
@@ -14,3 +16,6 @@
 pub mod placement;
 pub mod planned_stop;
 pub mod resume_token;
+pub mod retry_budget;
+pub mod rollout;
+pub mod schedule;
--- a/programs/src/cluster.rs
+++ b/programs/src/cluster.rs
@@ -303,6 +303,7 @@
             services: configs::services::Services::default(),
             orders: configs::orders::Orders::default(),
             stops: configs::stops::Stops::default(),
+            moves: configs::moves::Moves::default(),
             log: configs::log::Log::default(),
         }
     }
--- a/programs/src/commands.rs
+++ b/programs/src/commands.rs
@@ -12,6 +12,7 @@
 use crate::caller::{Answer, Completion};
 use crate::operator::Operator;
 
+pub mod moves;
 pub mod stops;
 
 /// What a subcommand returns.
--- a/programs/src/main.rs
+++ b/programs/src/main.rs
@@ -4,6 +4,8 @@
 use std::time::Duration;
 
 use medlarfall::caller::Completion;
+use medlarfall::commands::moves;
+use medlarfall::operator::Operator;
 use medlarfall::{bench, commands, demo};
 use medlarfall_schema::operator::OrderRequest;
 
@@ -68,7 +70,7 @@
             /// Plans, watches and cancels stops of backend servers, failure domains and entries.
             cmd stop {
                 /// Plans a stop, or changes its date.
-                cmd plan {
+                cmd stop-plan plan {
                     /// Operators' address of an entry.
                     required --entry entry: SocketAddr
                     /// What stops: server/NAME, failure-domain/NAME or entry/NAME.
@@ -81,20 +83,52 @@
                     optional --revision revision: u64
                 }
                 /// Prints what still holds a stop until it has finished.
-                cmd watch {
+                cmd stop-watch watch {
                     /// Operators' address of an entry.
                     required --entry entry: SocketAddr
                     /// What stops.
                     required target: String
                 }
                 /// Takes a planned stop back.
-                cmd cancel {
+                cmd stop-cancel cancel {
                     /// Operators' address of an entry.
                     required --entry entry: SocketAddr
                     /// What was to stop.
                     required target: String
                 }
             }
+            /// Moves a service to another version.
+            cmd move {
+                /// Starts a move and prints its identifier.
+                cmd start {
+                    /// Operators' address of an entry.
+                    required --entry entry: SocketAddr
+                    /// Service to move.
+                    required --service service: String
+                    /// Version to move to.
+                    required --version version: String
+                    /// Time in which the move must have ended, such as "2h" or "30m".
+                    required --within within: String
+                }
+                /// Prints the states of a move until it is done or taken back.
+                cmd watch {
+                    /// Operators' address of an entry.
+                    required --entry entry: SocketAddr
+                    /// The service.
+                    required --service service: String
+                    /// Identifier of the move; the last one by default.
+                    optional --id id: String
+                }
+                /// Takes a move back.
+                cmd cancel {
+                    /// Operators' address of an entry.
+                    required --entry entry: SocketAddr
+                    /// The service.
+                    required --service service: String
+                    /// Identifier of the move.
+                    required --id id: String
+                }
+            }
             /// Asks for a generation and prints it as it comes.
             cmd generate {
                 /// Callers' address of an entry; with several the next one goes on when one is lost.
@@ -152,6 +186,7 @@
             commands::stops::order(flags.entry, &key()?, order, json).await
         }
         flags::MedlarfallCmd::Stop(flags) => stop(flags.subcommand, json).await,
+        flags::MedlarfallCmd::Move(flags) => run_move(flags, json).await,
         flags::MedlarfallCmd::Generate(flags) => {
             let completion = Completion {
                 model: flags.model,
@@ -168,7 +203,7 @@
 async fn stop(command: flags::StopCmd, json: bool) -> commands::Result {
     let key = key()?;
     match command {
-        flags::StopCmd::Plan(flags) => {
+        flags::StopCmd::StopPlan(flags) => {
             let plan = commands::stops::Plan {
                 target: flags.target,
                 notice: Duration::from_secs(flags.seconds),
@@ -177,15 +212,41 @@
             };
             commands::stops::plan(flags.entry, &key, plan, json).await
         }
-        flags::StopCmd::Watch(flags) => {
+        flags::StopCmd::StopWatch(flags) => {
             commands::stops::watch(flags.entry, &key, &flags.target, json).await
         }
-        flags::StopCmd::Cancel(flags) => {
+        flags::StopCmd::StopCancel(flags) => {
             commands::stops::cancel(flags.entry, &key, &flags.target, json).await
         }
     }
 }
 
+/// Runs a subcommand of `move`.
+async fn run_move(flags: flags::Move, json: bool) -> commands::Result {
+    match flags.subcommand {
+        flags::MoveCmd::Start(flags) => {
+            let operator = Operator::new(flags.entry, &key()?)?;
+            moves::start(
+                operator,
+                &flags.service,
+                &flags.version,
+                &flags.within,
+                json,
+            )
+            .await
+        }
+        flags::MoveCmd::Watch(flags) => {
+            let operator = Operator::new(flags.entry, &key()?)?;
+            let id = flags.id.unwrap_or_default();
+            moves::watch(operator, &flags.service, &id, json).await
+        }
+        flags::MoveCmd::Cancel(flags) => {
+            let operator = Operator::new(flags.entry, &key()?)?;
+            moves::cancel(operator, &flags.service, &flags.id, json).await
+        }
+    }
+}
+
 /// Reads the key from the environment.
 fn key() -> Result<String, String> {
     std::env::var(KEY_VARIABLE).map_err(|_| format!("set {KEY_VARIABLE} to your key"))
--- a/programs/tests/generations.rs
+++ b/programs/tests/generations.rs
@@ -102,6 +102,34 @@
     assert_eq!(text, oracle::answer("v1", "waits", MAX_TOKENS));
 }
 
+#[tokio::test]
+async fn a_paused_engine_that_returns_is_told_to_stop() {
+    let plan = Plan {
+        failure_domains: 1,
+        entries: 1,
+        engine: Config {
+            // The engine would go on without a reader for longer than the test waits.
+            orphan_grace: Duration::from_hours(1),
+            ..Config::default()
+        },
+        ..Plan::default()
+    };
+    let cluster = Cluster::start(plan).await.expect("the cluster is up");
+    let mut answer = ask(&cluster, "paused");
+    read(&mut answer, BEFORE).await;
+    let held = cluster
+        .engines
+        .iter()
+        .find(|held| held.engine.stats().live > 0);
+    let engine = &held.expect("an engine that serves").engine;
+    engine.life().pause(Duration::from_secs(3));
+    let text = answer.finish().await.expect("the whole answer");
+    assert_eq!(text, oracle::answer("v1", "paused", MAX_TOKENS));
+    wait("the paused engine is free", || engine.stats().live == 0)
+        .await
+        .expect("the paused engine is free");
+}
+
 /// Kills the only engine of `v1`, starts one of `v2` and declares `v2`.
 async fn change_version(cluster: &mut Cluster) {
     cluster.engines[0].engine.life().die();
--- a/serving/src/configs.rs
+++ b/serving/src/configs.rs
@@ -16,6 +16,7 @@
 pub mod keys;
 pub mod listen;
 pub mod log;
+pub mod moves;
 pub mod orders;
 pub mod platform;
 pub mod services;
@@ -76,6 +77,8 @@
     pub orders: orders::Orders,
     /// How planned stops are carried out.
     pub stops: stops::Stops,
+    /// How services are moved to another version.
+    pub moves: moves::Moves,
     /// Logs.
     pub log: log::Log,
 }
@@ -122,6 +125,7 @@
             services: raw.services.unwrap_or_default().try_into()?,
             orders: raw.orders.unwrap_or_default().try_into()?,
             stops: raw.stops.unwrap_or_default().try_into()?,
+            moves: raw.moves.unwrap_or_default().try_into()?,
             log: raw.log.unwrap_or_default().try_into()?,
         })
     }
--- a/serving/src/context.rs
+++ b/serving/src/context.rs
@@ -10,10 +10,13 @@
 use crate::clock::Clock;
 use crate::configs::Settings;
 use crate::modules::admission::Admission;
+use crate::modules::calls::Calls;
+use crate::modules::claims::Claims;
 use crate::modules::declarations::Declarations;
 use crate::modules::directory::Directory;
 use crate::modules::generation::outbox::Ledger;
 use crate::modules::metrics::Metrics;
+use crate::modules::moves;
 use crate::modules::orders;
 use crate::modules::peers::{Identity, Peers};
 use crate::modules::stops::Stops;
@@ -34,6 +37,10 @@
     pub identity: Identity,
     /// Connections to the other entries.
     pub peers: Peers,
+    /// Claims on callers' identifiers.
+    pub claims: Claims,
+    /// What calls to plain services share.
+    pub calls: Calls,
     /// Backend servers.
     pub backend: backend::http::Client,
     /// Declarations in force at this entry.
@@ -42,6 +49,8 @@
     pub directory: watch::Receiver<Arc<Directory>>,
     /// Planned stops, and what holds them.
     pub stops: Stops,
+    /// Moves of services to another version.
+    pub moves: moves::Handle,
     /// What was learnt of the silences of engines.
     pub detector: Mutex<Detector>,
     /// Text held for readers of generations.
--- a/serving/src/entry.rs
+++ b/serving/src/entry.rs
@@ -12,9 +12,12 @@
 use crate::clock::Clock;
 use crate::configs::Settings;
 use crate::context::Context;
+use crate::modules::calls::Calls;
+use crate::modules::claims::Claims;
 use crate::modules::peers::{Identity, Peers};
 use crate::modules::{
-    admission, callers, declarations, directory, generation, metrics, operators, peers, stops,
+    admission, callers, claims, declarations, directory, generation, metrics, moves, operators,
+    peers, stops,
 };
 use crate::platform;
 
@@ -86,6 +89,7 @@
     );
     let stop = CancellationToken::new();
     let metrics = metrics::Metrics::new();
+    let (moves_handle, moves_mailbox) = moves::mailbox();
     let clock = Clock::start();
     let stops = stops::Stops::new();
     let directory = directory::start(platform.clone(), settings.platform, stop.clone());
@@ -106,6 +110,8 @@
     });
     let context = Arc::new(Context {
         admission,
+        calls: Calls::new(&identity, &settings.services),
+        claims: Claims::new(&identity),
         clock,
         identity,
         peers: Peers::new(settings.keys.peers.clone()),
@@ -114,6 +120,7 @@
         detector: generation::detector(&settings.generation),
         held: generation::outbox::Ledger::new(settings.generation.held_limit, &metrics),
         directory,
+        moves: moves_handle,
         metrics,
         stops,
         platform,
@@ -121,25 +128,25 @@
         stop,
     });
     stops::start(&context);
+    moves::driver::start(&context, moves_mailbox);
     generation::start_upkeep(Arc::clone(&context));
-    let callers = callers::start(Arc::clone(&context))
+    let peers = peers::start(Arc::clone(&context))
         .await
         .context(BindSnafu {
-            port: "listen.callers",
-            address: listen.callers,
+            port: "listen.peers",
+            address: listen.peers,
         })?;
+    claims::start(&context, peers);
+    let callers = callers::start(&context).context(BindSnafu {
+        port: "listen.callers",
+        address: listen.callers,
+    })?;
     let operators = operators::start(Arc::clone(&context))
         .await
         .context(BindSnafu {
             port: "listen.operators",
             address: listen.operators,
         })?;
-    let peers = peers::start(Arc::clone(&context))
-        .await
-        .context(BindSnafu {
-            port: "listen.peers",
-            address: listen.peers,
-        })?;
     let metrics = metrics::start(Arc::clone(&context))
         .await
         .context(BindSnafu {
--- a/serving/src/modules.rs
+++ b/serving/src/modules.rs
@@ -2,10 +2,13 @@
 
 pub mod admission;
 pub mod callers;
+pub mod calls;
+pub mod claims;
 pub mod declarations;
 pub mod directory;
 pub mod generation;
 pub mod metrics;
+pub mod moves;
 pub mod operators;
 pub mod orders;
 pub mod peers;
--- a/serving/src/modules/callers/completions.rs
+++ b/serving/src/modules/callers/completions.rs
@@ -17,6 +17,7 @@
 use crate::modules::admission::Refusal;
 use crate::modules::generation::outbox::Reader;
 use crate::modules::generation::{self, Event, Order, Resumption};
+use crate::modules::moves;
 
 /// Header with which a caller comes back: the last event's `id:`.
 const LAST_EVENT_ID: &str = "last-event-id";
@@ -132,7 +133,7 @@
             request_id: Arc::clone(&caller.request_id),
             account: Arc::clone(&caller.account),
             service: Arc::from(service.name.as_str()),
-            version: Arc::from(service.version.as_str()),
+            version: moves::version(&self.context, service, &caller.request_id),
             prompt: Arc::from(completion.prompt),
             max_tokens,
             priority: completion.priority,
--- a/serving/src/modules/generation/attempt.rs
+++ b/serving/src/modules/generation/attempt.rs
@@ -6,7 +6,7 @@
 
 use medlarfall_coordination::journal::{Attempt, Ending, Verdict};
 use medlarfall_coordination::resume_token;
-use tokio::time;
+use tokio::time::{self, Instant};
 
 use super::outbox::Demand;
 use super::watch::Watch;
@@ -79,6 +79,7 @@
         handover: &mut Handover,
     ) -> Outcome {
         loop {
+            let asked = Instant::now();
             let next = tokio::select! {
                 biased;
                 next = self.bear(watch, frames.next()) => next,
@@ -90,6 +91,10 @@
                 Some(Err(error)) => return Outcome::Lost(error.to_string()),
                 None => return Outcome::Lost("the engine fell silent".to_owned()),
             };
+            let running = self.running.as_mut().filter(|_| frame.token.is_some());
+            if let Some(probe) = running.and_then(|running| running.probe.as_mut()) {
+                probe.token(asked.elapsed());
+            }
             if let Some(outcome) = self.take(watch, frame).await {
                 return outcome;
             }
--- a/serving/src/modules/peers.rs
+++ b/serving/src/modules/peers.rs
@@ -10,7 +10,9 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
+use fastrace::future::FutureExt as _;
 use futures::StreamExt;
+use medlarfall_coordination::claim::{Claimer, Word};
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 use tarpc::context;
@@ -25,6 +27,7 @@
 
 use crate::configs::keys::Secret;
 use crate::context::Context;
+use crate::telemetry;
 
 mod handshake;
 
@@ -57,6 +60,10 @@
 pub trait Peer {
     /// Returns what the entry says of itself.
     async fn identity() -> Identity;
+
+    /// Returns the entry's word on a claim of its own, waiting up to `wait_ms` for a call to end;
+    /// nothing if the claim is not of this incarnation.
+    async fn claim(claimer: Claimer, wait_ms: u64) -> Option<Word>;
 }
 
 /// Why a peer could not be asked.
@@ -144,7 +151,7 @@
         let client = self.client(address).await?;
         let mut context = context::current();
         context.deadline = Instant::now() + timeout;
-        let answer = call(client, context).await;
+        let answer = call(client, context).in_span(telemetry::hop("peer")).await;
         answer.map_err(|error| {
             self.forget(address);
             Error::NoAnswer {
@@ -201,6 +208,11 @@
     async fn identity(self, _: context::Context) -> Identity {
         self.context.identity.clone()
     }
+
+    async fn claim(self, _: context::Context, claimer: Claimer, wait_ms: u64) -> Option<Word> {
+        let wait = Duration::from_millis(wait_ms).min(CALL_TIMEOUT);
+        self.context.claims.wait(&claimer, wait).await
+    }
 }
 
 /// Starts the peers' port and returns its address.
--- a/standin/src/engine/stream.rs
+++ b/standin/src/engine/stream.rs
@@ -178,6 +178,10 @@
             self.engine.life.stop().cancelled().await;
             return Some(Err(Cut));
         }
+        if faults.stray_token == Some(next) {
+            time::sleep(self.engine.config.token_interval).await;
+            return Some(Ok(line(&stray(&live.generate, next))));
+        }
         if next < produced {
             let frame = self.token(&live, &faults);
             return Some(Ok(line(&frame)));
@@ -210,13 +214,7 @@
         self.next = if repeats { index } else { index + 1 };
         let crossed = faults.cross_token == Some(index);
         if crossed {
-            return Frame {
-                request_id: format!("{}-other", generate.request_id),
-                attempt: generate.attempt,
-                index,
-                token: Some(" crossed".to_owned()),
-                end: None,
-            };
+            return stray(generate, index);
         }
         Frame {
             request_id: generate.request_id.clone(),
@@ -228,6 +226,17 @@
     }
 }
 
+/// Returns a frame that belongs to another request.
+fn stray(generate: &Generate, index: u64) -> Frame {
+    Frame {
+        request_id: format!("{}-other", generate.request_id),
+        attempt: generate.attempt,
+        index,
+        token: Some(" crossed".to_owned()),
+        end: None,
+    }
+}
+
 /// Returns a frame as a JSON line.
 fn line(frame: &Frame) -> Bytes {
     let mut line = serde_json::to_vec(frame).unwrap_or_default();
