--- a/coordination/src/journal.rs
+++ b/coordination/src/journal.rs
@@ -49,6 +49,7 @@
 pub struct Journal {
     tokens: Vec<Arc<str>>,
     attempt: u64,
+    used: u64,
     ended: bool,
 }
 
@@ -66,14 +67,34 @@
         Self {
             tokens,
             attempt: attempt.0,
+            used: attempt.0,
             ended: false,
         }
     }
 
     /// Begins an attempt, which makes every earlier one stale.
     pub fn begin_attempt(&mut self) -> Attempt {
-        self.attempt += 1;
-        Attempt(self.attempt)
+        let attempt = self.prepared_attempt(0);
+        self.adopt(attempt);
+        attempt
+    }
+
+    /// Returns the number for an attempt that is prepared while the current one goes on, after
+    /// `others` that were prepared before it.
+    #[must_use]
+    pub fn prepared_attempt(&self, others: u64) -> Attempt {
+        Attempt(self.attempt.max(self.used) + 1 + others)
+    }
+
+    /// Notes the highest number given to a prepared attempt, so that none gets it again.
+    pub fn note_used(&mut self, attempt: Attempt) {
+        self.used = self.used.max(attempt.0);
+    }
+
+    /// Makes a prepared attempt the current one, and every earlier one stale; an attempt older than
+    /// the current one stays stale.
+    pub fn adopt(&mut self, attempt: Attempt) {
+        self.attempt = self.attempt.max(attempt.0);
     }
 
     /// Judges a token, and writes it down if it is to be delivered.
--- a/programs/src/main.rs
+++ b/programs/src/main.rs
@@ -1,11 +1,13 @@
 //! The command line for operators and callers.
 
 use std::process::ExitCode;
+use std::time::Duration;
 
 use medlarfall::caller::Completion;
 use medlarfall::commands::moves;
 use medlarfall::operator::Operator;
 use medlarfall::{bench, commands, demo};
+use medlarfall_schema::operator::OrderRequest;
 
 /// Arguments, parsed by `xflags`, which writes the code without comments.
 #[allow(missing_docs)]
@@ -52,6 +54,49 @@
                 /// Operators' address of an entry.
                 required --entry entry: SocketAddr
             }
+            /// Orders a backend server to load versions, change its role or drain.
+            cmd order {
+                /// Operators' address of an entry.
+                required --entry entry: SocketAddr
+                /// Name of the backend server.
+                required server: String
+                /// Version that shall be loaded; repeat it for several, all others are unloaded.
+                repeated --version version: String
+                /// Role that the server shall have.
+                optional --role role: String
+                /// Whether the server shall take no new work: true or false.
+                optional --drain drain: bool
+            }
+            /// Plans, watches and cancels stops of backend servers, failure domains and entries.
+            cmd stop {
+                /// Plans a stop, or changes its date.
+                cmd stop-plan plan {
+                    /// Operators' address of an entry.
+                    required --entry entry: SocketAddr
+                    /// What stops: server/NAME, failure-domain/NAME or entry/NAME.
+                    required target: String
+                    /// Seconds until it stops.
+                    required --seconds seconds: u64
+                    /// Why, for other operators.
+                    optional --note note: String
+                    /// Revision of the stop that you change; 0 by default, for a new one.
+                    optional --revision revision: u64
+                }
+                /// Prints what still holds a stop until it has finished.
+                cmd stop-watch watch {
+                    /// Operators' address of an entry.
+                    required --entry entry: SocketAddr
+                    /// What stops.
+                    required target: String
+                }
+                /// Takes a planned stop back.
+                cmd stop-cancel cancel {
+                    /// Operators' address of an entry.
+                    required --entry entry: SocketAddr
+                    /// What was to stop.
+                    required target: String
+                }
+            }
             /// Moves a service to another version.
             cmd move {
                 /// Starts a move and prints its identifier.
@@ -131,6 +176,16 @@
         }
         flags::MedlarfallCmd::List(flags) => commands::list(flags.entry, &key()?, json).await,
         flags::MedlarfallCmd::Status(flags) => commands::status(flags.entry, &key()?).await,
+        flags::MedlarfallCmd::Order(flags) => {
+            let order = OrderRequest {
+                server: flags.server,
+                versions: flags.version,
+                role: flags.role,
+                drain: flags.drain,
+            };
+            commands::stops::order(flags.entry, &key()?, order, json).await
+        }
+        flags::MedlarfallCmd::Stop(flags) => stop(flags.subcommand, json).await,
         flags::MedlarfallCmd::Move(flags) => run_move(flags, json).await,
         flags::MedlarfallCmd::Generate(flags) => {
             let completion = Completion {
@@ -144,6 +199,28 @@
     }
 }
 
+/// Runs a subcommand of `stop`.
+async fn stop(command: flags::StopCmd, json: bool) -> commands::Result {
+    let key = key()?;
+    match command {
+        flags::StopCmd::StopPlan(flags) => {
+            let plan = commands::stops::Plan {
+                target: flags.target,
+                notice: Duration::from_secs(flags.seconds),
+                note: flags.note.unwrap_or_default(),
+                revision: flags.revision.unwrap_or(0),
+            };
+            commands::stops::plan(flags.entry, &key, plan, json).await
+        }
+        flags::StopCmd::StopWatch(flags) => {
+            commands::stops::watch(flags.entry, &key, &flags.target, json).await
+        }
+        flags::StopCmd::StopCancel(flags) => {
+            commands::stops::cancel(flags.entry, &key, &flags.target, json).await
+        }
+    }
+}
+
 /// Runs a subcommand of `move`.
 async fn run_move(flags: flags::Move, json: bool) -> commands::Result {
     match flags.subcommand {
--- a/serving/src/modules.rs
+++ b/serving/src/modules.rs
@@ -11,5 +11,7 @@
 pub mod metrics;
 pub mod moves;
 pub mod operators;
+pub mod orders;
 pub mod peers;
 pub mod spread;
+pub mod stops;
--- a/serving/src/modules/callers/services.rs
+++ b/serving/src/modules/callers/services.rs
@@ -58,6 +58,7 @@
         let now = self.context.clock.now();
         let name = request.param::<String>("service").unwrap_or_default();
         let service = self.service(&name)?;
+        let _holding = self.context.stops.holding.request();
         let identifier = self.identifier(request)?;
         let deadline = now + self.timeout(request)?;
         let _hold = self.room(request)?;
--- a/serving/src/modules/calls/attempts.rs
+++ b/serving/src/modules/calls/attempts.rs
@@ -148,6 +148,7 @@
     order.call.attempt += 1;
     order.call.timeout = timeout;
     let server = &permit.server;
+    let _holding = context.stops.holding.attempt(&server.name);
     let route = moves::route(order.call.method.as_str(), &order.call.path);
     let probe = moves::probe(
         context,
--- a/serving/src/modules/generation.rs
+++ b/serving/src/modules/generation.rs
@@ -14,12 +14,15 @@
 use crate::context::Context;
 use crate::modules::admission::{Outcome as Report, Permit, Refusal};
 use crate::modules::moves::{self, Probe};
+use crate::modules::stops::handover::Prepared;
+use crate::modules::stops::{self, holding};
 use crate::telemetry;
 
 mod admit;
 mod attempt;
 mod cancel;
 mod exclusion;
+mod moving;
 mod order;
 pub mod outbox;
 mod watch;
@@ -70,9 +73,11 @@
     tokio::spawn(
         async move {
             let stop = context.stop.clone();
+            let window = Arc::clone(&context);
             let mut task = Task::new(context, order, outbox);
             tokio::select! {
                 () = stop.cancelled() => task.leave(),
+                () = stops::window_over(&window) => task.leave(),
                 () = task.run() => {}
             }
         }
@@ -100,6 +105,8 @@
     permit: Option<Permit>,
     /// Tells a move what the attempt shows; absent for an attempt that another entry began.
     probe: Option<Probe>,
+    /// Counts the attempt among those that hold the engine.
+    _holding: holding::Attempt,
 }
 
 /// A generation in progress.
@@ -159,12 +166,14 @@
     /// Makes attempts until the answer is whole and read.
     async fn serve(&mut self) {
         let mut next = self.taken_up();
+        let mut moved: Option<Box<Prepared>> = None;
         let mut fruitless = 0;
         loop {
             let before = self.journal.next_index();
-            let outcome = match next.take() {
-                Some((server, attempt)) => self.attach(server, attempt).await,
-                None => match self.permit().await {
+            let outcome = match (moved.take(), next.take()) {
+                (Some(prepared), _) => self.go_on(prepared).await,
+                (None, Some((server, attempt))) => self.attach(server, attempt).await,
+                (None, None) => match self.permit().await {
                     Ok(permit) => self.attempt(permit).await,
                     Err(outcome) => outcome,
                 },
@@ -173,6 +182,11 @@
             let ended = match outcome {
                 Outcome::Whole(reason) => self.finish(reason).await,
                 Outcome::Parked => self.park().await,
+                Outcome::Moved(prepared) => {
+                    self.move_to(&prepared);
+                    moved = Some(prepared);
+                    false
+                }
                 Outcome::CallerGone => self.let_go(),
                 Outcome::Diverged => self.fail(|delivered| Error::Diverged { delivered }),
                 Outcome::NotAdmitted(refusal) => self.refuse(refusal),
@@ -210,15 +224,7 @@
     /// Makes one attempt on the server that a permit names.
     async fn attempt(&mut self, permit: Permit) -> Outcome {
         let attempt = self.journal.begin_attempt();
-        let generate = Generate {
-            request_id: Arc::clone(&self.order.request_id),
-            attempt: attempt.0,
-            version: Arc::clone(&self.order.version),
-            prompt: Arc::clone(&self.order.prompt),
-            resume: self.journal.tokens().to_vec(),
-            max_tokens: self.order.max_tokens,
-            priority: self.order.priority,
-        };
+        let generate = self.request(attempt, self.journal.tokens().to_vec());
         let server = Arc::clone(&permit.server);
         let mut watch = self.begin(&server, attempt, Some(permit));
         let backend = self.context.backend.clone();
@@ -228,6 +234,19 @@
         self.follow(&mut watch, asked).await
     }
 
+    /// Returns the request of an attempt that resumes after some tokens.
+    fn request(&self, attempt: Attempt, resume: Vec<Arc<str>>) -> Generate {
+        Generate {
+            request_id: Arc::clone(&self.order.request_id),
+            attempt: attempt.0,
+            version: Arc::clone(&self.order.version),
+            prompt: Arc::clone(&self.order.prompt),
+            resume,
+            max_tokens: self.order.max_tokens,
+            priority: self.order.priority,
+        }
+    }
+
     /// Reads on from an attempt that runs since before this entry had the generation.
     async fn attach(&mut self, server: Arc<Server>, attempt: Attempt) -> Outcome {
         let reference = self.reference(attempt);
@@ -253,6 +272,7 @@
             attempt,
             permit,
             probe,
+            _holding: self.context.stops.holding.attempt(&server.name),
         });
         self.origin = Arc::new(Origin {
             version: Arc::clone(&self.order.version),
--- a/serving/src/modules/metrics.rs
+++ b/serving/src/modules/metrics.rs
@@ -77,6 +77,8 @@
     pub attempts_lost: Counter,
     /// Declarations from the store that were not obeyed, by reason.
     pub store_refusals: Family<Refusal, Counter>,
+    /// Generations moved off a leaving server while it still ran them.
+    pub generations_moved: Counter,
     /// Text held for readers that have not read it yet, in bytes.
     pub held_bytes: Gauge,
     /// Generations taken from their engine because the reader did not read.
@@ -145,12 +147,17 @@
             "generations_resumed",
             "Generations taken over with a resume token",
         );
+        let generations_moved = counter(
+            "generations_moved",
+            "Generations moved off a leaving server while it still ran them",
+        );
         Self {
             registry,
             requests,
             admitted,
             attempts_lost,
             store_refusals,
+            generations_moved,
             held_bytes,
             generations_parked,
             held_given_up,
@@ -223,6 +230,10 @@
 
 /// Answers whether the entry can take requests.
 fn ready(context: &Context) -> (StatusCode, String) {
+    if context.stops.leaving() {
+        let reason = "not ready: this entry is leaving; send requests to another entry\n";
+        return (StatusCode::SERVICE_UNAVAILABLE, reason.to_owned());
+    }
     if context.declarations.borrow().loaded {
         return (StatusCode::OK, "ready\n".to_owned());
     }
--- a/serving/src/modules/operators.rs
+++ b/serving/src/modules/operators.rs
@@ -16,6 +16,8 @@
 pub mod apply;
 pub mod confirm;
 mod moves;
+mod orders;
+mod stops;
 
 /// Answers operators.
 struct Handle {
@@ -91,6 +93,40 @@
         }))
     }
 
+    async fn plan_stop(
+        &self,
+        request: Request<rpc::PlanStopRequest>,
+    ) -> Result<Response<rpc::PlanStopReply>, Status> {
+        let stop = stops::plan(&self.context, request.into_inner()).await?;
+        Ok(Response::new(rpc::PlanStopReply { stop: Some(stop) }))
+    }
+
+    type WatchStopStream = stops::Progress;
+
+    async fn watch_stop(
+        &self,
+        request: Request<rpc::WatchStopRequest>,
+    ) -> Result<Response<Self::WatchStopStream>, Status> {
+        let progress = stops::watch(&self.context, &request.into_inner().target).await?;
+        Ok(Response::new(progress))
+    }
+
+    async fn cancel_stop(
+        &self,
+        request: Request<rpc::CancelStopRequest>,
+    ) -> Result<Response<rpc::PlanStopReply>, Status> {
+        let stop = stops::cancel(&self.context, request.into_inner()).await?;
+        Ok(Response::new(rpc::PlanStopReply { stop: Some(stop) }))
+    }
+
+    async fn order(
+        &self,
+        request: Request<rpc::OrderRequest>,
+    ) -> Result<Response<rpc::OrderReply>, Status> {
+        let reply = orders::order(&self.context, request.into_inner()).await?;
+        Ok(Response::new(reply))
+    }
+
     async fn status(
         &self,
         _: Request<rpc::StatusRequest>,
--- a/serving/src/utils.rs
+++ b/serving/src/utils.rs
@@ -3,3 +3,4 @@
 pub mod budget;
 pub mod http;
 pub mod mac;
+pub mod settle;
