feat(serving): pass the attempt's trace context and the deadline on to plain services

Cause: services got the caller's own trace context, so that an attempt was no parent of what it caused, and nothing tested what is passed on. Change: the attempt's span is the parent; the stand-in records what came with an action. Conclusion: the same trace goes through; tracestate is not passed on.

--- a/programs/tests/plain_services.rs
+++ b/programs/tests/plain_services.rs
@@ -165,3 +165,34 @@
     }
     assert_eq!(act(&cluster, "taken").await, (200, "ran".to_owned()));
 }
+
+#[tokio::test]
+async fn deadline_and_trace_are_passed_on() {
+    let cluster = cluster().await;
+    let trace = "4bf92f3577b34da6a3ce929d0e0e4736";
+    let traceparent = format!("00-{trace}-00f067aa0ba902b7-01");
+    let headers = [
+        ("traceparent", traceparent.as_str()),
+        ("medlarfall-timeout-ms", "900"),
+    ];
+    let caller = cluster.caller(0);
+    let call = caller.call_with(Method::POST, "/s/tracker/plots/7", "traced", &headers);
+    assert_eq!(call.await.expect("a reply").run, "ran");
+    let passed_on = cluster.services[0].service.passed_on("traced");
+    let passed_on = passed_on.expect("it was called");
+    assert_eq!(passed_on.traceparent.split('-').nth(1), Some(trace));
+    let timeout_ms: u64 = passed_on.timeout_ms.parse().expect("milliseconds");
+    assert!((1..=900).contains(&timeout_ms), "{timeout_ms}");
+}
+
+#[tokio::test]
+async fn a_malformed_trace_is_not_passed_on() {
+    let cluster = cluster().await;
+    let headers = [("traceparent", "00-nonsense")];
+    let caller = cluster.caller(0);
+    let call = caller.call_with(Method::POST, "/s/tracker/plots/7", "untraced", &headers);
+    assert_eq!(call.await.expect("a reply").run, "ran");
+    let passed_on = cluster.services[0].service.passed_on("untraced");
+    let passed_on = passed_on.expect("it was called");
+    assert!(!passed_on.traceparent.contains("nonsense"));
+}
--- a/serving/src/modules/calls/attempts.rs
+++ b/serving/src/modules/calls/attempts.rs
@@ -156,8 +156,12 @@
         &server.name,
         &route,
     );
+    let span = telemetry::hop("attempt");
+    if let Some(traceparent) = telemetry::traceparent_of(&span) {
+        order.call.traceparent = Some(Arc::from(traceparent));
+    }
     let answer = context.backend.call(server, &order.call);
-    let answer = tokio::time::timeout(timeout, answer.in_span(telemetry::hop("attempt"))).await;
+    let answer = tokio::time::timeout(timeout, answer.in_span(span)).await;
     let good = matches!(&answer, Ok(Ok(reply)) if reply.status < CLIENT_ERROR && !reply.not_run);
     probe.end_call(!good, !matches!(answer, Ok(Ok(_))));
     let (sent, outcome) = match answer {
--- a/serving/src/telemetry.rs
+++ b/serving/src/telemetry.rs
@@ -34,6 +34,12 @@
     SpanContext::current_local_parent().map(|context| context.encode_w3c_traceparent())
 }
 
+/// Returns the W3C trace context of a span, or nothing if it is not part of a trace.
+#[must_use]
+pub fn traceparent_of(span: &Span) -> Option<String> {
+    SpanContext::from_span(span).map(|context| context.encode_w3c_traceparent())
+}
+
 /// Writes each span as a log line.
 struct Spans;
 
--- a/standin/src/service.rs
+++ b/standin/src/service.rs
@@ -70,6 +70,16 @@
     faults: Faults,
     runs: BTreeMap<String, u64>,
     ran: BTreeSet<String>,
+    passed_on: BTreeMap<String, PassedOn>,
+}
+
+/// What came with an action beside its body.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct PassedOn {
+    /// Header `traceparent`.
+    pub traceparent: String,
+    /// Header `medlarfall-timeout-ms`.
+    pub timeout_ms: String,
 }
 
 /// A running stand-in service.
@@ -128,6 +138,12 @@
         self.lock().ran.clone()
     }
 
+    /// Returns what came with the last call of an action.
+    #[must_use]
+    pub fn passed_on(&self, action: &str) -> Option<PassedOn> {
+        self.lock().passed_on.get(action).cloned()
+    }
+
     /// Returns the life of the service, which can be paused and ended.
     #[must_use]
     pub fn life(&self) -> &Life {
@@ -185,10 +201,15 @@
             ));
         }
         let request_id = header(&request, REQUEST_ID);
+        let passed_on = PassedOn {
+            traceparent: header(&request, "traceparent"),
+            timeout_ms: header(&request, "medlarfall-timeout-ms"),
+        };
         let Some(body) = http::read(request).await else {
             return Err(Cut);
         };
         let action = String::from_utf8_lossy(&body).into_owned();
+        self.lock().passed_on.insert(action.clone(), passed_on);
         let (runs, faults) = self.run(&action, request_id)?;
         tokio::time::sleep(Duration::from_millis(faults.answer_after_ms)).await;
         self.life.running().await;
