feat(serving): count calls of plain services by outcome

Cause: operators could not see how many calls end as unknown. Change: the counter of requests by service and outcome is kept for plain services; only declared services become labels. Figures: the test reads both outcomes from the metrics text. Conclusion: held bytes of plain services are not exported yet.

--- a/programs/tests/plain_services.rs
+++ b/programs/tests/plain_services.rs
@@ -196,3 +196,19 @@
     let passed_on = passed_on.expect("it was called");
     assert!(!passed_on.traceparent.contains("nonsense"));
 }
+
+#[tokio::test]
+async fn calls_are_counted_by_service_and_outcome() {
+    let cluster = cluster().await;
+    act(&cluster, "counted").await;
+    cluster.services[0].service.set_faults(service::Faults {
+        drop_answers: 1,
+        ..service::Faults::default()
+    });
+    act(&cluster, "lost").await;
+    let text = cluster.entries[0].context.metrics.text();
+    for run in ["ran", "unknown"] {
+        let line = format!("medlarfall_requests_total{{service=\"tracker\",run=\"{run}\"}} 1");
+        assert!(text.contains(&line), "{text}");
+    }
+}
--- a/serving/src/modules/callers/problem.rs
+++ b/serving/src/modules/callers/problem.rs
@@ -115,6 +115,11 @@
         }
     }
 
+    /// Returns whether the request ran.
+    pub(super) fn outcome(&self) -> Outcome {
+        self.run
+    }
+
     /// Writes the problem as the whole answer.
     pub(super) fn render(&self, response: &mut Response) {
         response.status_code(self.kind.status());
--- a/serving/src/modules/callers/services.rs
+++ b/serving/src/modules/callers/services.rs
@@ -14,7 +14,7 @@
 use crate::backend::{Call, Reply};
 use crate::context::Context;
 use crate::modules::calls::{self, Order};
-use crate::modules::claims;
+use crate::modules::{claims, metrics};
 use crate::utils::budget::Hold;
 
 /// Header that carries the caller's identifier of a call.
@@ -71,9 +71,21 @@
             identifier,
             deadline,
         };
-        calls::run(&self.context, order)
-            .await
-            .map_err(|error| problem(&error))
+        let name = order.service.name.clone();
+        let answer = calls::run(&self.context, order).await;
+        let answer = answer.map_err(|error| problem(&error));
+        self.count(name, answer.as_ref().err());
+        answer
+    }
+
+    /// Counts a call of a declared service.
+    fn count(&self, service: String, problem: Option<&Problem>) {
+        let outcome = problem.map_or(Outcome::Ran, Problem::outcome);
+        let labels = metrics::Request {
+            service,
+            run: outcome.as_str().to_owned(),
+        };
+        self.context.metrics.requests.get_or_create(&labels).inc();
     }
 
     /// Returns the declaration of a plain service.
