--- a/serving/src/modules/directory.rs
+++ b/serving/src/modules/directory.rs
@@ -1,19 +1,45 @@
-//! Backend servers that this entry knows of, read from the platform's instance list.
+//! Instances that this entry knows of: backend servers, and the other entries' peers' ports.
+//!
+//! They stem from the platform's instance list. One entry in each failure domain reads it often,
+//! a second one now and then, and the others learn of changes from their peers.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
-use tokio::sync::watch;
-use tokio_util::sync::CancellationToken;
+use medlarfall_coordination::revision::Record;
+use serde::{Deserialize, Serialize};
 
 use crate::backend::{Role, Server};
-use crate::configs::platform::Platform;
-use crate::platform::{Instance, Store};
+use crate::modules::spread::{Topic, View};
+use crate::platform::Instance;
 
-/// Backend servers by service.
+mod reader;
+
+pub use reader::{Source, start};
+
+/// Order of what was seen of one instance.
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
+pub struct Stamp {
+    /// Number that grows with each change that an entry sees.
+    pub counter: u64,
+    /// Number of the entry that saw the change, which settles ties.
+    pub writer: u64,
+}
+
+/// An instance as it was last seen, or nothing if it was taken off the list.
+pub type Seen = Option<Arc<Instance>>;
+
+/// What was last seen of each instance.
+pub type Roll = Topic<Stamp, Seen, Directory>;
+
+/// Backend servers by service, and entries.
 #[derive(Clone, Debug, Default)]
 pub struct Directory {
     services: BTreeMap<Arc<str>, Vec<Arc<Server>>>,
+    entries: BTreeMap<Arc<str>, SocketAddr>,
 }
 
 impl Directory {
@@ -33,16 +59,53 @@
     pub fn find(&self, name: &str) -> Option<&Arc<Server>> {
         self.iter().find(|server| server.name.as_ref() == name)
     }
+
+    /// Returns the entries on the list that are not leaving, with their peers' ports.
+    #[must_use]
+    pub fn entries(&self) -> &BTreeMap<Arc<str>, SocketAddr> {
+        &self.entries
+    }
+
+    /// Takes an instance out.
+    fn remove(&mut self, name: &str) {
+        self.entries.remove(name);
+        for servers in self.services.values_mut() {
+            servers.retain(|server| server.name.as_ref() != name);
+        }
+        self.services.retain(|_, servers| !servers.is_empty());
+    }
+
+    /// Puts a backend server in.
+    fn insert(&mut self, server: Server) {
+        let service = Arc::clone(&server.service);
+        let servers = self.services.entry(service).or_default();
+        servers.push(Arc::new(server));
+    }
 }
 
 impl FromIterator<Server> for Directory {
     fn from_iter<I: IntoIterator<Item = Server>>(servers: I) -> Self {
-        let mut services: BTreeMap<Arc<str>, Vec<Arc<Server>>> = BTreeMap::new();
+        let mut directory = Self::default();
         for server in servers {
-            let service = Arc::clone(&server.service);
-            services.entry(service).or_default().push(Arc::new(server));
+            directory.insert(server);
+        }
+        directory
+    }
+}
+
+impl View<Stamp, Seen> for Directory {
+    fn take(&mut self, record: &Record<Stamp, Seen>) {
+        self.remove(&record.key);
+        let Some(instance) = &record.value else {
+            return;
+        };
+        if let Ok(server) = Server::try_from(instance.as_ref().clone()) {
+            return self.insert(server);
+        }
+        let entry = instance.role == "entry" && !instance.leaving;
+        if let (true, Ok(address)) = (entry, instance.address.parse()) {
+            self.entries.insert(Arc::clone(&record.key), address);
         }
-        Self { services }
     }
 }
 
@@ -71,42 +134,3 @@
         })
     }
 }
-
-/// Starts the task that reads the instance list.
-#[must_use]
-pub fn start<S: Store>(
-    store: S,
-    settings: Platform,
-    stop: CancellationToken,
-) -> watch::Receiver<Arc<Directory>> {
-    let (sender, receiver) = watch::channel(Arc::default());
-    tokio::spawn(async move {
-        tokio::select! {
-            () = stop.cancelled() => {}
-            () = keep_current(&store, settings, &sender) => {}
-        }
-    });
-    receiver
-}
-
-/// Reads the instance list again and again; the last one read stays in force while it is down.
-async fn keep_current<S: Store>(
-    store: &S,
-    settings: Platform,
-    sender: &watch::Sender<Arc<Directory>>,
-) {
-    loop {
-        match store.instances().await {
-            Ok(instances) => {
-                let servers = instances
-                    .into_iter()
-                    .filter_map(|instance| Server::try_from(instance).ok());
-                sender.send_replace(Arc::new(servers.collect()));
-            }
-            Err(error) => {
-                log::warn!(error = error.to_string().as_str(); "the instance list cannot be read");
-            }
-        }
-        tokio::time::sleep(settings.instances_interval).await;
-    }
-}
