--- a/programs/src/cluster.rs
+++ b/programs/src/cluster.rs
@@ -301,6 +301,7 @@
             generation: configs::generation::Generation::default(),
             admission: configs::admission::Admission::default(),
             services: configs::services::Services::default(),
+            moves: configs::moves::Moves::default(),
             log: configs::log::Log::default(),
         }
     }
--- a/serving/src/context.rs
+++ b/serving/src/context.rs
@@ -16,6 +16,7 @@
 use crate::modules::directory::Directory;
 use crate::modules::generation::outbox::Ledger;
 use crate::modules::metrics::Metrics;
+use crate::modules::moves;
 use crate::modules::peers::{Identity, Peers};
 use crate::platform;
 
@@ -44,6 +45,8 @@
     pub declarations: watch::Receiver<Arc<Declarations>>,
     /// Backend servers that this entry knows of.
     pub directory: watch::Receiver<Arc<Directory>>,
+    /// Moves of services to another version.
+    pub moves: moves::Handle,
     /// What was learnt of the silences of engines.
     pub detector: Mutex<Detector>,
     /// Text held for readers of generations.
--- a/serving/src/modules/calls/attempts.rs
+++ b/serving/src/modules/calls/attempts.rs
@@ -11,6 +11,7 @@
 use crate::backend::{self, Reply, Service as _};
 use crate::context::Context;
 use crate::modules::admission::{Need, Outcome, Permit, Refusal};
+use crate::modules::moves;
 
 /// Pauses between attempts.
 pub(super) const BACKOFF: Backoff = Backoff {
@@ -18,6 +19,9 @@
     ceiling: Duration::from_secs(1),
 };
 
+/// Lowest HTTP status that counts against a version that is being moved to.
+const CLIENT_ERROR: u16 = 400;
+
 /// Lowest HTTP status that does not count as a success.
 const SERVER_ERROR: u16 = 500;
 
@@ -96,18 +100,23 @@
 /// Waits for a backend server, one that was not tried if there is such.
 async fn ask(context: &Context, order: &Order, tried: &[Arc<str>]) -> Result<Permit, Refusal> {
     let service = &order.service;
+    // What is sent again does not meet an unproved version twice.
+    let version = match tried {
+        [] => moves::version(context, service, &order.call.request_id),
+        _ => moves::in_force(context, service),
+    };
     let directory = Arc::clone(&context.directory.borrow());
     let untried = directory
         .servers(&service.name)
         .iter()
-        .filter(|server| *server.version == *service.version && !server.leaving)
+        .filter(|server| server.version == version && !server.leaving)
         .any(|server| !tried.contains(&server.name));
     let wait = order
         .remains(context)
         .min(context.settings.services.call_timeout);
     let need = Need {
         service: Arc::from(service.name.as_str()),
-        version: Arc::from(service.version.as_str()),
+        version,
         account: Arc::clone(&order.account),
         weight: 1,
         priority: 0,
@@ -141,8 +150,19 @@
     }
     order.call.attempt += 1;
     order.call.timeout = timeout;
-    let answer = context.backend.call(&permit.server, &order.call);
+    let server = &permit.server;
+    let route = moves::route(order.call.method.as_str(), &order.call.path);
+    let probe = moves::probe(
+        context,
+        &order.service.name,
+        &server.version,
+        &server.name,
+        &route,
+    );
+    let answer = context.backend.call(server, &order.call);
     let answer = tokio::time::timeout(timeout, answer).await;
+    let good = matches!(&answer, Ok(Ok(reply)) if reply.status < CLIENT_ERROR && !reply.not_run);
+    probe.end_call(!good, !matches!(answer, Ok(Ok(_))));
     let (sent, outcome) = match answer {
         Ok(Ok(reply)) if reply.not_run => {
             let reason = format!("{} refused it", permit.server.name);
--- a/serving/src/modules/generation.rs
+++ b/serving/src/modules/generation.rs
@@ -12,6 +12,7 @@
 use crate::configs;
 use crate::context::Context;
 use crate::modules::admission::{Outcome as Report, Permit, Refusal};
+use crate::modules::moves::{self, Probe};
 
 mod admit;
 mod attempt;
@@ -92,6 +93,8 @@
     attempt: Attempt,
     /// Holds the engine's memory; absent for an attempt that another entry began.
     permit: Option<Permit>,
+    /// Tells a move what the attempt shows; absent for an attempt that another entry began.
+    probe: Option<Probe>,
 }
 
 /// A generation in progress.
@@ -232,10 +235,15 @@
 
     /// Notes that an attempt runs on a server and starts to watch its silence.
     fn begin(&mut self, server: &Arc<Server>, attempt: Attempt, permit: Option<Permit>) -> Watch {
+        let probe = permit.is_some().then(|| {
+            let (service, version) = (&self.order.service, &self.order.version);
+            moves::probe(&self.context, service, version, &server.name, "")
+        });
         self.running = Some(Running {
             server: Arc::clone(server),
             attempt,
             permit,
+            probe,
         });
         self.origin = Arc::new(Origin {
             version: Arc::clone(&self.order.version),
@@ -260,11 +268,19 @@
             self.cancel_running();
         }
         self.running = None;
+        self.take_version_in_force();
         false
     }
 
-    /// Tells admission how the running attempt went.
-    fn report(&self, report: Report) {
+    /// Tells admission, and a move if there is one, how the running attempt went.
+    fn report(&mut self, report: Report) {
+        let probe = self
+            .running
+            .as_mut()
+            .and_then(|running| running.probe.take());
+        if let Some(probe) = probe {
+            probe.end(report == Report::Failed);
+        }
         let permit = self
             .running
             .as_ref()
--- a/serving/src/modules/generation/admit.rs
+++ b/serving/src/modules/generation/admit.rs
@@ -10,6 +10,7 @@
 use super::attempt::Outcome;
 use crate::backend::prompt_tokens;
 use crate::modules::admission::{Need, Permit, Refusal};
+use crate::modules::moves;
 
 /// How long a generation waits for a server on which it lost nothing before it takes another.
 const CHOOSY_WAIT: Duration = Duration::from_millis(250);
@@ -69,26 +70,20 @@
         }
     }
 
-    /// Waits until another version of the service is declared than the one asked for.
+    /// Waits until requests of the service no longer go to the version asked for.
     async fn other_version(&self) {
-        let mut declarations = self.context.declarations.clone();
-        let waited = declarations.wait_for(|declarations| {
-            let service = declarations.service(&self.order.service);
-            service.is_some_and(|service| service.version != *self.order.version)
-        });
-        if waited.await.is_err() {
-            std::future::pending::<()>().await;
-        }
+        let order = &self.order;
+        moves::withdrawn(&self.context, &order.service, &order.version).await;
     }
 
-    /// Takes the version that is now declared, if nothing was delivered yet.
-    fn take_version_in_force(&mut self) {
+    /// Takes the version that is proved and in force, if nothing was delivered yet.
+    pub(super) fn take_version_in_force(&mut self) {
         if self.delivered() > 0 {
             return;
         }
         let declarations = Arc::clone(&self.context.declarations.borrow());
         if let Some(service) = declarations.service(&self.order.service) {
-            self.order.version = Arc::from(service.version.as_str());
+            self.order.version = moves::in_force(&self.context, service);
         }
     }
 }
--- a/serving/src/modules/generation/attempt.rs
+++ b/serving/src/modules/generation/attempt.rs
@@ -6,7 +6,7 @@
 
 use medlarfall_coordination::journal::{Attempt, Ending, Verdict};
 use medlarfall_coordination::resume_token;
-use tokio::time;
+use tokio::time::{self, Instant};
 
 use super::outbox::Demand;
 use super::watch::Watch;
@@ -59,12 +59,17 @@
     /// Reads frames until the attempt ends.
     async fn read<F: Frames>(&mut self, watch: &mut Watch, frames: &mut F) -> Outcome {
         loop {
+            let asked = Instant::now();
             let frame = match self.bear(watch, frames.next()).await {
                 Some(Ok(Some(frame))) => frame,
                 Some(Ok(None)) => return Outcome::Lost("the stream ended early".to_owned()),
                 Some(Err(error)) => return Outcome::Lost(error.to_string()),
                 None => return Outcome::Lost("the engine fell silent".to_owned()),
             };
+            let running = self.running.as_mut().filter(|_| frame.token.is_some());
+            if let Some(probe) = running.and_then(|running| running.probe.as_mut()) {
+                probe.token(asked.elapsed());
+            }
             if let Some(outcome) = self.take(watch, frame).await {
                 return outcome;
             }
