--- a/serving/src/modules/calls/attempts.rs
+++ b/serving/src/modules/calls/attempts.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use fastrace::future::FutureExt as _;
 use medlarfall_coordination::retry_budget::Backoff;
 use uuid::Uuid;
 
@@ -12,6 +13,7 @@
 use crate::context::Context;
 use crate::modules::admission::{Need, Outcome, Permit, Refusal};
 use crate::modules::moves;
+use crate::telemetry;
 
 /// Pauses between attempts.
 pub(super) const BACKOFF: Backoff = Backoff {
@@ -66,7 +68,7 @@
     let mut tried = vec![Arc::clone(&permit.server.name)];
     let mut last = send(context, order, permit).await;
     for retry in 1..context.settings.services.attempts {
-        if ended(context, order, &last) || !pause(context, order, retry).await {
+        if ended(order, &last) || !pause(context, order, retry).await {
             break;
         }
         let Ok(permit) = ask(context, order, &tried).await else {
@@ -84,14 +86,9 @@
 }
 
 /// Returns whether a call must not be sent again.
-fn ended(context: &Context, order: &Order, last: &Sent) -> bool {
+fn ended(order: &Order, last: &Sent) -> bool {
     match last {
-        Sent::Replied(reply) => {
-            if reply.status < SERVER_ERROR {
-                context.calls.succeeded(&order.service.name);
-            }
-            true
-        }
+        Sent::Replied(_) => true,
         Sent::NotRun(_) => false,
         Sent::Unknown(_) => !order.idempotent,
     }
@@ -160,7 +157,7 @@
         &route,
     );
     let answer = context.backend.call(server, &order.call);
-    let answer = tokio::time::timeout(timeout, answer).await;
+    let answer = tokio::time::timeout(timeout, answer.in_span(telemetry::hop("attempt"))).await;
     let good = matches!(&answer, Ok(Ok(reply)) if reply.status < CLIENT_ERROR && !reply.not_run);
     probe.end_call(!good, !matches!(answer, Ok(Ok(_))));
     let (sent, outcome) = match answer {
@@ -171,7 +168,10 @@
         Ok(Ok(reply)) if reply.status >= SERVER_ERROR => {
             (Sent::Replied(reply), Some(Outcome::Failed))
         }
-        Ok(Ok(reply)) => (Sent::Replied(reply), Some(Outcome::Answered)),
+        Ok(Ok(reply)) => {
+            context.calls.succeeded(&order.service.name);
+            (Sent::Replied(reply), Some(Outcome::Answered))
+        }
         Ok(Err(backend::Error::NotRun { reason })) => (Sent::NotRun(reason), Some(Outcome::Failed)),
         Ok(Err(backend::Error::Lost { .. })) => {
             (Sent::Unknown(Error::AnswerLost), Some(Outcome::Failed))
--- a/serving/src/modules/generation/watch.rs
+++ b/serving/src/modules/generation/watch.rs
@@ -58,21 +58,23 @@
         self.since = Instant::now();
     }
 
-    /// Notes a token of the attempt.
-    pub(super) fn token(&mut self, detector: &Mutex<Detector>) {
+    /// Notes a token of the attempt; returns how long the engine was silent before it.
+    pub(super) fn token(&mut self, detector: &Mutex<Detector>) -> Duration {
         let now = Instant::now();
+        let gap = now - self.since;
         match self.phase {
             Phase::First => {
                 lock(detector).observe(&self.subject, Phase::First, now - self.started);
                 self.phase = Phase::Between;
                 self.bound = lock(detector).bound(&self.subject, Phase::Between);
             }
-            Phase::Between => self.gaps.push(now - self.since),
+            Phase::Between => self.gaps.push(gap),
         }
         self.since = now;
         if self.gaps.len() >= BATCH {
             self.hand_over(detector);
         }
+        gap
     }
 
     /// Notes that the reader, and not the engine, held up the attempt until now.
