--- a/programs/tests/resume.rs
+++ b/programs/tests/resume.rs
@@ -3,10 +3,14 @@
 #[path = "support/fleet.rs"]
 mod fleet;
 
+use std::process::Stdio;
+
 use fleet::{CALLER_KEY, Fleet, OTHER_KEY, completion};
 use medlarfall::caller::{Answer, Error, Stream};
 use medlarfall_standin::engine::Faults;
 use medlarfall_standin::oracle;
+use tokio::io::AsyncReadExt;
+use tokio::process::Command;
 
 /// Most tokens of each answer; it has at least half of them.
 const MAX_TOKENS: u64 = 200;
@@ -152,6 +156,30 @@
     end(answer, "both").await;
 }
 
+#[tokio::test]
+async fn the_command_line_outlives_its_entry() {
+    let mut fleet = Fleet::start("command-line").await;
+    let mut command = Command::new(env!("CARGO_BIN_EXE_medlarfall"));
+    command.env("MEDLARFALL_KEY", CALLER_KEY).arg("generate");
+    for entry in &fleet.entries {
+        let address = entry.address(Some("callers")).to_string();
+        command.args(["--entry", &address]);
+    }
+    let max_tokens = MAX_TOKENS.to_string();
+    command.args(["--model", "briefs", "--prompt", "command line"]);
+    command.args(["--max-tokens", &max_tokens]);
+    let mut child = command.stdout(Stdio::piped()).spawn().expect("it starts");
+    let mut first = [0; 1];
+    let mut stdout = child.stdout.take().expect("its output is read");
+    stdout.read_exact(&mut first).await.expect("a first byte");
+    fleet.entries[0].kill();
+    let mut rest = String::new();
+    stdout.read_to_string(&mut rest).await.expect("the rest");
+    assert!(child.wait().await.expect("it ends").success());
+    let expected = oracle::answer("v1", "command line", MAX_TOKENS);
+    assert_eq!(format!(" {rest}"), expected + "\n");
+}
+
 /// Reads the first tokens at entry 0 and returns them with the last resume token.
 async fn first_tokens(stream: &mut Stream) -> (Vec<String>, String) {
     let mut tokens = Vec::new();
