--- a/serving/src/modules/metrics.rs
+++ b/serving/src/modules/metrics.rs
@@ -24,6 +24,13 @@
     pub run: String,
 }
 
+/// Labels of an answer of the store that was not believed.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct Refusal {
+    /// `older`, `fork`, `missing` or `unreadable`.
+    pub reason: &'static str,
+}
+
 /// Labels of an admitted request.
 #[derive(Clone, Copy, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 pub struct Admitted {
@@ -68,6 +75,8 @@
     pub admitted: Admissions,
     /// Attempts of generations that were lost.
     pub attempts_lost: Counter,
+    /// Declarations from the store that were not obeyed, by reason.
+    pub store_refusals: Family<Refusal, Counter>,
     /// Text held for readers that have not read it yet, in bytes.
     pub held_bytes: Gauge,
     /// Generations taken from their engine because the reader did not read.
@@ -107,6 +116,12 @@
             "Attempts of generations that were lost",
             attempts_lost.clone(),
         );
+        let store_refusals = Family::default();
+        registry.register(
+            "store_refusals",
+            "Declarations from the store that were not obeyed, by reason",
+            store_refusals.clone(),
+        );
         let held_bytes = Gauge::default();
         registry.register(
             "held_bytes",
@@ -135,6 +150,7 @@
             requests,
             admitted,
             attempts_lost,
+            store_refusals,
             held_bytes,
             generations_parked,
             held_given_up,
@@ -211,6 +227,8 @@
         return (StatusCode::OK, "ready\n".to_owned());
     }
     let reason =
-        "not ready: no declarations have been read yet; check that the platform can be reached\n";
+        "not ready: no declarations have been read yet; neither the platform's store nor a \
+        peer that has read them answers: check `platform.address` and `peers.seeds`
+";
     (StatusCode::SERVICE_UNAVAILABLE, reason.to_owned())
 }
