--- a/programs/src/bench.rs
+++ b/programs/src/bench.rs
@@ -8,6 +8,7 @@
 use serde_json::Value;
 
 mod baseline;
+mod config;
 mod routing;
 mod stopwatch;
 
@@ -15,7 +16,7 @@
 pub type Figures = BTreeMap<&'static str, Value>;
 
 /// Names of the scenarios.
-pub const SCENARIOS: [&str; 2] = ["baseline", "routing"];
+pub const SCENARIOS: [&str; 3] = ["baseline", "config", "routing"];
 
 /// Runs a scenario and prints its figures: as a table, or as one JSON object on the last line.
 ///
@@ -39,6 +40,7 @@
 async fn figures(scenario: &str, seed: u64) -> Result<Figures, Box<dyn Error>> {
     match scenario {
         "baseline" => baseline::run(seed).await,
+        "config" => config::run(seed).await,
         "routing" => routing::run(seed).await,
         _ => Err(format!(
             "no scenario `{scenario}`: write one of {}",
--- a/serving/src/modules/spread.rs
+++ b/serving/src/modules/spread.rs
@@ -73,10 +73,13 @@
     T: Clone + PartialEq,
     V: View<R, T>,
 {
-    /// Returns the view, which changes with each new record.
+    /// Returns the view, which changes with each new record; what it holds already counts as a
+    /// change that has not been seen.
     #[must_use]
     pub fn view(&self) -> watch::Receiver<Arc<V>> {
-        self.view.subscribe()
+        let mut view = self.view.subscribe();
+        view.mark_changed();
+        view
     }
 
     /// Returns the groups of records that are new from now on.
--- a/serving/tests/configuration/declarations.rs
+++ b/serving/tests/configuration/declarations.rs
@@ -176,3 +176,16 @@
     write(&store, 2, false).await;
     reader.reaches(2).await;
 }
+
+#[test]
+fn what_was_learnt_before_a_look_counts_as_a_change() {
+    let board = Board::default();
+    let service = Service {
+        name: "briefs".to_owned(),
+        revision: 1,
+        ..Service::default()
+    };
+    board.offer(declarations::record(service));
+    let view = board.view();
+    assert_eq!(view.has_changed().ok(), Some(true));
+}
