--- a/programs/src/bench.rs
+++ b/programs/src/bench.rs
@@ -7,16 +7,28 @@
 use medlarfall_standin::platform::Instance;
 use serde_json::Value;
 
+mod at_most_once;
 mod baseline;
 mod config;
+mod decisions;
+mod resume;
 mod routing;
+mod slow_readers;
 mod stopwatch;
 
 /// Figures of a run, by name.
 pub type Figures = BTreeMap<&'static str, Value>;
 
 /// Names of the scenarios.
-pub const SCENARIOS: [&str; 3] = ["baseline", "config", "routing"];
+pub const SCENARIOS: [&str; 7] = [
+    "at-most-once",
+    "baseline",
+    "config",
+    "decisions",
+    "resume",
+    "routing",
+    "slow-readers",
+];
 
 /// Runs a scenario and prints its figures: as a table, or as one JSON object on the last line.
 ///
@@ -39,9 +51,13 @@
 /// Runs a scenario.
 async fn figures(scenario: &str, seed: u64) -> Result<Figures, Box<dyn Error>> {
     match scenario {
+        "at-most-once" => at_most_once::run(seed).await,
+        "decisions" => decisions::run(seed).await,
         "baseline" => baseline::run(seed).await,
         "config" => config::run(seed).await,
+        "resume" => resume::run(seed).await,
         "routing" => routing::run(seed).await,
+        "slow-readers" => slow_readers::run(seed).await,
         _ => Err(format!(
             "no scenario `{scenario}`: write one of {}",
             SCENARIOS.join(", ")
--- a/serving/src/configs.rs
+++ b/serving/src/configs.rs
@@ -16,6 +16,7 @@
 pub mod keys;
 pub mod listen;
 pub mod log;
+pub mod moves;
 pub mod peers;
 pub mod platform;
 pub mod services;
@@ -71,6 +72,8 @@
     pub admission: admission::Admission,
     /// How plain services are called.
     pub services: services::Services,
+    /// How services are moved to another version.
+    pub moves: moves::Moves,
     /// The other entries.
     pub peers: peers::Peers,
     /// Logs.
@@ -117,6 +120,7 @@
             generation: raw.generation.unwrap_or_default().try_into()?,
             admission: raw.admission.unwrap_or_default().try_into()?,
             services: raw.services.unwrap_or_default().try_into()?,
+            moves: raw.moves.unwrap_or_default().try_into()?,
             peers: raw.peers.unwrap_or_default().try_into()?,
             log: raw.log.unwrap_or_default().try_into()?,
         })
--- a/serving/src/configs/callers.rs
+++ b/serving/src/configs/callers.rs
@@ -19,6 +19,8 @@
     pub connections: usize,
     /// Longest time until the whole answer has been given.
     pub answer_timeout: Duration,
+    /// How long a caller may read nothing of its answer before its connection is cut.
+    pub write_stall_timeout: Duration,
 }
 
 impl Default for Callers {
@@ -29,6 +31,7 @@
             request_timeout: Duration::from_secs(10),
             connections: 10_000,
             answer_timeout: Duration::from_mins(30),
+            write_stall_timeout: Duration::from_mins(1),
         }
     }
 }
@@ -56,6 +59,11 @@
                 raw.answer_timeout,
                 default.answer_timeout,
             )?,
+            write_stall_timeout: value::duration(
+                "callers.write_stall_timeout",
+                raw.write_stall_timeout,
+                default.write_stall_timeout,
+            )?,
         };
         if callers.answer_timeout < callers.request_timeout {
             let value = humantime::format_duration(callers.answer_timeout);
--- a/serving/src/context.rs
+++ b/serving/src/context.rs
@@ -10,11 +10,14 @@
 use crate::clock::Clock;
 use crate::configs::Settings;
 use crate::modules::admission::Admission;
+use crate::modules::calls::Calls;
+use crate::modules::claims::Claims;
 use crate::modules::declarations::{Board, Declarations};
 use crate::modules::directory::{Directory, Roll};
 use crate::modules::generation::outbox::Ledger;
 use crate::modules::membership;
 use crate::modules::metrics::Metrics;
+use crate::modules::moves;
 use crate::modules::peers::{Identity, Peers};
 use crate::platform;
 
@@ -33,6 +36,10 @@
     pub identity: Identity,
     /// Connections to the other entries.
     pub peers: Peers,
+    /// Claims on callers' identifiers.
+    pub claims: Claims,
+    /// What calls to plain services share.
+    pub calls: Calls,
     /// Backend servers.
     pub backend: backend::http::Client,
     /// The other entries that are held to be up.
@@ -45,6 +52,8 @@
     pub declarations: watch::Receiver<Arc<Declarations>>,
     /// Backend servers that this entry knows of.
     pub directory: watch::Receiver<Arc<Directory>>,
+    /// Moves of services to another version.
+    pub moves: moves::Handle,
     /// What was learnt of the silences of engines.
     pub detector: Mutex<Detector>,
     /// Text held for readers of generations.
--- a/serving/src/entry.rs
+++ b/serving/src/entry.rs
@@ -13,10 +13,13 @@
 use crate::clock::Clock;
 use crate::configs::Settings;
 use crate::context::Context;
+use crate::modules::calls::Calls;
+use crate::modules::claims::Claims;
 use crate::modules::peers::{Identity, Peers};
 use crate::modules::spread::{self, Duty};
 use crate::modules::{
-    admission, callers, declarations, directory, generation, membership, metrics, operators, peers,
+    admission, callers, claims, declarations, directory, generation, membership, metrics, moves,
+    operators, peers,
 };
 use crate::platform;
 
@@ -81,23 +84,8 @@
     let stop = CancellationToken::new();
     let metrics = metrics::Metrics::new();
     let (membership, inbox) = membership::channel();
-    let board = declarations::Board::default();
-    let roll = directory::Roll::default();
-    let duty = watch::Sender::new(Duty::Lead);
-    let declarations = declarations::Source {
-        store: platform.clone(),
-        settings: settings.platform,
-        duty: duty.subscribe(),
-        refusals: metrics.store_refusals.clone(),
-    };
-    declarations::start(declarations, board.clone(), stop.clone());
-    let instances = directory::Source {
-        store: platform.clone(),
-        settings: settings.platform,
-        duty: duty.subscribe(),
-        writer: rand::random(),
-    };
-    directory::start(instances, roll.clone(), stop.clone());
+    let (board, roll, duty) = read_platform(&platform, &settings, &metrics, &stop);
+    let (moves_handle, moves_mailbox) = moves::mailbox();
     let clock = Clock::start();
     let directory = roll.view();
     let identity = Identity {
@@ -116,6 +104,8 @@
     });
     let context = Arc::new(Context {
         admission,
+        calls: Calls::new(&identity, &settings.services),
+        claims: Claims::new(&identity),
         clock,
         identity,
         peers: Peers::new(settings.keys.peers.clone()),
@@ -127,24 +117,14 @@
         directory,
         membership,
         roll,
+        moves: moves_handle,
         metrics,
         platform,
         settings,
         stop,
     });
+    moves::driver::start(&context, moves_mailbox);
     generation::start_upkeep(Arc::clone(&context));
-    let callers = callers::start(Arc::clone(&context))
-        .await
-        .context(BindSnafu {
-            port: "listen.callers",
-            address: listen.callers,
-        })?;
-    let operators = operators::start(Arc::clone(&context))
-        .await
-        .context(BindSnafu {
-            port: "listen.operators",
-            address: listen.operators,
-        })?;
     let peers = peers::start(Arc::clone(&context))
         .await
         .context(BindSnafu {
@@ -154,6 +134,17 @@
     let advertised = context.settings.peers.advertise.unwrap_or(peers);
     membership::start(Arc::clone(&context), inbox, advertised);
     spread::start(&context, duty);
+    claims::start(&context, peers);
+    let callers = callers::start(&context).context(BindSnafu {
+        port: "listen.callers",
+        address: listen.callers,
+    })?;
+    let operators = operators::start(Arc::clone(&context))
+        .await
+        .context(BindSnafu {
+            port: "listen.operators",
+            address: listen.operators,
+        })?;
     let metrics = metrics::start(Arc::clone(&context))
         .await
         .context(BindSnafu {
@@ -170,3 +161,31 @@
         context,
     })
 }
+
+/// Starts the tasks that read declarations and instances from the platform, and returns what they
+/// keep current and what tells them how often to read.
+fn read_platform(
+    platform: &platform::http::Client,
+    settings: &Settings,
+    metrics: &metrics::Metrics,
+    stop: &CancellationToken,
+) -> (declarations::Board, directory::Roll, watch::Sender<Duty>) {
+    let board = declarations::Board::default();
+    let roll = directory::Roll::default();
+    let duty = watch::Sender::new(Duty::Lead);
+    let declarations = declarations::Source {
+        store: platform.clone(),
+        settings: settings.platform,
+        duty: duty.subscribe(),
+        refusals: metrics.store_refusals.clone(),
+    };
+    declarations::start(declarations, board.clone(), stop.clone());
+    let instances = directory::Source {
+        store: platform.clone(),
+        settings: settings.platform,
+        duty: duty.subscribe(),
+        writer: rand::random(),
+    };
+    directory::start(instances, roll.clone(), stop.clone());
+    (board, roll, duty)
+}
--- a/serving/src/modules.rs
+++ b/serving/src/modules.rs
@@ -2,11 +2,14 @@
 
 pub mod admission;
 pub mod callers;
+pub mod calls;
+pub mod claims;
 pub mod declarations;
 pub mod directory;
 pub mod generation;
 pub mod membership;
 pub mod metrics;
+pub mod moves;
 pub mod operators;
 pub mod peers;
 pub mod spread;
--- a/serving/src/modules/callers/problem.rs
+++ b/serving/src/modules/callers/problem.rs
@@ -40,6 +40,8 @@
     BadRequest,
     /// The body is larger than the limit.
     TooLarge,
+    /// The headers are larger than the limit.
+    HeadersTooLarge,
     /// The body did not come in time.
     TooSlow,
     /// No such service is declared.
@@ -48,6 +50,18 @@
     Unavailable,
     /// The answer was lost on the way.
     AnswerLost,
+    /// The answer is larger than the limit.
+    AnswerTooLarge,
+    /// The call ran before, and its answer was not kept.
+    AnswerNotKept,
+    /// The caller's identifier is malformed, outside its window or bound to another request.
+    BadIdentifier,
+    /// An earlier call under the identifier has not ended.
+    StillRunning,
+    /// The platform's store does not answer.
+    StoreUnavailable,
+    /// The entry holds too many bytes.
+    Overloaded,
     /// The resume token cannot be used.
     ResumeRefused,
     /// The answer was not whole when its time was over.
@@ -61,12 +75,18 @@
             Self::Unauthenticated => StatusCode::UNAUTHORIZED,
             Self::BadRequest => StatusCode::BAD_REQUEST,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::HeadersTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             Self::TooSlow => StatusCode::REQUEST_TIMEOUT,
             Self::UnknownService => StatusCode::NOT_FOUND,
-            Self::Unavailable => StatusCode::SERVICE_UNAVAILABLE,
-            Self::AnswerLost => StatusCode::BAD_GATEWAY,
-            Self::ResumeRefused => StatusCode::CONFLICT,
+            Self::Unavailable | Self::StoreUnavailable | Self::Overloaded => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
+            Self::AnswerLost | Self::AnswerTooLarge | Self::AnswerNotKept => {
+                StatusCode::BAD_GATEWAY
+            }
             Self::Timeout => StatusCode::GATEWAY_TIMEOUT,
+            Self::BadIdentifier => StatusCode::UNPROCESSABLE_ENTITY,
+            Self::ResumeRefused | Self::StillRunning => StatusCode::CONFLICT,
         }
     }
 }
--- a/serving/src/modules/operators/apply.rs
+++ b/serving/src/modules/operators/apply.rs
@@ -254,13 +254,9 @@
     /// Returns the declaration to store after `base`.
     fn next(&self, base: &Service) -> Service {
         let mut service = self.change.service.clone();
-        let past = Past {
-            change_id: service.change_id.clone(),
-            revision: service.revision,
-        };
-        let skipped = (base.history.len() + 1).saturating_sub(HISTORY);
-        service.history = base.history.iter().skip(skipped).cloned().collect();
-        service.history.push(past);
+        service.moved = base.moved;
+        service.history.clone_from(&base.history);
+        remember(&mut service);
         service
     }
 
@@ -296,6 +292,16 @@
     }
 }
 
+/// Adds a declaration's own change to its history, and leaves out what is too old.
+pub fn remember(service: &mut Service) {
+    let skipped = (service.history.len() + 1).saturating_sub(HISTORY);
+    service.history.drain(..skipped);
+    service.history.push(Past {
+        change_id: service.change_id.clone(),
+        revision: service.revision,
+    });
+}
+
 /// Returns the declaration in an item.
 fn declaration(item: &Item) -> Result<Service, serde_json::Error> {
     serde_json::from_str(&item.value)
--- a/serving/src/modules/peers.rs
+++ b/serving/src/modules/peers.rs
@@ -10,7 +10,9 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
+use fastrace::future::FutureExt as _;
 use futures::StreamExt;
+use medlarfall_coordination::claim::{Claimer, Word};
 use medlarfall_coordination::membership;
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
@@ -30,6 +32,7 @@
 use crate::modules::spread::{
     DeclarationsExchange, DeclarationsMessage, Exchange, InstancesExchange, InstancesMessage,
 };
+use crate::telemetry;
 
 mod handshake;
 
@@ -70,6 +73,10 @@
     async fn instances(message: InstancesMessage) -> InstancesExchange;
     /// Returns where a revision is in force.
     async fn confirm(question: Question) -> Confirmation;
+
+    /// Returns the entry's word on a claim of its own, waiting up to `wait_ms` for a call to end;
+    /// nothing if the claim is not of this incarnation.
+    async fn claim(claimer: Claimer, wait_ms: u64) -> Option<Word>;
 }
 
 /// Why a peer could not be asked.
@@ -157,7 +164,7 @@
         let client = self.client(address).await?;
         let mut context = context::current();
         context.deadline = Instant::now() + timeout;
-        let answer = call(client, context).await;
+        let answer = call(client, context).in_span(telemetry::hop("peer")).await;
         answer.map_err(|error| {
             self.forget(address);
             Error::NoAnswer {
@@ -242,6 +249,11 @@
     async fn confirm(self, _: context::Context, question: Question) -> Confirmation {
         confirm::answer(&self.context, question).await
     }
+
+    async fn claim(self, _: context::Context, claimer: Claimer, wait_ms: u64) -> Option<Word> {
+        let wait = Duration::from_millis(wait_ms).min(CALL_TIMEOUT);
+        self.context.claims.wait(&claimer, wait).await
+    }
 }
 
 /// Starts the peers' port and returns its address.
