--- a/programs/src/bench.rs
+++ b/programs/src/bench.rs
@@ -9,6 +9,7 @@
 
 mod at_most_once;
 mod baseline;
+mod config;
 mod decisions;
 mod resume;
 mod routing;
@@ -19,9 +20,10 @@
 pub type Figures = BTreeMap<&'static str, Value>;
 
 /// Names of the scenarios.
-pub const SCENARIOS: [&str; 6] = [
+pub const SCENARIOS: [&str; 7] = [
     "at-most-once",
     "baseline",
+    "config",
     "decisions",
     "resume",
     "routing",
@@ -52,6 +54,7 @@
         "at-most-once" => at_most_once::run(seed).await,
         "decisions" => decisions::run(seed).await,
         "baseline" => baseline::run(seed).await,
+        "config" => config::run(seed).await,
         "resume" => resume::run(seed).await,
         "routing" => routing::run(seed).await,
         "slow-readers" => slow_readers::run(seed).await,
--- a/serving/src/modules/operators/apply.rs
+++ b/serving/src/modules/operators/apply.rs
@@ -118,21 +118,6 @@
     Behind(u64),
 }
 
-/// Writes a declaration's change into its history, after those of `history`.
-pub fn remember(service: &mut Service, history: &[Past]) {
-    let skipped = (history.len() + 1).saturating_sub(HISTORY);
-    let past = Past {
-        change_id: service.change_id.clone(),
-        revision: service.revision,
-    };
-    service.history = history
-        .iter()
-        .skip(skipped)
-        .cloned()
-        .chain([past])
-        .collect();
-}
-
 /// Stores a change, or returns what was stored if this very change was stored before.
 ///
 /// `held` is the newest declaration of the service that this entry has seen: a store that returns
@@ -270,7 +255,8 @@
     fn next(&self, base: &Service) -> Service {
         let mut service = self.change.service.clone();
         service.moved = base.moved;
-        remember(&mut service, &base.history);
+        service.history.clone_from(&base.history);
+        remember(&mut service);
         service
     }
 
@@ -306,6 +292,16 @@
     }
 }
 
+/// Adds a declaration's own change to its history, and leaves out what is too old.
+pub fn remember(service: &mut Service) {
+    let skipped = (service.history.len() + 1).saturating_sub(HISTORY);
+    service.history.drain(..skipped);
+    service.history.push(Past {
+        change_id: service.change_id.clone(),
+        revision: service.revision,
+    });
+}
+
 /// Returns the declaration in an item.
 fn declaration(item: &Item) -> Result<Service, serde_json::Error> {
     serde_json::from_str(&item.value)
