--- a/programs/src/bench.rs
+++ b/programs/src/bench.rs
@@ -12,18 +12,20 @@
 mod resume;
 mod routing;
 mod slow_readers;
+mod stops;
 mod stopwatch;
 
 /// Figures of a run, by name.
 pub type Figures = BTreeMap<&'static str, Value>;
 
 /// Names of the scenarios.
-pub const SCENARIOS: [&str; 5] = [
+pub const SCENARIOS: [&str; 6] = [
     "at-most-once",
     "baseline",
     "resume",
     "routing",
     "slow-readers",
+    "stops",
 ];
 
 /// Runs a scenario and prints its figures: as a table, or as one JSON object on the last line.
@@ -49,6 +51,7 @@
     match scenario {
         "at-most-once" => at_most_once::run(seed).await,
         "baseline" => baseline::run(seed).await,
+        "stops" => stops::run(seed).await,
         "resume" => resume::run(seed).await,
         "routing" => routing::run(seed).await,
         "slow-readers" => slow_readers::run(seed).await,
--- a/programs/tests/processes.rs
+++ b/programs/tests/processes.rs
@@ -258,3 +258,31 @@
     assert_eq!(text + &rest, expected);
     assert!(whole);
 }
+
+#[tokio::test]
+async fn an_entry_told_to_terminate_ends_its_streams_first() {
+    let mut path = Path::start("terminated").await;
+    let prompt = "history of batch 12";
+    let expected = oracle::answer("v1", prompt, 200);
+    let mut stream = path
+        .caller(0)
+        .stream(&completion(prompt, 200))
+        .await
+        .expect("a stream");
+    let first = stream.next().await.expect("a chunk").expect("more to come");
+    let pid = path.entries[0].child.id().to_string();
+    let told = Command::new("kill").args(["-TERM", &pid]).status();
+    assert!(told.expect("kill runs").success());
+    let refused = loop {
+        match path.caller(0).whole(&completion("too late", 5)).await {
+            Ok(_) => tokio::time::sleep(Duration::from_millis(20)).await,
+            Err(error) => break error.to_string(),
+        }
+    };
+    assert!(refused.contains("\"run\":\"not-run\""), "{refused}");
+    let (rest, whole) = stream.text().await.expect("the rest of the stream");
+    assert_eq!(first.choices[0].text.clone() + &rest, expected);
+    assert!(whole);
+    let ended = path.entries[0].child.wait().expect("the entry ends");
+    assert!(ended.success(), "{ended}");
+}
