--- a/programs/src/bench.rs
+++ b/programs/src/bench.rs
@@ -9,6 +9,7 @@
 
 mod at_most_once;
 mod baseline;
+mod decisions;
 mod resume;
 mod routing;
 mod slow_readers;
@@ -19,9 +20,10 @@
 pub type Figures = BTreeMap<&'static str, Value>;
 
 /// Names of the scenarios.
-pub const SCENARIOS: [&str; 6] = [
+pub const SCENARIOS: [&str; 7] = [
     "at-most-once",
     "baseline",
+    "decisions",
     "resume",
     "routing",
     "slow-readers",
@@ -50,6 +52,7 @@
 async fn figures(scenario: &str, seed: u64) -> Result<Figures, Box<dyn Error>> {
     match scenario {
         "at-most-once" => at_most_once::run(seed).await,
+        "decisions" => decisions::run(seed).await,
         "baseline" => baseline::run(seed).await,
         "stops" => stops::run(seed).await,
         "resume" => resume::run(seed).await,
--- a/programs/src/cluster.rs
+++ b/programs/src/cluster.rs
@@ -205,7 +205,7 @@
         Ok(())
     }
 
-    /// Starts one more entry.
+    /// Starts one more entry and puts it on the instance list.
     ///
     /// # Errors
     ///
@@ -218,6 +218,9 @@
         let entry = entry::start(settings)
             .await
             .map_err(|error| failed(&name, &error))?;
+        let mut instance = self.instance("entry", "", index);
+        instance.address = entry.addresses.peers.to_string();
+        self.platform.register(instance);
         self.entries.push(entry);
         Ok(())
     }
@@ -282,33 +285,49 @@
 
     /// Returns the settings of the entry with an index.
     fn settings(&self, index: usize) -> Settings {
-        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let name = format!("entry-{index}");
+        let platform = self.platform_server.address;
+        let entries = self.entries.iter();
         Settings {
-            entry: configs::entry::Entry {
-                name: Arc::from(format!("entry-{index}")),
-                failure_domain: Arc::from(self.failure_domain(index)),
-                region: Arc::from(REGION),
+            peers: configs::peers::Peers {
+                seeds: entries.map(|entry| entry.addresses.peers).collect(),
+                advertise: None,
             },
-            listen: configs::listen::Listen {
-                callers: any,
-                operators: any,
-                peers: any,
-                metrics: any,
-            },
-            platform: configs::platform::Platform::new(self.platform_server.address),
-            keys: keys(),
-            callers: configs::callers::Callers::default(),
-            generation: configs::generation::Generation::default(),
-            admission: configs::admission::Admission::default(),
-            services: configs::services::Services::default(),
-            orders: configs::orders::Orders::default(),
-            stops: configs::stops::Stops::default(),
-            moves: configs::moves::Moves::default(),
-            log: configs::log::Log::default(),
+            ..settings(&name, &self.failure_domain(index), platform)
         }
     }
 }
 
+/// Returns the settings of an entry, with defaults and ports that the operating system chooses.
+#[must_use]
+pub fn settings(name: &str, failure_domain: &str, platform: SocketAddr) -> Settings {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    Settings {
+        entry: configs::entry::Entry {
+            name: Arc::from(name),
+            failure_domain: Arc::from(failure_domain),
+            region: Arc::from(REGION),
+        },
+        listen: configs::listen::Listen {
+            callers: any,
+            operators: any,
+            peers: any,
+            metrics: any,
+        },
+        platform: configs::platform::Platform::new(platform),
+        keys: keys(),
+        callers: configs::callers::Callers::default(),
+        generation: configs::generation::Generation::default(),
+        admission: configs::admission::Admission::default(),
+        services: configs::services::Services::default(),
+        moves: configs::moves::Moves::default(),
+        orders: configs::orders::Orders::default(),
+        stops: configs::stops::Stops::default(),
+        peers: configs::peers::Peers::default(),
+        log: configs::log::Log::default(),
+    }
+}
+
 /// Returns the keys of every entry.
 fn keys() -> configs::keys::Keys {
     let secret = configs::keys::Secret::new;
--- a/serving/src/configs.rs
+++ b/serving/src/configs.rs
@@ -18,6 +18,7 @@
 pub mod log;
 pub mod moves;
 pub mod orders;
+pub mod peers;
 pub mod platform;
 pub mod services;
 pub mod stops;
@@ -79,6 +80,8 @@
     pub stops: stops::Stops,
     /// How services are moved to another version.
     pub moves: moves::Moves,
+    /// The other entries.
+    pub peers: peers::Peers,
     /// Logs.
     pub log: log::Log,
 }
@@ -126,6 +129,7 @@
             orders: raw.orders.unwrap_or_default().try_into()?,
             stops: raw.stops.unwrap_or_default().try_into()?,
             moves: raw.moves.unwrap_or_default().try_into()?,
+            peers: raw.peers.unwrap_or_default().try_into()?,
             log: raw.log.unwrap_or_default().try_into()?,
         })
     }
--- a/serving/src/context.rs
+++ b/serving/src/context.rs
@@ -12,9 +12,10 @@
 use crate::modules::admission::Admission;
 use crate::modules::calls::Calls;
 use crate::modules::claims::Claims;
-use crate::modules::declarations::Declarations;
-use crate::modules::directory::Directory;
+use crate::modules::declarations::{Board, Declarations};
+use crate::modules::directory::{Directory, Roll};
 use crate::modules::generation::outbox::Ledger;
+use crate::modules::membership;
 use crate::modules::metrics::Metrics;
 use crate::modules::moves;
 use crate::modules::orders;
@@ -43,6 +44,12 @@
     pub calls: Calls,
     /// Backend servers.
     pub backend: backend::http::Client,
+    /// The other entries that are held to be up.
+    pub membership: membership::Handle,
+    /// What was last seen of each instance.
+    pub roll: Roll,
+    /// Highest revisions of the declarations that this entry has seen.
+    pub board: Board,
     /// Declarations in force at this entry.
     pub declarations: watch::Receiver<Arc<Declarations>>,
     /// Backend servers that this entry knows of.
--- a/serving/src/entry.rs
+++ b/serving/src/entry.rs
@@ -5,6 +5,7 @@
 
 use serde::Serialize;
 use snafu::{ResultExt, Snafu};
+use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 use uuid::Uuid;
 
@@ -15,9 +16,10 @@
 use crate::modules::calls::Calls;
 use crate::modules::claims::Claims;
 use crate::modules::peers::{Identity, Peers};
+use crate::modules::spread::{self, Duty};
 use crate::modules::{
-    admission, callers, claims, declarations, directory, generation, metrics, moves, operators,
-    peers, stops,
+    admission, callers, claims, declarations, directory, generation, membership, metrics, moves,
+    operators, peers, stops,
 };
 use crate::platform;
 
@@ -64,6 +66,7 @@
     /// Leaves: takes no new requests, ends those in progress within the entry's window, then ends the
     /// entry's tasks. Returns whether every request ended on its own.
     pub async fn leave(&self) -> bool {
+        self.context.membership.leave().await;
         let whole = stops::leave(&self.context).await;
         self.kill();
         whole
@@ -75,13 +78,34 @@
     }
 }
 
+/// What tasks are started with, beside the context.
+struct Mailboxes {
+    moves: moves::Mailbox,
+    membership: membership::Inbox,
+    duty: watch::Sender<Duty>,
+}
+
 /// Starts an entry.
 ///
 /// # Errors
 ///
 /// Returns which port could not be bound.
 pub async fn start(settings: Settings) -> Result<Entry, Error> {
-    let listen = settings.listen;
+    let (context, mailboxes) = build(settings);
+    moves::driver::start(&context, mailboxes.moves);
+    stops::start(&context);
+    generation::start_upkeep(Arc::clone(&context));
+    let addresses = open(&context).await?;
+    claims::start(&context, addresses.peers);
+    let advertised = context.settings.peers.advertise;
+    let advertised = advertised.unwrap_or(addresses.peers);
+    membership::start(Arc::clone(&context), mailboxes.membership, advertised);
+    spread::start(&context, mailboxes.duty);
+    Ok(Entry { addresses, context })
+}
+
+/// Builds the context and starts the tasks that need nothing of it.
+fn build(settings: Settings) -> (Arc<Context>, Mailboxes) {
     let platform = platform::http::Client::new(
         settings.platform.address,
         Arc::clone(&settings.entry.name),
@@ -90,10 +114,27 @@
     let stop = CancellationToken::new();
     let metrics = metrics::Metrics::new();
     let (moves_handle, moves_mailbox) = moves::mailbox();
+    let (membership, inbox) = membership::channel();
+    let board = declarations::Board::default();
+    let roll = directory::Roll::default();
+    let duty = watch::Sender::new(Duty::Lead);
+    let declarations = declarations::Source {
+        store: platform.clone(),
+        settings: settings.platform,
+        duty: duty.subscribe(),
+        refusals: metrics.store_refusals.clone(),
+    };
+    declarations::start(declarations, board.clone(), stop.clone());
+    let instances = directory::Source {
+        store: platform.clone(),
+        settings: settings.platform,
+        duty: duty.subscribe(),
+        writer: rand::random(),
+    };
+    directory::start(instances, roll.clone(), stop.clone());
     let clock = Clock::start();
     let stops = stops::Stops::new();
-    let directory = directory::start(platform.clone(), settings.platform, stop.clone());
-    let directory = stops::mark_leaving(directory, &stops, stop.clone());
+    let directory = stops::mark_leaving(roll.view(), &stops, stop.clone());
     let identity = Identity {
         name: Arc::clone(&settings.entry.name),
         incarnation: Arc::from(Uuid::now_v7().to_string()),
@@ -116,50 +157,55 @@
         identity,
         peers: Peers::new(settings.keys.peers.clone()),
         backend: backend::http::Client::new(),
-        declarations: declarations::start(platform.clone(), settings.platform, stop.clone()),
+        declarations: board.view(),
+        board,
         detector: generation::detector(&settings.generation),
         held: generation::outbox::Ledger::new(settings.generation.held_limit, &metrics),
         directory,
         moves: moves_handle,
+        membership,
+        roll,
         metrics,
         stops,
         platform,
         settings,
         stop,
     });
-    stops::start(&context);
-    moves::driver::start(&context, moves_mailbox);
-    generation::start_upkeep(Arc::clone(&context));
-    let peers = peers::start(Arc::clone(&context))
-        .await
-        .context(BindSnafu {
-            port: "listen.peers",
-            address: listen.peers,
-        })?;
-    claims::start(&context, peers);
-    let callers = callers::start(&context).context(BindSnafu {
+    let mailboxes = Mailboxes {
+        moves: moves_mailbox,
+        membership: inbox,
+        duty,
+    };
+    (context, mailboxes)
+}
+
+/// Opens the ports of an entry.
+async fn open(context: &Arc<Context>) -> Result<Addresses, Error> {
+    let listen = context.settings.listen;
+    let peers = peers::start(Arc::clone(context)).await.context(BindSnafu {
+        port: "listen.peers",
+        address: listen.peers,
+    })?;
+    let callers = callers::start(context).context(BindSnafu {
         port: "listen.callers",
         address: listen.callers,
     })?;
-    let operators = operators::start(Arc::clone(&context))
+    let operators = operators::start(Arc::clone(context))
         .await
         .context(BindSnafu {
             port: "listen.operators",
             address: listen.operators,
         })?;
-    let metrics = metrics::start(Arc::clone(&context))
+    let metrics = metrics::start(Arc::clone(context))
         .await
         .context(BindSnafu {
             port: "listen.metrics",
             address: listen.metrics,
         })?;
-    Ok(Entry {
-        addresses: Addresses {
-            callers,
-            operators,
-            peers,
-            metrics,
-        },
-        context,
+    Ok(Addresses {
+        callers,
+        operators,
+        peers,
+        metrics,
     })
 }
--- a/serving/src/modules/moves/store.rs
+++ b/serving/src/modules/moves/store.rs
@@ -6,6 +6,7 @@
 
 use super::PREFIX;
 use crate::modules::declarations;
+use crate::modules::operators::apply;
 use crate::platform::{Error as StoreError, Item, Store};
 
 /// How often a write is tried against others and settled by reading back.
@@ -177,7 +178,7 @@
         serde_json::from_str(&item.value).map_err(|error| Error::Unsettled {
             reason: format!("a stored declaration cannot be read: {error}"),
         })?;
-    let due = record.phase == Phase::Done && super::bears(record, &service);
+    let due = record.phase == Phase::Done && !service.deleted && super::bears(record, &service);
     if !due {
         return Ok(());
     }
@@ -185,6 +186,8 @@
     service.moved = record.number;
     service.revision += 1;
     service.change_id = format!("move-{}", record.id);
+    let history = std::mem::take(&mut service.history);
+    apply::remember(&mut service, &history);
     let value = serde_json::to_string(&service).map_err(|error| Error::Unsettled {
         reason: error.to_string(),
     })?;
