--- a/programs/src/bench.rs
+++ b/programs/src/bench.rs
@@ -14,6 +14,7 @@
 mod resume;
 mod routing;
 mod slow_readers;
+mod stops;
 mod stopwatch;
 
 /// Figures of a run, by name.
@@ -28,6 +29,7 @@
     "resume",
     "routing",
     "slow-readers",
+    "stops",
 ];
 
 /// Runs a scenario and prints its figures: as a table, or as one JSON object on the last line.
@@ -55,6 +57,7 @@
         "decisions" => decisions::run(seed).await,
         "baseline" => baseline::run(seed).await,
         "config" => config::run(seed).await,
+        "stops" => stops::run(seed).await,
         "resume" => resume::run(seed).await,
         "routing" => routing::run(seed).await,
         "slow-readers" => slow_readers::run(seed).await,
--- a/serving/src/entry.rs
+++ b/serving/src/entry.rs
@@ -66,6 +66,7 @@
     /// Leaves: takes no new requests, ends those in progress within the entry's window, then ends the
     /// entry's tasks. Returns whether every request ended on its own.
     pub async fn leave(&self) -> bool {
+        self.context.membership.leave().await;
         let whole = stops::leave(&self.context).await;
         self.kill();
         whole
@@ -93,6 +94,7 @@
     let (context, mailboxes) = build(settings);
     stops::start(&context);
     moves::driver::start(&context, mailboxes.moves);
+    stops::start(&context);
     generation::start_upkeep(Arc::clone(&context));
     let addresses = open(&context).await?;
     claims::start(&context, addresses.peers);
