--- a/programs/src/bench.rs
+++ b/programs/src/bench.rs
@@ -10,6 +10,7 @@
 mod at_most_once;
 mod baseline;
 mod decisions;
+mod moves;
 mod resume;
 mod routing;
 mod slow_readers;
@@ -19,10 +20,11 @@
 pub type Figures = BTreeMap<&'static str, Value>;
 
 /// Names of the scenarios.
-pub const SCENARIOS: [&str; 6] = [
+pub const SCENARIOS: [&str; 7] = [
     "at-most-once",
     "baseline",
     "decisions",
+    "moves",
     "resume",
     "routing",
     "slow-readers",
@@ -55,6 +57,7 @@
         "resume" => resume::run(seed).await,
         "routing" => routing::run(seed).await,
         "slow-readers" => slow_readers::run(seed).await,
+        "moves" => moves::run(seed).await,
         _ => Err(format!(
             "no scenario `{scenario}`: write one of {}",
             SCENARIOS.join(", ")
--- a/standin/src/engine.rs
+++ b/standin/src/engine.rs
@@ -202,6 +202,8 @@
     pub last_request_ms: u64,
     /// Generations running or waiting now.
     pub live: u64,
+    /// Requests that met the faults `fail_every` or `slow_factor`.
+    pub faulted: u64,
 }
 
 /// What the engine holds.
@@ -368,6 +370,8 @@
         let faulty = state.faulty();
         let fails =
             faulty && state.faults.fail_every > 0 && count.is_multiple_of(state.faults.fail_every);
+        let slow = faulty && state.faults.slow_factor > 1.0;
+        state.stats.faulted += u64::from(fails || slow);
         if fails {
             return Ok(http::problem(
                 StatusCode::INTERNAL_SERVER_ERROR,
--- a/standin/src/service.rs
+++ b/standin/src/service.rs
@@ -36,8 +36,23 @@
     pub answer_after_ms: u64,
     /// Bytes that pad each action's answer.
     pub answer_bytes: usize,
+    /// The delay `slow_ms` meets only every n-th request; 0 and 1 for each.
+    pub slow_every: u64,
     /// Path prefix that alone fails with 500 before it runs; empty for none.
     pub fail_path: String,
+    /// Every n-th request fails with 500 before it runs; 0 for none.
+    pub fail_every: u64,
+    /// The faults `slow_ms`, `fail_path` and `fail_every` apply only after this many requests.
+    pub after_requests: u64,
+}
+
+/// Counts for tests, `GET /control/stats`.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Stats {
+    /// Requests taken.
+    pub requests: u64,
+    /// Requests that met the faults `slow_ms`, `fail_path` or `fail_every`.
+    pub faulted: u64,
 }
 
 /// How a service is started.
@@ -68,6 +83,7 @@
 #[derive(Debug, Default)]
 struct State {
     faults: Faults,
+    stats: Stats,
     runs: BTreeMap<String, u64>,
     ran: BTreeSet<String>,
 }
@@ -128,6 +144,12 @@
         self.lock().ran.clone()
     }
 
+    /// Returns the counts since the start.
+    #[must_use]
+    pub fn stats(&self) -> Stats {
+        self.lock().stats
+    }
+
     /// Returns the life of the service, which can be paused and ended.
     #[must_use]
     pub fn life(&self) -> &Life {
@@ -145,20 +167,38 @@
             return self.control(control, request).await;
         }
         self.life.running().await;
-        let faults = self.lock().faults.clone();
-        tokio::time::sleep(self.config.work + Duration::from_millis(faults.slow_ms)).await;
+        let (fails, delay) = self.meet(&path);
+        tokio::time::sleep(self.config.work + delay).await;
         self.life.running().await;
         let request_id = header(&request, REQUEST_ID);
         let attempt = header(&request, ATTEMPT);
-        if let Some(response) = self.refusal(&path) {
+        if let Some(response) = self.refusal(fails) {
             return Ok(echo(response, &request_id, &attempt));
         }
         let response = self.respond(&path, request).await?;
         Ok(echo(response, &self.crossed(request_id), &attempt))
     }
 
+    /// Counts a request; returns whether it fails, and how much longer it takes.
+    fn meet(&self, path: &str) -> (bool, Duration) {
+        let mut state = self.lock();
+        state.stats.requests += 1;
+        let count = state.stats.requests;
+        let faults = &state.faults;
+        if count <= faults.after_requests {
+            return (false, Duration::ZERO);
+        }
+        let on_path = !faults.fail_path.is_empty() && path.starts_with(&faults.fail_path);
+        let in_turn = faults.fail_every > 0 && count.is_multiple_of(faults.fail_every);
+        let fails = on_path || in_turn;
+        let slow = faults.slow_ms > 0 && count.is_multiple_of(faults.slow_every.max(1));
+        let delay = Duration::from_millis(if slow { faults.slow_ms } else { 0 });
+        state.stats.faulted += u64::from(fails || slow);
+        (fails, delay)
+    }
+
     /// Returns the refusal that the faults ask for.
-    fn refusal(&self, path: &str) -> Option<Response<Body>> {
+    fn refusal(&self, fails: bool) -> Option<Response<Body>> {
         let mut state = self.lock();
         if state.faults.refuse > 0 {
             state.faults.refuse -= 1;
@@ -170,7 +210,6 @@
             );
             return Some(response);
         }
-        let fails = !state.faults.fail_path.is_empty() && path.starts_with(&state.faults.fail_path);
         fails.then(|| http::problem(StatusCode::INTERNAL_SERVER_ERROR, "this route fails"))
     }
 
@@ -239,6 +278,7 @@
                 Some(order) => self.life.obey(order),
                 None => Ok(http::problem(StatusCode::BAD_REQUEST, "an order expected")),
             },
+            "stats" => Ok(http::json(StatusCode::OK, &self.stats())),
             "runs" => Ok(http::json(StatusCode::OK, &self.runs())),
             "ran" => Ok(http::json(StatusCode::OK, &self.ran())),
             _ => Ok(http::problem(StatusCode::NOT_FOUND, "no such control")),
