--- a/programs/src/cluster.rs
+++ b/programs/src/cluster.rs
@@ -205,7 +205,7 @@
         Ok(())
     }
 
-    /// Starts one more entry.
+    /// Starts one more entry and puts it on the instance list.
     ///
     /// # Errors
     ///
@@ -218,6 +218,9 @@
         let entry = entry::start(settings)
             .await
             .map_err(|error| failed(&name, &error))?;
+        let mut instance = self.instance("entry", "", index);
+        instance.address = entry.addresses.peers.to_string();
+        self.platform.register(instance);
         self.entries.push(entry);
         Ok(())
     }
@@ -284,7 +287,14 @@
     fn settings(&self, index: usize) -> Settings {
         let name = format!("entry-{index}");
         let platform = self.platform_server.address;
-        settings(&name, &self.failure_domain(index), platform)
+        let entries = self.entries.iter();
+        Settings {
+            peers: configs::peers::Peers {
+                seeds: entries.map(|entry| entry.addresses.peers).collect(),
+                advertise: None,
+            },
+            ..settings(&name, &self.failure_domain(index), platform)
+        }
     }
 }
 
@@ -311,6 +321,7 @@
         admission: configs::admission::Admission::default(),
         services: configs::services::Services::default(),
         moves: configs::moves::Moves::default(),
+        peers: configs::peers::Peers::default(),
         log: configs::log::Log::default(),
     }
 }
--- a/serving/src/configs.rs
+++ b/serving/src/configs.rs
@@ -17,6 +17,7 @@
 pub mod listen;
 pub mod log;
 pub mod moves;
+pub mod peers;
 pub mod platform;
 pub mod services;
 mod value;
@@ -73,6 +74,8 @@
     pub services: services::Services,
     /// How services are moved to another version.
     pub moves: moves::Moves,
+    /// The other entries.
+    pub peers: peers::Peers,
     /// Logs.
     pub log: log::Log,
 }
@@ -118,6 +121,7 @@
             admission: raw.admission.unwrap_or_default().try_into()?,
             services: raw.services.unwrap_or_default().try_into()?,
             moves: raw.moves.unwrap_or_default().try_into()?,
+            peers: raw.peers.unwrap_or_default().try_into()?,
             log: raw.log.unwrap_or_default().try_into()?,
         })
     }
--- a/serving/src/modules/admission.rs
+++ b/serving/src/modules/admission.rs
@@ -219,6 +219,9 @@
     mut ended: mpsc::UnboundedReceiver<Message>,
 ) {
     let mut idle = tokio::time::interval(IDLE_INTERVAL);
+    // What the directory held before the start is no change to wait for.
+    let known = Arc::clone(&directory.borrow_and_update());
+    desk.set_directory(&known, clock.now());
     loop {
         let wake = desk.next_deadline().map(|deadline| clock.instant(deadline));
         tokio::select! {
--- a/serving/src/modules/operators.rs
+++ b/serving/src/modules/operators.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use medlarfall_schema::operator as rpc;
 use medlarfall_schema::operator::operator_server::{Operator, OperatorServer};
@@ -10,8 +11,10 @@
 use tonic::{Request, Response, Status};
 
 use crate::context::Context;
+use crate::modules::declarations;
 
-mod apply;
+pub mod apply;
+pub mod confirm;
 mod moves;
 
 /// Answers operators.
@@ -60,11 +63,21 @@
         request: Request<rpc::ApplyRequest>,
     ) -> Result<Response<rpc::ApplyReply>, Status> {
         let request = request.into_inner();
+        let (wait, wait_ms) = (request.wait, request.wait_ms);
         let change = apply::Change::try_from(request)?;
-        let stored = apply::store(&self.context.platform, change).await?;
-        Ok(Response::new(rpc::ApplyReply {
-            service: Some(stored),
-        }))
+        let board = &self.context.board;
+        let held = board.get(change.name());
+        let stored = apply::store(&self.context.platform, held.as_deref(), change).await?;
+        board.offer(declarations::record(stored.clone()));
+        let mut reply = rpc::ApplyReply::default();
+        if wait {
+            let limit = Duration::from_millis(wait_ms);
+            let found = confirm::wait(&self.context, &stored.name, stored.revision, limit).await;
+            reply.confirmed = found.confirmed.len() as u64;
+            reply.missing = found.missing.iter().map(ToString::to_string).collect();
+        }
+        reply.service = Some(stored);
+        Ok(Response::new(reply))
     }
 
     async fn list(&self, _: Request<rpc::ListRequest>) -> Result<Response<rpc::ListReply>, Status> {
--- a/serving/src/modules/peers.rs
+++ b/serving/src/modules/peers.rs
@@ -13,6 +13,7 @@
 use fastrace::future::FutureExt as _;
 use futures::StreamExt;
 use medlarfall_coordination::claim::{Claimer, Word};
+use medlarfall_coordination::membership;
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 use tarpc::context;
@@ -27,6 +28,10 @@
 
 use crate::configs::keys::Secret;
 use crate::context::Context;
+use crate::modules::operators::confirm::{self, Confirmation, Question};
+use crate::modules::spread::{
+    DeclarationsExchange, DeclarationsMessage, Exchange, InstancesExchange, InstancesMessage,
+};
 use crate::telemetry;
 
 mod handshake;
@@ -64,6 +69,14 @@
     /// Returns the entry's word on a claim of its own, waiting up to `wait_ms` for a call to end;
     /// nothing if the claim is not of this incarnation.
     async fn claim(claimer: Claimer, wait_ms: u64) -> Option<Word>;
+    /// Takes a message of membership and returns the answers to its sender.
+    async fn gossip(message: membership::Message) -> Vec<membership::Message>;
+    /// Takes a message of an exchange of declarations.
+    async fn declarations(message: DeclarationsMessage) -> DeclarationsExchange;
+    /// Takes a message of an exchange of instances.
+    async fn instances(message: InstancesMessage) -> InstancesExchange;
+    /// Returns where a revision is in force.
+    async fn confirm(question: Question) -> Confirmation;
 }
 
 /// Why a peer could not be asked.
@@ -213,6 +226,34 @@
         let wait = Duration::from_millis(wait_ms).min(CALL_TIMEOUT);
         self.context.claims.wait(&claimer, wait).await
     }
+
+    async fn gossip(
+        self,
+        _: context::Context,
+        message: membership::Message,
+    ) -> Vec<membership::Message> {
+        self.context.membership.receive(message).await
+    }
+
+    async fn declarations(
+        self,
+        _: context::Context,
+        message: DeclarationsMessage,
+    ) -> DeclarationsExchange {
+        let loaded = self.context.declarations.borrow().loaded;
+        let message = self.context.board.answer(message);
+        Exchange { loaded, message }
+    }
+
+    async fn instances(self, _: context::Context, message: InstancesMessage) -> InstancesExchange {
+        let message = self.context.roll.answer(message);
+        let loaded = true;
+        Exchange { loaded, message }
+    }
+
+    async fn confirm(self, _: context::Context, question: Question) -> Confirmation {
+        confirm::answer(&self.context, question).await
+    }
 }
 
 /// Starts the peers' port and returns its address.
