feat(moves): tell peers of brakes and ends at once

Cause: with the platform down a brake stayed at the entry that had the evidence. Ruled out: telling every peer (cost grows with the fleet); telling stages too (they are recorded in the store before they hold). Change: an entry that learns of a brake or an end tells up to 8 peers, who tell others in turn, and again with each try to record it. Conclusion: evidence itself is not shared between entries yet.

--- a/programs/tests/moves.rs
+++ b/programs/tests/moves.rs
@@ -67,10 +67,15 @@
 
 /// Calls the plain service at every entry until the load is dropped.
 fn call(cluster: &Arc<Cluster>) -> JoinSet<()> {
+    call_at(cluster, cluster.entries.len())
+}
+
+/// Calls the plain service at the first entries until the load is dropped.
+fn call_at(cluster: &Arc<Cluster>, entries: usize) -> JoinSet<()> {
     let mut load = JoinSet::new();
     let count = Arc::new(AtomicU64::new(0));
-    for index in 0..CALLERS * cluster.entries.len() {
-        let caller = cluster.caller(index % cluster.entries.len());
+    for index in 0..CALLERS * entries {
+        let caller = cluster.caller(index % entries);
         let count = Arc::clone(&count);
         load.spawn(async move {
             loop {
@@ -354,6 +359,47 @@
     drop(load);
 }
 
+#[tokio::test]
+async fn a_brake_reaches_an_entry_without_requests_while_the_platform_is_down() {
+    let cluster = start().await;
+    cluster::wait("the entries know each other", || {
+        let knows = |entry: &medlarfall_serving::entry::Entry| {
+            entry.context.membership.view().borrow().up().count() == 1
+        };
+        cluster.entries.iter().all(knows)
+    })
+    .await
+    .expect("the entries know each other");
+    let mut operator = cluster.operator(0).expect("an operator");
+    operator
+        .start_move(TRACKER, "v2", deadline_ms(Duration::from_mins(2)))
+        .await
+        .expect("the move is accepted");
+    cluster::wait("every entry moves", || {
+        let moving = |phase: &MovePhase| *phase == MovePhase::Stage;
+        cluster.entries.iter().all(|entry| phase(entry, moving))
+    })
+    .await
+    .expect("moving");
+    cluster.platform.set_faults(platform::Faults {
+        down: true,
+        ..platform::Faults::default()
+    });
+    for plain in &cluster.services[1..] {
+        plain.service.set_faults(service::Faults {
+            fail_path: "/".to_owned(),
+            ..service::Faults::default()
+        });
+    }
+    let load = call_at(&cluster, 1);
+    cluster::wait("the entry without requests has braked", || {
+        phase(&cluster.entries[1], |phase| *phase == MovePhase::Braked)
+    })
+    .await
+    .expect("braked");
+    drop(load);
+}
+
 /// Returns whether the last move of the plain service is in a phase at an entry.
 fn phase(entry: &medlarfall_serving::entry::Entry, wanted: fn(&MovePhase) -> bool) -> bool {
     use medlarfall_coordination::rollout::Phase;
--- a/serving/src/modules/moves/driver.rs
+++ b/serving/src/modules/moves/driver.rs
@@ -5,17 +5,23 @@
 use std::time::Duration;
 
 use medlarfall_coordination::evidence::{Evidence, Side};
+use medlarfall_coordination::membership::Member;
 use medlarfall_coordination::rollout::{Phase, Record, WHOLE};
 use medlarfall_coordination::schedule::{Decision, Progress};
+use rand::seq::IndexedRandom;
 use tokio::sync::mpsc;
 
 use super::{Mailbox, Message, PREFIX, Sample, View, bears, store, unix_ms};
 use crate::context::Context;
+use crate::modules::peers::CALL_TIMEOUT;
 use crate::platform::{Error, Item, Store};
 
 /// Pause after a failed call to the store.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 
+/// Peers that each entry tells of a brake or an end.
+const FANOUT: usize = 8;
+
 /// Failures in a row of one backend server that count unless others of its version fail as well.
 ///
 /// A backend server that has died is no evidence against the version that it served.
@@ -223,6 +229,30 @@
         self.view.send_modify(|view| {
             Arc::make_mut(view).insert(Arc::clone(service), Arc::new(record.clone()));
         });
+        if !matches!(record.phase, Phase::Stage(_)) {
+            self.spread(record);
+        }
+    }
+
+    /// Tells some peers of a record, who tell others in turn; the store reaches those left out.
+    fn spread(&self, record: &Record) {
+        let membership = Arc::clone(&self.context.membership.view().borrow());
+        let members: Vec<&Member> = membership.up().collect();
+        let chosen = members.choose_multiple(&mut rand::rng(), FANOUT);
+        for address in chosen.map(|member| member.address) {
+            let context = Arc::clone(&self.context);
+            let record = record.clone();
+            tokio::spawn(async move {
+                let told = context
+                    .peers
+                    .call(address, CALL_TIMEOUT, |peer, call| async move {
+                        peer.moved(call, record).await
+                    });
+                if let Err(error) = told.await {
+                    log::debug!(error = error.to_string().as_str(); "a peer was not told of a move");
+                }
+            });
+        }
     }
 
     /// Takes what an attempt showed, and brakes at once if that is enough.
@@ -294,15 +324,16 @@
                 }
                 self.judge(service);
             }
-            Phase::Braked { .. } => {
+            Phase::Braked { .. } if held.due(self.context.clock.now()) => {
                 let record = held.record.clone();
+                self.spread(&record);
                 self.write(record);
             }
             Phase::Done if declaration.is_some_and(|service| bears(&held.record, &service)) => {
                 let record = held.record.clone();
                 self.declare(record);
             }
-            Phase::Done | Phase::TakenBack { .. } => {}
+            Phase::Braked { .. } | Phase::Done | Phase::TakenBack { .. } => {}
         }
     }
 
@@ -364,7 +395,7 @@
         let now = self.context.clock.now();
         let service = Arc::clone(&record.service);
         let held = self.held.get_mut(&service);
-        let Some(held) = held.filter(|held| !held.writing && held.write_after <= now) else {
+        let Some(held) = held.filter(|held| held.due(now)) else {
             return;
         };
         held.writing = true;
@@ -383,6 +414,11 @@
 }
 
 impl Held {
+    /// Returns whether a write may start.
+    fn due(&self, now: Duration) -> bool {
+        !self.writing && self.write_after <= now
+    }
+
     /// Returns whether a sample tells no more than that one backend server has died: it is cut off
     /// again and again, and no other one of its version has failed meanwhile without an answer.
     ///
--- a/serving/src/modules/peers.rs
+++ b/serving/src/modules/peers.rs
@@ -14,6 +14,7 @@
 use futures::StreamExt;
 use medlarfall_coordination::claim::{Claimer, Word};
 use medlarfall_coordination::membership;
+use medlarfall_coordination::rollout;
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 use tarpc::context;
@@ -28,6 +29,7 @@
 
 use crate::configs::keys::Secret;
 use crate::context::Context;
+use crate::modules::moves;
 use crate::modules::operators::confirm::{self, Confirmation, Question};
 use crate::modules::spread::{
     DeclarationsExchange, DeclarationsMessage, Exchange, InstancesExchange, InstancesMessage,
@@ -65,6 +67,8 @@
 pub trait Peer {
     /// Returns what the entry says of itself.
     async fn identity() -> Identity;
+    /// Takes the record of a move that is braked or has ended.
+    async fn moved(record: rollout::Record);
 
     /// Returns the entry's word on a claim of its own, waiting up to `wait_ms` for a call to end;
     /// nothing if the claim is not of this incarnation.
@@ -222,6 +226,10 @@
         self.context.identity.clone()
     }
 
+    async fn moved(self, _: context::Context, record: rollout::Record) {
+        self.context.moves.tell(moves::Message::Heard(record)).await;
+    }
+
     async fn claim(self, _: context::Context, claimer: Claimer, wait_ms: u64) -> Option<Word> {
         let wait = Duration::from_millis(wait_ms).min(CALL_TIMEOUT);
         self.context.claims.wait(&claimer, wait).await
