--- a/programs/src/bench/moves.rs
+++ b/programs/src/bench/moves.rs
@@ -314,7 +314,7 @@
         ("good_taken_back", ended(&good, MovePhase::TakenBack).into()),
         ("bad_total", bad.len().into()),
         ("bad_taken_back", ended(&bad, MovePhase::TakenBack).into()),
-        ("bad_share_max", shares.max().unwrap_or(0).into()),
+        ("bad_share_max", super::milliseconds(shares.max().unwrap_or(0))),
         ("requests_after_fault_p95", p95(after.collect()).into()),
         ("take_back_p95_ms", p95(times.collect()).into()),
         ("answers", sum(|tally| tally.answers).into()),
