--- a/programs/src/bench/moves.rs
+++ b/programs/src/bench/moves.rs
@@ -271,6 +271,11 @@
     values.get(index.saturating_sub(1)).copied().unwrap_or(0)
 }
 
+/// Returns thousandths as a fraction.
+fn fraction(thousandths: u64) -> f64 {
+    u32::try_from(thousandths).map_or(1.0, f64::from) / 1_000.0
+}
+
 /// Returns the figures of all moves.
 fn summarize(outcomes: &[Outcome]) -> Figures {
     let (bad, good): (Vec<&Outcome>, Vec<&Outcome>) =
@@ -314,7 +319,7 @@
         ("good_taken_back", ended(&good, MovePhase::TakenBack).into()),
         ("bad_total", bad.len().into()),
         ("bad_taken_back", ended(&bad, MovePhase::TakenBack).into()),
-        ("bad_share_max", super::milliseconds(shares.max().unwrap_or(0))),
+        ("bad_share_max", fraction(shares.max().unwrap_or(0)).into()),
         ("requests_after_fault_p95", p95(after.collect()).into()),
         ("take_back_p95_ms", p95(times.collect()).into()),
         ("answers", sum(|tally| tally.answers).into()),
