--- a/programs/src/bench.rs
+++ b/programs/src/bench.rs
@@ -11,6 +11,7 @@
 mod baseline;
 mod config;
 mod decisions;
+mod moves;
 mod resume;
 mod routing;
 mod slow_readers;
@@ -21,11 +22,12 @@
 pub type Figures = BTreeMap<&'static str, Value>;
 
 /// Names of the scenarios.
-pub const SCENARIOS: [&str; 7] = [
+pub const SCENARIOS: &[&str] = &[
     "at-most-once",
     "baseline",
     "config",
     "decisions",
+    "moves",
     "resume",
     "routing",
     "slow-readers",
@@ -61,6 +63,7 @@
         "resume" => resume::run(seed).await,
         "routing" => routing::run(seed).await,
         "slow-readers" => slow_readers::run(seed).await,
+        "moves" => moves::run(seed).await,
         _ => Err(format!(
             "no scenario `{scenario}`: write one of {}",
             SCENARIOS.join(", ")
