--- a/programs/src/bench.rs
+++ b/programs/src/bench.rs
@@ -11,6 +11,7 @@
 mod baseline;
 mod config;
 mod decisions;
+mod membership;
 mod moves;
 mod resume;
 mod routing;
@@ -27,6 +28,7 @@
     "baseline",
     "config",
     "decisions",
+    "membership",
     "moves",
     "resume",
     "routing",
@@ -60,6 +62,7 @@
         "baseline" => baseline::run(seed).await,
         "config" => config::run(seed).await,
         "stops" => stops::run(seed).await,
+        "membership" => membership::run(seed).await,
         "resume" => resume::run(seed).await,
         "routing" => routing::run(seed).await,
         "slow-readers" => slow_readers::run(seed).await,
