--- a/serving/src/configs.rs
+++ b/serving/src/configs.rs
@@ -117,7 +117,7 @@
     type Error = Problem;
 
     fn try_from(raw: raw::Settings) -> Result<Self, Problem> {
-        Ok(Self {
+        let settings = Self {
             entry: raw.entry.unwrap_or_default().try_into()?,
             listen: raw.listen.unwrap_or_default().try_into()?,
             platform: raw.platform.unwrap_or_default().try_into()?,
@@ -131,6 +131,19 @@
             moves: raw.moves.unwrap_or_default().try_into()?,
             peers: raw.peers.unwrap_or_default().try_into()?,
             log: raw.log.unwrap_or_default().try_into()?,
-        })
+        };
+        settings.reachable()
+    }
+}
+
+impl Settings {
+    /// Refuses a peers' port that the other entries are not told how to reach.
+    fn reachable(self) -> Result<Self, Problem> {
+        let listen = self.listen.peers;
+        if listen.ip().is_unspecified() && self.peers.advertise.is_none() {
+            let remedy = "name an IP number of this instance, or set `peers.advertise` to one";
+            return Err(value::invalid("listen.peers", &listen, remedy));
+        }
+        Ok(self)
     }
 }
--- a/serving/src/entry.rs
+++ b/serving/src/entry.rs
@@ -97,9 +97,9 @@
     stops::start(&context);
     generation::start_upkeep(Arc::clone(&context));
     let addresses = open(&context).await?;
-    claims::start(&context, addresses.peers);
     let advertised = context.settings.peers.advertise;
     let advertised = advertised.unwrap_or(addresses.peers);
+    claims::start(&context, advertised);
     membership::start(Arc::clone(&context), mailboxes.membership, advertised);
     spread::start(&context, mailboxes.duty);
     Ok(Entry { addresses, context })
