--- a/programs/src/cluster.rs
+++ b/programs/src/cluster.rs
@@ -321,7 +321,9 @@
         admission: configs::admission::Admission::default(),
         services: configs::services::Services::default(),
         moves: configs::moves::Moves::default(),
+        orders: configs::orders::Orders::default(),
         peers: configs::peers::Peers::default(),
+        stops: configs::stops::Stops::default(),
         log: configs::log::Log::default(),
     }
 }
--- a/programs/src/commands.rs
+++ b/programs/src/commands.rs
@@ -13,6 +13,7 @@
 use crate::operator::Operator;
 
 pub mod moves;
+pub mod stops;
 
 /// What a subcommand returns.
 pub type Result = std::result::Result<(), Box<dyn Error>>;
--- a/serving/src/configs.rs
+++ b/serving/src/configs.rs
@@ -17,9 +17,11 @@
 pub mod listen;
 pub mod log;
 pub mod moves;
+pub mod orders;
 pub mod peers;
 pub mod platform;
 pub mod services;
+pub mod stops;
 mod value;
 
 pub use value::Problem;
@@ -72,6 +74,10 @@
     pub admission: admission::Admission,
     /// How plain services are called.
     pub services: services::Services,
+    /// How orders are given to backend servers.
+    pub orders: orders::Orders,
+    /// How planned stops are carried out.
+    pub stops: stops::Stops,
     /// How services are moved to another version.
     pub moves: moves::Moves,
     /// The other entries.
@@ -120,6 +126,8 @@
             generation: raw.generation.unwrap_or_default().try_into()?,
             admission: raw.admission.unwrap_or_default().try_into()?,
             services: raw.services.unwrap_or_default().try_into()?,
+            orders: raw.orders.unwrap_or_default().try_into()?,
+            stops: raw.stops.unwrap_or_default().try_into()?,
             moves: raw.moves.unwrap_or_default().try_into()?,
             peers: raw.peers.unwrap_or_default().try_into()?,
             log: raw.log.unwrap_or_default().try_into()?,
--- a/serving/src/context.rs
+++ b/serving/src/context.rs
@@ -18,7 +18,9 @@
 use crate::modules::membership;
 use crate::modules::metrics::Metrics;
 use crate::modules::moves;
+use crate::modules::orders;
 use crate::modules::peers::{Identity, Peers};
+use crate::modules::stops::Stops;
 use crate::platform;
 
 /// The context of one entry instance.
@@ -52,6 +54,8 @@
     pub declarations: watch::Receiver<Arc<Declarations>>,
     /// Backend servers that this entry knows of.
     pub directory: watch::Receiver<Arc<Directory>>,
+    /// Planned stops, and what holds them.
+    pub stops: Stops,
     /// Moves of services to another version.
     pub moves: moves::Handle,
     /// What was learnt of the silences of engines.
@@ -63,3 +67,24 @@
     /// Cancelled when the entry stops.
     pub stop: CancellationToken,
 }
+
+impl Context {
+    /// Returns the way in which orders reach backend servers.
+    #[must_use]
+    pub fn orders(&self) -> orders::Way<platform::http::Client, backend::http::Client> {
+        orders::Way {
+            store: self.platform.clone(),
+            engine: self.backend.clone(),
+            clock: self.clock,
+            settings: self.settings.orders,
+        }
+    }
+
+    /// Returns whether a backend server is declared to refuse old fencing numbers.
+    #[must_use]
+    pub fn enforces_fencing(&self, server: &backend::Server) -> bool {
+        let declarations = Arc::clone(&self.declarations.borrow());
+        let service = declarations.service(&server.service);
+        service.is_some_and(|service| service.fencing)
+    }
+}
--- a/serving/src/entry.rs
+++ b/serving/src/entry.rs
@@ -19,7 +19,7 @@
 use crate::modules::spread::{self, Duty};
 use crate::modules::{
     admission, callers, claims, declarations, directory, generation, membership, metrics, moves,
-    operators, peers,
+    operators, peers, stops,
 };
 use crate::platform;
 
@@ -63,6 +63,14 @@
 }
 
 impl Entry {
+    /// Leaves: takes no new requests, ends those in progress within the entry's window, then ends the
+    /// entry's tasks. Returns whether every request ended on its own.
+    pub async fn leave(&self) -> bool {
+        let whole = stops::leave(&self.context).await;
+        self.kill();
+        whole
+    }
+
     /// Ends the entry's tasks at once, as the death of the process would.
     pub fn kill(&self) {
         self.context.stop.cancel();
@@ -83,6 +91,7 @@
 /// Returns which port could not be bound.
 pub async fn start(settings: Settings) -> Result<Entry, Error> {
     let (context, mailboxes) = build(settings);
+    stops::start(&context);
     moves::driver::start(&context, mailboxes.moves);
     generation::start_upkeep(Arc::clone(&context));
     let addresses = open(&context).await?;
@@ -123,7 +132,8 @@
     };
     directory::start(instances, roll.clone(), stop.clone());
     let clock = Clock::start();
-    let directory = roll.view();
+    let stops = stops::Stops::new();
+    let directory = stops::mark_leaving(roll.view(), &stops, stop.clone());
     let identity = Identity {
         name: Arc::clone(&settings.entry.name),
         incarnation: Arc::from(Uuid::now_v7().to_string()),
@@ -155,6 +165,7 @@
         membership,
         roll,
         metrics,
+        stops,
         platform,
         settings,
         stop,
--- a/serving/src/modules/admission/desk/shares.rs
+++ b/serving/src/modules/admission/desk/shares.rs
@@ -13,14 +13,21 @@
 /// This entry's share of one engine's memory.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct Share {
-    /// Tokens that the store has granted and that are in use.
-    held: u64,
+    /// Tokens that the store has granted and that may be used.
+    granted: u64,
     /// Whether a wish is on its way.
     wishing: bool,
     /// Since when a step or more has been idle.
     idle_since: Option<Duration>,
 }
 
+impl Share {
+    /// Returns the tokens that the store has granted and that may be used.
+    pub(super) fn granted(&self) -> u64 {
+        self.granted
+    }
+}
+
 impl Desk {
     /// Wishes for memory of a server for a request of `tokens`.
     pub(super) fn lacks(&mut self, server: &Arc<str>, tokens: u64) {
@@ -31,12 +38,13 @@
         if share.wishing {
             return;
         }
-        let step = self.bounds.grant_step(member.limit);
-        let wanted = self.ledger.reserved(member.key) + tokens;
+        let step = self.bounds.grant_step(member.grant_limit);
+        let used = self.ledger.reserved(member.key) + tokens;
+        let wanted = used.saturating_sub(member.base);
         let tokens = (wanted.div_ceil(step) * step + step)
-            .min(member.limit)
+            .min(member.grant_limit)
             .max(wanted);
-        if tokens <= share.held {
+        if tokens <= share.granted {
             return;
         }
         share.wishing = true;
@@ -56,9 +64,9 @@
         let share = self.shares.entry(Arc::clone(server)).or_default();
         share.wishing = false;
         if let Some(tokens) = tokens {
-            share.held = tokens;
+            share.granted = tokens;
             share.idle_since = None;
-            self.ledger.set_share(member.key, tokens);
+            self.ledger.set_share(member.key, member.base + tokens);
             return;
         }
         let until = now + DENIED_PAUSE;
@@ -76,10 +84,11 @@
             let Some(member) = self.members.get(server) else {
                 continue;
             };
-            let step = self.bounds.grant_step(member.limit);
-            let used = self.ledger.reserved(member.key);
+            let step = self.bounds.grant_step(member.grant_limit);
+            let reserved = self.ledger.reserved(member.key);
+            let used = reserved.saturating_sub(member.base);
             let kept = if used == 0 { 0 } else { used + step };
-            if share.wishing || share.held <= kept {
+            if share.wishing || share.granted <= kept {
                 share.idle_since = None;
                 continue;
             }
@@ -87,8 +96,8 @@
             if now.saturating_sub(since) < self.bounds.idle_timeout {
                 continue;
             }
-            self.ledger.set_share(member.key, kept);
-            share.held = kept;
+            self.ledger.set_share(member.key, member.base + kept);
+            share.granted = kept;
             share.wishing = true;
             returned.push((Arc::clone(server), kept));
         }
@@ -106,7 +115,7 @@
             server: Arc::clone(server),
             tokens,
             least,
-            limit: member.limit,
+            limit: member.grant_limit,
         });
     }
 }
--- a/serving/src/modules/admission/pool.rs
+++ b/serving/src/modules/admission/pool.rs
@@ -21,12 +21,21 @@
     pub(super) hash: u64,
     /// How near the server is.
     pub(super) proximity: Proximity,
-    /// Tokens that all entries together may hold on the server.
-    pub(super) limit: u64,
+    /// Tokens that this entry may hold on the server without a grant.
+    pub(super) base: u64,
+    /// Tokens that all entries together may be granted on the server.
+    pub(super) grant_limit: u64,
     /// Until when this entry's share is taken not to grow, since the store refused.
     pub(super) denied_until: Duration,
 }
 
+impl Member {
+    /// Returns the tokens that this entry may hold on the server at most.
+    pub(super) fn limit(&self) -> u64 {
+        self.base + self.grant_limit
+    }
+}
+
 /// The server that takes a request.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Choice<'a> {
@@ -72,13 +81,13 @@
     /// Returns a server as a candidate for a request.
     fn candidate(&self, member: &Member, need: &Need, ledger: &Ledger, now: Duration) -> Candidate {
         let (used, free) = ledger.usage(member.key);
-        let grows = now >= member.denied_until && used + need.tokens <= member.limit;
+        let grows = now >= member.denied_until && used + need.tokens <= member.limit();
         let fits = grows || free >= need.tokens;
         Candidate {
             hash: member.hash,
             proximity: member.proximity,
             used,
-            capacity: member.limit.max(1),
+            capacity: member.limit().max(1),
             fits: fits && self.open(member, need, now),
         }
     }
--- a/serving/src/modules/callers.rs
+++ b/serving/src/modules/callers.rs
@@ -72,6 +72,16 @@
             .as_deref()
             .and_then(|value| value.strip_prefix("Bearer "));
         let account = key.and_then(|key| self.context.settings.keys.account(key));
+        if self.context.stops.leaving() {
+            Problem::new(
+                Kind::EntryLeaving,
+                Outcome::NotRun,
+                "this entry is leaving; send the request to another entry",
+            )
+            .render(response);
+            control.skip_rest();
+            return;
+        }
         if let Some(account) = account {
             let every = self.context.settings.log.trace_every;
             let span = telemetry::request(request.header::<String>(TRACEPARENT).as_deref(), every);
--- a/serving/src/modules/callers/problem.rs
+++ b/serving/src/modules/callers/problem.rs
@@ -50,6 +50,8 @@
     Unavailable,
     /// The answer was lost on the way.
     AnswerLost,
+    /// This entry is leaving.
+    EntryLeaving,
     /// The answer is larger than the limit.
     AnswerTooLarge,
     /// The call ran before, and its answer was not kept.
@@ -78,7 +80,7 @@
             Self::HeadersTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             Self::TooSlow => StatusCode::REQUEST_TIMEOUT,
             Self::UnknownService => StatusCode::NOT_FOUND,
-            Self::Unavailable | Self::StoreUnavailable | Self::Overloaded => {
+            Self::EntryLeaving | Self::Unavailable | Self::StoreUnavailable | Self::Overloaded => {
                 StatusCode::SERVICE_UNAVAILABLE
             }
             Self::AnswerLost | Self::AnswerTooLarge | Self::AnswerNotKept => {
@@ -115,6 +117,11 @@
         }
     }
 
+    /// Returns whether the request ran.
+    pub(super) fn outcome(&self) -> Outcome {
+        self.run
+    }
+
     /// Writes the problem as the whole answer.
     pub(super) fn render(&self, response: &mut Response) {
         response.status_code(self.kind.status());
--- a/serving/src/modules/generation/admit.rs
+++ b/serving/src/modules/generation/admit.rs
@@ -48,10 +48,21 @@
         excluded: Vec<Arc<str>>,
         wait: Option<Duration>,
     ) -> Result<Result<Permit, Refusal>, Outcome> {
-        let order = &self.order;
         let wait = wait.unwrap_or(self.context.settings.callers.answer_timeout);
         let begun = self.delivered() > 0;
-        let need = Need {
+        let need = self.need(excluded, wait);
+        tokio::select! {
+            answer = self.context.admission.ask(need) => Ok(answer),
+            () = self.outbox.gone() => Err(Outcome::CallerGone),
+            () = self.other_version(), if !begun => Ok(Err(Refusal::Deadline)),
+        }
+    }
+
+    /// Returns what an attempt needs of a server outside `excluded` within `wait`.
+    pub(super) fn need(&self, excluded: Vec<Arc<str>>, wait: Duration) -> Need {
+        let order = &self.order;
+        let begun = self.delivered() > 0;
+        Need {
             service: Arc::clone(&order.service),
             version: Arc::clone(&order.version),
             account: Arc::clone(&order.account),
@@ -62,11 +73,6 @@
             prefix: prefix_hash(&order.prompt),
             deadline: self.context.clock.now() + wait,
             excluded,
-        };
-        tokio::select! {
-            answer = self.context.admission.ask(need) => Ok(answer),
-            () = self.outbox.gone() => Err(Outcome::CallerGone),
-            () = self.other_version(), if !begun => Ok(Err(Refusal::Deadline)),
         }
     }
 
--- a/serving/src/modules/generation/attempt.rs
+++ b/serving/src/modules/generation/attempt.rs
@@ -13,6 +13,7 @@
 use super::{Event, Task};
 use crate::backend::{self, Engine, Frame, Frames};
 use crate::modules::admission::Refusal;
+use crate::modules::stops::handover::{Handover, Prepared};
 
 /// Longest wait for a sign of life of an engine whose first token is late.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
@@ -31,6 +32,8 @@
     Lost(String),
     /// The reader does not read.
     Parked,
+    /// The generation runs on another server already, since the present one is leaving.
+    Moved(Box<Prepared>),
     /// The caller has gone.
     CallerGone,
     /// The text differs from what the caller was given.
@@ -58,9 +61,31 @@
 
     /// Reads frames until the attempt ends.
     async fn read<F: Frames>(&mut self, watch: &mut Watch, frames: &mut F) -> Outcome {
+        let Some(mut handover) = self.handover() else {
+            return Outcome::Ended;
+        };
+        let outcome = self.read_until_moved(watch, frames, &mut handover).await;
+        if let Some(last) = handover.last_prepared(&self.journal) {
+            self.journal.note_used(last);
+        }
+        outcome
+    }
+
+    /// Reads frames until the attempt ends or the generation runs on another server.
+    async fn read_until_moved<F: Frames>(
+        &mut self,
+        watch: &mut Watch,
+        frames: &mut F,
+        handover: &mut Handover,
+    ) -> Outcome {
         loop {
             let asked = Instant::now();
-            let frame = match self.bear(watch, frames.next()).await {
+            let next = tokio::select! {
+                biased;
+                next = self.bear(watch, frames.next()) => next,
+                prepared = handover.moved(&self.journal) => return Outcome::Moved(prepared),
+            };
+            let frame = match next {
                 Some(Ok(Some(frame))) => frame,
                 Some(Ok(None)) => return Outcome::Lost("the stream ended early".to_owned()),
                 Some(Err(error)) => return Outcome::Lost(error.to_string()),
@@ -103,7 +128,7 @@
     }
 
     /// Takes one frame; returns an outcome if the attempt ends with it.
-    async fn take(&mut self, watch: &mut Watch, frame: Frame) -> Option<Outcome> {
+    pub(super) async fn take(&mut self, watch: &mut Watch, frame: Frame) -> Option<Outcome> {
         let attempt = Attempt(self.origin.attempt);
         let own = frame.request_id == *self.order.request_id && frame.attempt == attempt.0;
         if !own {
