--- a/serving/src/modules/moves.rs
+++ b/serving/src/modules/moves.rs
@@ -14,6 +14,7 @@
 use crate::context::Context;
 
 pub mod driver;
+mod rows;
 pub mod store;
 
 /// Prefix of the keys that hold moves.
--- a/serving/src/modules/moves/driver.rs
+++ b/serving/src/modules/moves/driver.rs
@@ -11,6 +11,7 @@
 use rand::seq::IndexedRandom;
 use tokio::sync::mpsc;
 
+use super::rows::Rows;
 use super::{Mailbox, Message, PREFIX, Sample, View, bears, store, unix_ms};
 use crate::context::Context;
 use crate::modules::peers::CALL_TIMEOUT;
@@ -22,52 +23,6 @@
 /// Peers that each entry tells of a brake or an end.
 const FANOUT: usize = 8;
 
-/// Failures in a row of one backend server that count unless others of its version fail as well.
-///
-/// A backend server that has died is no evidence against the version that it served.
-const FAILURES_IN_A_ROW: u32 = 2;
-
-/// How one backend server has answered lately.
-#[derive(Clone, Copy, Debug)]
-struct Row {
-    side: Side,
-    /// Failures in a row.
-    failures: u32,
-    /// Time of the first of them.
-    since: Duration,
-    /// Time of the last failure.
-    failed: Option<Duration>,
-    /// Time of the last good answer.
-    answered: Option<Duration>,
-}
-
-impl Row {
-    /// Returns the row of a server of which nothing is known.
-    fn new(side: Side) -> Self {
-        Self {
-            side,
-            failures: 0,
-            since: Duration::ZERO,
-            failed: None,
-            answered: None,
-        }
-    }
-
-    /// Notes how an attempt ended.
-    fn note(&mut self, failed: Option<bool>, now: Duration) {
-        match failed {
-            Some(true) if self.failures == 0 => {
-                (self.failures, self.since, self.failed) = (1, now, Some(now));
-            }
-            Some(true) => {
-                (self.failures, self.failed) = (self.failures.saturating_add(1), Some(now));
-            }
-            Some(false) => (self.failures, self.answered) = (0, Some(now)),
-            None => {}
-        }
-    }
-}
-
 /// A move that this entry follows.
 #[derive(Debug)]
 struct Held {
@@ -76,7 +31,7 @@
     since: Duration,
     writing: bool,
     write_after: Duration,
-    rows: BTreeMap<Arc<str>, Row>,
+    rows: Rows,
 }
 
 /// Starts the tasks that follow the store and drive the moves.
@@ -215,7 +170,7 @@
             since: now,
             writing: false,
             write_after: Duration::ZERO,
-            rows: BTreeMap::new(),
+            rows: Rows::default(),
         }
     }
 
@@ -264,7 +219,7 @@
         };
         let current =
             held.record.number == sample.number && matches!(held.record.phase, Phase::Stage(_));
-        if !current || held.dead(sample, alone, now) {
+        if !current || held.rows.dead(sample, alone, now) {
             return;
         }
         held.evidence.observe(&sample.observation);
@@ -418,31 +373,4 @@
     fn due(&self, now: Duration) -> bool {
         !self.writing && self.write_after <= now
     }
-
-    /// Returns whether a sample tells no more than that one backend server has died: it is cut off
-    /// again and again, and no other one of its version has failed meanwhile without an answer.
-    ///
-    /// `alone` says that it is the only one of its version.
-    fn dead(&mut self, sample: &Sample, alone: bool, now: Duration) -> bool {
-        let side = sample.observation.side;
-        let server = &sample.server;
-        let row = self
-            .rows
-            .entry(Arc::clone(server))
-            .or_insert(Row::new(side));
-        row.note(sample.observation.failed, now);
-        if row.failures <= FAILURES_IN_A_ROW || alone || !sample.cut {
-            return false;
-        }
-        let since = row.since;
-        let others = self.rows.iter().filter(|(name, _)| *name != server);
-        let mut fails = false;
-        for (_, other) in others.filter(|(_, row)| row.side == side) {
-            if other.answered > Some(since) {
-                return true;
-            }
-            fails |= other.failed > Some(since);
-        }
-        !fails
-    }
 }
