--- a/programs/src/bench.rs
+++ b/programs/src/bench.rs
@@ -9,25 +9,29 @@
 
 mod at_most_once;
 mod baseline;
+mod config;
 mod decisions;
 mod moves;
 mod resume;
 mod routing;
 mod slow_readers;
+mod stops;
 mod stopwatch;
 
 /// Figures of a run, by name.
 pub type Figures = BTreeMap<&'static str, Value>;
 
 /// Names of the scenarios.
-pub const SCENARIOS: [&str; 7] = [
+pub const SCENARIOS: &[&str] = &[
     "at-most-once",
     "baseline",
+    "config",
     "decisions",
     "moves",
     "resume",
     "routing",
     "slow-readers",
+    "stops",
 ];
 
 /// Runs a scenario and prints its figures: as a table, or as one JSON object on the last line.
@@ -54,6 +58,8 @@
         "at-most-once" => at_most_once::run(seed).await,
         "decisions" => decisions::run(seed).await,
         "baseline" => baseline::run(seed).await,
+        "config" => config::run(seed).await,
+        "stops" => stops::run(seed).await,
         "resume" => resume::run(seed).await,
         "routing" => routing::run(seed).await,
         "slow-readers" => slow_readers::run(seed).await,
--- a/standin/src/service.rs
+++ b/standin/src/service.rs
@@ -154,18 +154,18 @@
         self.lock().ran.clone()
     }
 
-    /// Returns the counts since the start.
-    #[must_use]
-    pub fn stats(&self) -> Stats {
-        self.lock().stats
-    }
-
     /// Returns what came with the last call of an action.
     #[must_use]
     pub fn passed_on(&self, action: &str) -> Option<PassedOn> {
         self.lock().passed_on.get(action).cloned()
     }
 
+    /// Returns the counts since the start.
+    #[must_use]
+    pub fn stats(&self) -> Stats {
+        self.lock().stats
+    }
+
     /// Returns the life of the service, which can be paused and ended.
     #[must_use]
     pub fn life(&self) -> &Life {
