feat(stops): peers tell each other of planned stops

An entry cut off from the store did not hear of a stop. What is new goes to the known peers at once, and is exchanged with one peer now and then. The test's first form passed without this, since the stand-in answers a watch that began before the cut: it now ends that watch with another change first, and then fails on a trial copy without the exchange and passes with it.

Watching an entry's stop at another entry is refused with the remedy, instead of counting what cannot be read as nothing once the date has passed.

--- a/programs/tests/stops.rs
+++ b/programs/tests/stops.rs
@@ -133,6 +133,46 @@
     assert_eq!(cluster.engines[1].engine.stats().requests, before);
 }
 
+#[tokio::test]
+async fn an_entry_cut_off_from_the_store_learns_of_a_stop_from_a_peer() {
+    let cluster = Cluster::start(plan(4)).await.expect("a cluster");
+    wait("the entries know each other", || {
+        cluster.entries.iter().all(|entry| {
+            let members = entry.context.membership.view();
+            members.borrow().up().count() > 0
+        })
+    })
+    .await
+    .expect("the entries know each other");
+    let generations: Vec<_> = (0..6)
+        .map(|index| {
+            let prompt = format!("cut off {index}");
+            tokio::spawn(generate(cluster.caller(1), prompt, LONG))
+        })
+        .collect();
+    running(&cluster, 6).await;
+    cluster.platform.set_faults(platform::Faults {
+        cut_off: vec!["entry-1".to_owned()],
+        ..platform::Faults::default()
+    });
+    let mut operator = cluster.operator(0).expect("an operator");
+    // The first change ends the watch that the entry had begun before it was cut off.
+    for target in ["entry/entry-9", "server/engine-1"] {
+        operator
+            .plan_stop(stop(target, Duration::from_mins(10)))
+            .await
+            .expect("the stop is accepted");
+    }
+    wait("the entry that is cut off knows of the stop", || {
+        let declared = cluster.entries[1].context.stops.declared();
+        let known = declared.borrow().iter().count();
+        known == 2
+    })
+    .await
+    .expect("it is told");
+    assert_eq!(wrong(generations).await, 0);
+}
+
 #[tokio::test]
 async fn an_engine_is_told_to_drain_though_the_entry_that_accepted_its_stop_is_lost() {
     let cluster = Cluster::start(plan(4)).await.expect("a cluster");
@@ -332,6 +372,13 @@
         .expect("accepted");
     let refused = operator.plan_stop(accepted).await.expect_err("a conflict");
     assert!(refused.message().contains("revision 1"), "{refused}");
+    operator
+        .plan_stop(stop("entry/entry-1", notice))
+        .await
+        .expect("accepted");
+    let elsewhere = operator.watch_stop("entry/entry-1").await;
+    let elsewhere = elsewhere.expect_err("another entry is asked");
+    assert!(elsewhere.message().contains("at that entry"), "{elsewhere}");
     let absent = operator.cancel_stop("entry/entry-9").await;
     let absent = absent.expect_err("nothing to cancel");
     assert!(absent.message().contains("check the name"), "{absent}");
--- a/serving/src/modules/operators/stops.rs
+++ b/serving/src/modules/operators/stops.rs
@@ -134,6 +134,12 @@
 /// Tells what holds a stop until it has finished or was cancelled.
 pub(super) async fn watch(context: &Arc<Context>, value: &str) -> Result<Progress, Status> {
     let target = target(value)?;
+    let here = &context.settings.entry.name;
+    if matches!(&target, Target::Entry(name) if name != here) {
+        return Err(Status::failed_precondition(format!(
+            "only the entry itself knows what holds it: watch `{target}` at that entry"
+        )));
+    }
     if context.stops.declared().borrow().find(&target).is_none() {
         read(context, &target).await?;
     }
@@ -231,11 +237,6 @@
         });
     }
     let entry = &context.settings.entry;
-    if let Target::Entry(name) = target
-        && *name != entry.name
-    {
-        progress.unread.push(name.to_string());
-    }
     if target.covers_entry(&entry.name, &entry.failure_domain) {
         let own = context.stops.holding.requests();
         progress.holders.push(rpc::StopHolder {
--- a/serving/src/modules/peers.rs
+++ b/serving/src/modules/peers.rs
@@ -26,6 +26,8 @@
 use tokio::task::JoinSet;
 use tokio_util::io::{InspectReader, InspectWriter};
 
+use medlarfall_schema::declaration::Stop;
+
 use crate::configs::keys::Secret;
 use crate::context::Context;
 use crate::modules::operators::confirm::{self, Confirmation, Question};
@@ -75,6 +77,8 @@
     async fn declarations(message: DeclarationsMessage) -> DeclarationsExchange;
     /// Takes a message of an exchange of instances.
     async fn instances(message: InstancesMessage) -> InstancesExchange;
+    /// Takes the planned stops that a peer knows of and returns those known here.
+    async fn stops(known: Vec<Stop>) -> Vec<Stop>;
     /// Returns where a revision is in force.
     async fn confirm(question: Question) -> Confirmation;
 }
@@ -218,6 +222,11 @@
 }
 
 impl Peer for Handle {
+    async fn stops(self, _: context::Context, known: Vec<Stop>) -> Vec<Stop> {
+        self.context.stops.take(known, self.context.clock);
+        self.context.stops.stored()
+    }
+
     async fn identity(self, _: context::Context) -> Identity {
         self.context.identity.clone()
     }
--- a/serving/src/modules/stops.rs
+++ b/serving/src/modules/stops.rs
@@ -19,6 +19,7 @@
 mod follow;
 pub mod handover;
 pub mod holding;
+mod share;
 
 use holding::Holding;
 
@@ -180,6 +181,16 @@
         self.take_all(stops, false, clock)
     }
 
+    /// Returns the planned stops that this entry knows of as they are stored.
+    #[must_use]
+    pub fn stored(&self) -> Vec<Stop> {
+        let declared = Arc::clone(&self.declared.borrow());
+        declared
+            .iter()
+            .map(|(_, planned)| planned.stop.clone())
+            .collect()
+    }
+
     fn take_all(&self, stops: impl IntoIterator<Item = Stop>, here: bool, clock: Clock) -> bool {
         self.declared.send_if_modified(|declared| {
             let mut next = Declared::clone(declared);
@@ -250,6 +261,7 @@
             () = follow::store(&context) => {}
             () = follow::own(&context) => {}
             () = drain::run(&context) => {}
+            () = share::run(&context) => {}
         }
     });
 }
