--- a/programs/src/cluster.rs
+++ b/programs/src/cluster.rs
@@ -322,8 +322,8 @@
         services: configs::services::Services::default(),
         moves: configs::moves::Moves::default(),
         orders: configs::orders::Orders::default(),
-        stops: configs::stops::Stops::default(),
         peers: configs::peers::Peers::default(),
+        stops: configs::stops::Stops::default(),
         log: configs::log::Log::default(),
     }
 }
--- a/serving/src/configs/admission.rs
+++ b/serving/src/configs/admission.rs
@@ -14,6 +14,10 @@
 pub struct Admission {
     /// Part of an engine's memory that is never reserved, in percent.
     pub headroom_percent: u64,
+    /// Part of an engine's memory that entries use without a grant, in percent.
+    pub base_percent: u64,
+    /// Most entries at once, replaced ones included, among which that part is divided.
+    pub entries: usize,
     /// Part of an engine's memory by which this entry's grant grows, in percent.
     pub grant_percent: u64,
     /// Calls that this entry may have at one instance of a plain service.
@@ -30,6 +34,8 @@
     fn default() -> Self {
         Self {
             headroom_percent: 5,
+            base_percent: 25,
+            entries: 16,
             grant_percent: 2,
             service_calls: 64,
             waiting: 10_000,
@@ -40,10 +46,14 @@
 }
 
 impl Admission {
-    /// Returns the part of an engine's memory that all entries together may reserve, in tokens.
+    /// Returns what this entry may hold of an engine's memory without a grant, and what all entries
+    /// together may be granted, in tokens.
     #[must_use]
-    pub fn memory_limit(&self, memory_tokens: u64) -> u64 {
-        memory_tokens * (100 - self.headroom_percent) / 100
+    pub fn memory(&self, memory_tokens: u64) -> (u64, u64) {
+        let usable = memory_tokens * (100 - self.headroom_percent) / 100;
+        let shared = usable * self.base_percent / 100;
+        let base = shared / self.entries as u64;
+        (base, usable - shared)
     }
 
     /// Returns the step by which a grant grows, in tokens.
@@ -64,6 +74,12 @@
                 raw.headroom_percent,
                 default.headroom_percent,
             )?,
+            base_percent: percent(
+                "admission.base_percent",
+                raw.base_percent,
+                default.base_percent,
+            )?,
+            entries: value::count("admission.entries", raw.entries, default.entries)?,
             grant_percent: percent(
                 "admission.grant_percent",
                 raw.grant_percent,
--- a/serving/src/entry.rs
+++ b/serving/src/entry.rs
@@ -92,6 +92,7 @@
 /// Returns which port could not be bound.
 pub async fn start(settings: Settings) -> Result<Entry, Error> {
     let (context, mailboxes) = build(settings);
+    stops::start(&context);
     moves::driver::start(&context, mailboxes.moves);
     stops::start(&context);
     generation::start_upkeep(Arc::clone(&context));
@@ -115,23 +116,7 @@
     let metrics = metrics::Metrics::new();
     let (moves_handle, moves_mailbox) = moves::mailbox();
     let (membership, inbox) = membership::channel();
-    let board = declarations::Board::default();
-    let roll = directory::Roll::default();
-    let duty = watch::Sender::new(Duty::Lead);
-    let declarations = declarations::Source {
-        store: platform.clone(),
-        settings: settings.platform,
-        duty: duty.subscribe(),
-        refusals: metrics.store_refusals.clone(),
-    };
-    declarations::start(declarations, board.clone(), stop.clone());
-    let instances = directory::Source {
-        store: platform.clone(),
-        settings: settings.platform,
-        duty: duty.subscribe(),
-        writer: rand::random(),
-    };
-    directory::start(instances, roll.clone(), stop.clone());
+    let (board, roll, duty) = read_platform(&platform, &settings, &metrics, &stop);
     let clock = Clock::start();
     let stops = stops::Stops::new();
     let directory = stops::mark_leaving(roll.view(), &stops, stop.clone());
@@ -209,3 +194,31 @@
         metrics,
     })
 }
+
+/// Starts the tasks that read declarations and instances from the platform, and returns what they
+/// keep current and what tells them how often to read.
+fn read_platform(
+    platform: &platform::http::Client,
+    settings: &Settings,
+    metrics: &metrics::Metrics,
+    stop: &CancellationToken,
+) -> (declarations::Board, directory::Roll, watch::Sender<Duty>) {
+    let board = declarations::Board::default();
+    let roll = directory::Roll::default();
+    let duty = watch::Sender::new(Duty::Lead);
+    let declarations = declarations::Source {
+        store: platform.clone(),
+        settings: settings.platform,
+        duty: duty.subscribe(),
+        refusals: metrics.store_refusals.clone(),
+    };
+    declarations::start(declarations, board.clone(), stop.clone());
+    let instances = directory::Source {
+        store: platform.clone(),
+        settings: settings.platform,
+        duty: duty.subscribe(),
+        writer: rand::random(),
+    };
+    directory::start(instances, roll.clone(), stop.clone());
+    (board, roll, duty)
+}
--- a/serving/src/modules/admission/desk.rs
+++ b/serving/src/modules/admission/desk.rs
@@ -127,9 +127,9 @@
 
     /// Returns the member for a server, with the ledger's record of it if there is one.
     fn member(&mut self, server: Arc<Server>) -> Member {
-        let limit = match server.role {
-            Role::Engine => self.bounds.memory_limit(server.memory_tokens),
-            Role::Service => self.bounds.service_calls as u64,
+        let (base, grant_limit) = match server.role {
+            Role::Engine => self.bounds.memory(server.memory_tokens),
+            Role::Service => (self.bounds.service_calls as u64, 0),
         };
         let held = self.members.get(&server.name);
         let denied_until = held.map_or(Duration::ZERO, |held| held.denied_until);
@@ -137,14 +137,17 @@
             Some(held) => held.key,
             None => self.ledger.add(0),
         };
-        if server.role == Role::Service {
-            self.ledger.set_share(key, limit);
-        }
+        let granted = self
+            .shares
+            .get(&server.name)
+            .map_or(0, shares::Share::granted);
+        self.ledger.set_share(key, base + granted);
         Member {
             key,
             hash: name_hash(&server.name),
             proximity: proximity(&self.entry, &server),
-            limit,
+            base,
+            grant_limit,
             denied_until,
             server,
         }
@@ -190,7 +193,9 @@
         let Some(pool) = self.pools.get(&pool_name(&need.service, &need.version)) else {
             return false;
         };
-        pool.members.iter().all(|member| member.limit < need.tokens)
+        pool.members
+            .iter()
+            .all(|member| member.limit() < need.tokens)
     }
 
     /// Admits the requests that wait, in fair order, as long as one fits, and wishes for memory for
--- a/serving/src/modules/generation/attempt.rs
+++ b/serving/src/modules/generation/attempt.rs
@@ -6,7 +6,7 @@
 
 use medlarfall_coordination::journal::{Attempt, Ending, Verdict};
 use medlarfall_coordination::resume_token;
-use tokio::time::{self, Instant};
+use tokio::time;
 
 use super::outbox::Demand;
 use super::watch::Watch;
@@ -79,7 +79,6 @@
         handover: &mut Handover,
     ) -> Outcome {
         loop {
-            let asked = Instant::now();
             let next = tokio::select! {
                 biased;
                 next = self.bear(watch, frames.next()) => next,
@@ -91,10 +90,6 @@
                 Some(Err(error)) => return Outcome::Lost(error.to_string()),
                 None => return Outcome::Lost("the engine fell silent".to_owned()),
             };
-            let running = self.running.as_mut().filter(|_| frame.token.is_some());
-            if let Some(probe) = running.and_then(|running| running.probe.as_mut()) {
-                probe.token(asked.elapsed());
-            }
             if let Some(outcome) = self.take(watch, frame).await {
                 return outcome;
             }
@@ -139,7 +134,11 @@
                 let index = frame.index;
                 match self.journal.accept(attempt, index, Arc::clone(&token)) {
                     Verdict::Deliver => {
-                        watch.token(&self.context.detector);
+                        let gap = watch.token(&self.context.detector);
+                        let running = self.running.as_mut();
+                        if let Some(probe) = running.and_then(|running| running.probe.as_mut()) {
+                            probe.token(gap);
+                        }
                         self.deliver(watch, index, token).await
                     }
                     Verdict::Gap => Some(Outcome::Lost("a token is missing".to_owned())),
--- a/serving/src/modules/metrics.rs
+++ b/serving/src/modules/metrics.rs
@@ -75,10 +75,10 @@
     pub admitted: Admissions,
     /// Attempts of generations that were lost.
     pub attempts_lost: Counter,
-    /// Generations moved off a leaving server while it still ran them.
-    pub generations_moved: Counter,
     /// Declarations from the store that were not obeyed, by reason.
     pub store_refusals: Family<Refusal, Counter>,
+    /// Generations moved off a leaving server while it still ran them.
+    pub generations_moved: Counter,
     /// Text held for readers that have not read it yet, in bytes.
     pub held_bytes: Gauge,
     /// Generations taken from their engine because the reader did not read.
@@ -156,8 +156,8 @@
             requests,
             admitted,
             attempts_lost,
-            generations_moved,
             store_refusals,
+            generations_moved,
             held_bytes,
             generations_parked,
             held_given_up,
--- a/serving/src/modules/moves/store.rs
+++ b/serving/src/modules/moves/store.rs
@@ -186,8 +186,7 @@
     service.moved = record.number;
     service.revision += 1;
     service.change_id = format!("move-{}", record.id);
-    let history = std::mem::take(&mut service.history);
-    apply::remember(&mut service, &history);
+    apply::remember(&mut service);
     let value = serde_json::to_string(&service).map_err(|error| Error::Unsettled {
         reason: error.to_string(),
     })?;
