perf(membership): a member that was known is named a few others, not the whole domain

Ruled out: fewer joins (they heal a cut). Change: only a joiner that was unknown or down gets the whole list; others get 8 members.

--- a/coordination/src/membership.rs
+++ b/coordination/src/membership.rs
@@ -48,6 +48,9 @@
 /// Members that a reply to a join names at most.
 const JOIN_LIMIT: usize = 256;
 
+/// Members that a reply to the join of a member that was known before names at most.
+const REFRESHED: usize = 8;
+
 /// Members of the own failure domain that are named to a contact in another.
 const INTRODUCED: usize = 2;
 
@@ -253,6 +256,7 @@
             updates,
         } = message;
         let sender = from.clone();
+        let known = self.table.get(&from.name).is_some_and(Known::is_up);
         self.learn(
             Update {
                 member: from,
@@ -267,7 +271,7 @@
             Kind::Ping(sequence) => vec![self.to(&sender, Kind::Ack(sequence))],
             Kind::Ack(sequence) => self.acknowledged(sequence),
             Kind::Relay(sequence, target) => self.relay(&sender, sequence, target, now),
-            Kind::Join => vec![self.welcome(&sender)],
+            Kind::Join => vec![self.welcome(&sender, known)],
             Kind::News => Vec::new(),
         }
     }
@@ -346,10 +350,15 @@
         }
     }
 
-    /// Returns the answer to a join: the members of the failure domain, and some contacts.
-    fn welcome(&mut self, joiner: &Member) -> Send {
+    /// Returns the answer to a join: the members of the failure domain, or a few of them if the
+    /// joiner was known before, and some contacts.
+    fn welcome(&mut self, joiner: &Member, known: bool) -> Send {
         let own = joiner.failure_domain == self.me.failure_domain;
-        let limit = if own { JOIN_LIMIT } else { INTRODUCED };
+        let limit = match (own, known) {
+            (true, false) => JOIN_LIMIT,
+            (true, true) => REFRESHED,
+            (false, _) => INTRODUCED,
+        };
         let mut send = self.to(joiner, Kind::News);
         let members = self.table.up(true).map(Known::update);
         let members = members.choose_multiple(&mut self.random, limit);
