perf(admission): a choice reads no memory of the servers

Cause: at 714 servers a choice costs about 25 us over the hop to the task. Change: whether a server leaves stands in the pool.

--- a/serving/src/modules/admission/desk.rs
+++ b/serving/src/modules/admission/desk.rs
@@ -90,6 +90,7 @@
     pub(super) fn set_directory(&mut self, directory: &Directory, now: Duration) {
         for member in self.members.values_mut() {
             if directory.find(&member.server.name).is_none() {
+                member.leaving = true;
                 member.server = Arc::new(Server {
                     leaving: true,
                     ..member.server.as_ref().clone()
@@ -144,6 +145,7 @@
         self.ledger.set_share(key, base + granted);
         Member {
             key,
+            leaving: server.leaving,
             hash: name_hash(&server.name),
             proximity: proximity(&self.entry, &server),
             base,
--- a/serving/src/modules/admission/pool.rs
+++ b/serving/src/modules/admission/pool.rs
@@ -17,6 +17,8 @@
     pub(super) server: Arc<Server>,
     /// The server in the ledger.
     pub(super) key: ServerKey,
+    /// Whether the server is leaving; kept here so that a choice reads no memory of the server.
+    pub(super) leaving: bool,
     /// Hash of the server's name.
     pub(super) hash: u64,
     /// How near the server is.
@@ -94,10 +96,14 @@
 
     /// Returns whether a server takes new requests.
     fn open(&self, member: &Member, need: &Need, now: Duration) -> bool {
+        if member.leaving {
+            return false;
+        }
+        let calm = need.excluded.is_empty() && self.ejector.is_empty();
+        if calm {
+            return true;
+        }
         let name = &member.server.name;
-        let excluded = !need.excluded.is_empty() && need.excluded.contains(name);
-        let ejected =
-            !self.ejector.is_empty() && self.ejector.ejected(name, self.members.len(), now);
-        !(member.server.leaving || excluded || ejected)
+        !need.excluded.contains(name) && !self.ejector.ejected(name, self.members.len(), now)
     }
 }
