--- a/programs/src/commands.rs
+++ b/programs/src/commands.rs
@@ -7,8 +7,11 @@
 use std::path::Path;
 
 use medlarfall_schema::declaration::Service;
+use medlarfall_schema::operator as rpc;
 use medlarfall_serving::configs::Settings;
 
+use uuid::Uuid;
+
 use crate::caller::{Answer, Completion};
 use crate::operator::Operator;
 
@@ -39,19 +42,36 @@
 /// # Errors
 ///
 /// Returns what is wrong with the file, or the entry's refusal.
-pub async fn apply(entry: SocketAddr, key: &str, path: &Path, json: bool) -> Result {
+pub async fn apply(entry: SocketAddr, key: &str, path: &Path, wait: bool, json: bool) -> Result {
     let text = fs::read_to_string(path)
         .map_err(|error| format!("{}: cannot be read: {error}", path.display()))?;
     let service = parse(&text, path)?;
-    let stored = Operator::new(entry, key)?
-        .apply(service)
+    let request = rpc::ApplyRequest {
+        service: Some(service),
+        change_id: Uuid::now_v7().to_string(),
+        wait,
+        ..rpc::ApplyRequest::default()
+    };
+    let reply = Operator::new(entry, key)?
+        .change(request)
         .await
         .map_err(|status| message(&status))?;
+    let stored = reply.service.unwrap_or_default();
     if json {
         println!("{}", serde_json::to_string(&stored)?);
     } else {
         println!("{}: stored as revision {}", stored.name, stored.revision);
     }
+    if wait && !reply.missing.is_empty() {
+        let missing = reply.missing.join(", ");
+        return Err(format!(
+            "stored, but not confirmed by {missing}; they take it when they are reached"
+        )
+        .into());
+    }
+    if wait && !json {
+        println!("in force at {} entries", reply.confirmed);
+    }
     Ok(())
 }
 
--- a/programs/src/main.rs
+++ b/programs/src/main.rs
@@ -41,6 +41,8 @@
             cmd apply {
                 /// Operators' address of an entry.
                 required --entry entry: SocketAddr
+                /// Waits until every live entry has confirmed the change.
+                optional --wait
                 /// Declaration of a service, in TOML.
                 required file: PathBuf
             }
@@ -172,7 +174,7 @@
         }
         flags::MedlarfallCmd::Check(flags) => commands::check(&flags.file, json),
         flags::MedlarfallCmd::Apply(flags) => {
-            commands::apply(flags.entry, &key()?, &flags.file, json).await
+            commands::apply(flags.entry, &key()?, &flags.file, flags.wait, json).await
         }
         flags::MedlarfallCmd::List(flags) => commands::list(flags.entry, &key()?, json).await,
         flags::MedlarfallCmd::Status(flags) => commands::status(flags.entry, &key()?).await,
--- a/standin/src/engine.rs
+++ b/standin/src/engine.rs
@@ -20,9 +20,11 @@
 mod cache;
 mod orders;
 mod stream;
+mod wire;
 
 pub use cache::Event;
 pub use orders::{Order, OrderState};
+pub use wire::{Frame, Generate, Load, Reference, Stats};
 
 /// Faults of the engine, set on `POST /control/faults`; each call replaces them all.
 #[derive(Clone, Debug, Deserialize, Serialize)]
@@ -121,91 +123,6 @@
     }
 }
 
-/// A request to generate, `POST /generate`.
-#[derive(Clone, Debug, Default, Deserialize, Serialize)]
-#[serde(default)]
-pub struct Generate {
-    /// Identifier of the request, echoed on each frame.
-    pub request_id: String,
-    /// Number of the attempt, echoed on each frame.
-    pub attempt: u64,
-    /// Version that must answer.
-    pub version: String,
-    /// The prompt.
-    pub prompt: String,
-    /// Tokens already delivered, from which the engine resumes.
-    pub resume: Vec<String>,
-    /// Most tokens of the whole answer.
-    pub max_tokens: u64,
-    /// Priority; higher runs first.
-    pub priority: i32,
-}
-
-/// A request to read on from a running generation (`POST /attach`) or to end it (`POST /cancel`).
-#[derive(Clone, Debug, Default, Deserialize, Serialize)]
-#[serde(default)]
-pub struct Reference {
-    /// Identifier of the request.
-    pub request_id: String,
-    /// Number of the attempt.
-    pub attempt: u64,
-    /// Index of the first token to read.
-    pub from: u64,
-}
-
-/// A frame of a generation's stream, one JSON line each.
-#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
-#[serde(default)]
-pub struct Frame {
-    /// Identifier of the request.
-    pub request_id: String,
-    /// Number of the attempt.
-    pub attempt: u64,
-    /// Index of the token; of an end frame, the number of tokens of the whole answer.
-    pub index: u64,
-    /// The token; absent on an end frame.
-    pub token: Option<String>,
-    /// Why the generation ended: `stop` or `length`.
-    pub end: Option<String>,
-}
-
-/// A load report, `GET /load`, as it was some time ago.
-#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
-#[serde(default)]
-pub struct Load {
-    /// Tokens held by all requests.
-    pub held_tokens: u64,
-    /// Memory in tokens.
-    pub memory_tokens: u64,
-    /// Generations that run.
-    pub running: u64,
-    /// Generations that wait.
-    pub waiting: u64,
-}
-
-/// Counts for tests, `GET /control/stats`.
-#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
-pub struct Stats {
-    /// Requests to generate that were taken.
-    pub requests: u64,
-    /// Tokens generated.
-    pub tokens: u64,
-    /// Most tokens held at once.
-    pub held_peak: u64,
-    /// Prompt tokens found in the cache.
-    pub cached_tokens: u64,
-    /// Prompt tokens of all requests.
-    pub prompt_tokens: u64,
-    /// How often the memory was overrun.
-    pub overruns: u64,
-    /// Milliseconds from the start of the engine to the last request taken.
-    pub last_request_ms: u64,
-    /// Generations running or waiting now.
-    pub live: u64,
-    /// Requests that met the faults `fail_every` or `slow_factor`.
-    pub faulted: u64,
-}
-
 /// What the engine holds.
 #[derive(Debug)]
 struct State {
@@ -337,21 +254,11 @@
 
     /// Answers a request on the control endpoint.
     async fn control(&self, path: &str, request: Request<Incoming>) -> Result<Response<Body>, Cut> {
-        match path {
-            "faults" => match http::read_json(request).await {
-                Some(faults) => {
-                    self.set_faults(faults);
-                    Ok(http::json(StatusCode::OK, &json!({})))
-                }
-                None => Ok(http::problem(StatusCode::BAD_REQUEST, "faults expected")),
-            },
-            "process" => match http::read_json(request).await {
-                Some(order) => self.life.obey(order),
-                None => Ok(http::problem(StatusCode::BAD_REQUEST, "an order expected")),
-            },
-            "stats" => Ok(http::json(StatusCode::OK, &self.stats())),
-            _ => Ok(http::problem(StatusCode::NOT_FOUND, "no such control")),
+        if path == "stats" {
+            return Ok(http::json(StatusCode::OK, &self.stats()));
         }
+        let set_faults = |faults| self.set_faults(faults);
+        self.life.control(path, request, set_faults).await
     }
 
     /// Takes a request to generate.
--- a/standin/src/faults.rs
+++ b/standin/src/faults.rs
@@ -4,7 +4,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hyper::{Response, StatusCode};
+use hyper::body::Incoming;
+use hyper::{Request, Response, StatusCode};
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
@@ -89,6 +91,33 @@
         let _ = paused.wait_for(|paused| !paused).await;
     }
 
+    /// Answers the parts of the control endpoint that all stand-ins share: `faults` and `process`.
+    ///
+    /// # Errors
+    ///
+    /// Cuts the connection if the order was to die.
+    pub async fn control<F: DeserializeOwned>(
+        &self,
+        path: &str,
+        request: Request<Incoming>,
+        set_faults: impl FnOnce(F),
+    ) -> Result<Response<Body>, Cut> {
+        match path {
+            "faults" => match http::read_json(request).await {
+                Some(faults) => {
+                    set_faults(faults);
+                    Ok(http::json(StatusCode::OK, &serde_json::json!({})))
+                }
+                None => Ok(http::problem(StatusCode::BAD_REQUEST, "faults expected")),
+            },
+            "process" => match http::read_json(request).await {
+                Some(order) => self.obey(order),
+                None => Ok(http::problem(StatusCode::BAD_REQUEST, "an order expected")),
+            },
+            _ => Ok(http::problem(StatusCode::NOT_FOUND, "no such control")),
+        }
+    }
+
     /// Carries out an order of the control endpoint.
     ///
     /// # Errors
--- a/standin/src/platform.rs
+++ b/standin/src/platform.rs
@@ -5,15 +5,15 @@
 use std::time::Duration;
 
 use hyper::body::Incoming;
-use hyper::{Method, Request, Response, StatusCode};
+use hyper::{Request, Response, StatusCode};
 use serde::{Deserialize, Serialize};
-use serde_json::json;
 use tokio::sync::watch;
 use tokio::time::Instant;
 
 use crate::faults::{Death, Life};
 use crate::http::{self, Body, Cut, Server};
 
+mod calls;
 mod instances;
 mod store;
 
@@ -227,245 +227,10 @@
 
     /// Answers a request on the control endpoint.
     async fn control(&self, path: &str, request: Request<Incoming>) -> Result<Response<Body>, Cut> {
-        match path {
-            "faults" => match http::read_json(request).await {
-                Some(faults) => {
-                    self.set_faults(faults);
-                    Ok(http::json(StatusCode::OK, &json!({})))
-                }
-                None => Ok(http::problem(StatusCode::BAD_REQUEST, "faults expected")),
-            },
-            "process" => match http::read_json(request).await {
-                Some(order) => self.life.obey(order),
-                None => Ok(http::problem(StatusCode::BAD_REQUEST, "an order expected")),
-            },
-            "stats" => Ok(http::json(StatusCode::OK, &self.stats())),
-            _ => Ok(http::problem(StatusCode::NOT_FOUND, "no such control")),
-        }
-    }
-
-    /// Answers a read, write or delete of one key.
-    async fn kv(&self, key: &str, request: Request<Incoming>) -> Result<Response<Body>, Cut> {
-        let method = request.method().clone();
-        if method == Method::GET {
-            return Ok(self.get(key));
-        }
-        let expected = http::query(&request, "expected").and_then(|value| value.parse().ok());
-        let lease = http::query(&request, "lease").and_then(|value| value.parse().ok());
-        let Some(body) = http::read(request).await else {
-            return Err(Cut);
-        };
-        let value = match method {
-            Method::PUT => Some(String::from_utf8_lossy(&body).into_owned()),
-            Method::DELETE => None,
-            _ => {
-                return Ok(http::problem(
-                    StatusCode::METHOD_NOT_ALLOWED,
-                    "GET, PUT or DELETE expected",
-                ));
-            }
-        };
-        let answer = self.write(key, value, expected, lease);
-        let delay = self.lock().faults.answer_after_ms;
-        tokio::time::sleep(Duration::from_millis(delay)).await;
-        answer
-    }
-
-    /// Answers a read of one key.
-    fn get(&self, key: &str) -> Response<Body> {
-        let mut state = self.lock();
-        state.stats.count_read(key);
-        let item = if state.faults.stale_reads > 0 {
-            state.faults.stale_reads -= 1;
-            state.store.get_stale(key)
-        } else {
-            state.store.get(key, Instant::now())
-        };
-        match item {
-            Some(item) => http::json(StatusCode::OK, &item),
-            None => http::problem(StatusCode::NOT_FOUND, "no such key"),
-        }
-    }
-
-    /// Carries out a compare-and-swap.
-    fn write(
-        &self,
-        key: &str,
-        value: Option<String>,
-        expected: Option<u64>,
-        lease: Option<u64>,
-    ) -> Result<Response<Body>, Cut> {
-        let mut state = self.lock();
-        state.stats.writes += 1;
-        if state.faults.late_writes > 0 {
-            state.faults.late_writes -= 1;
-            drop(state);
-            tokio::spawn(
-                self.clone()
-                    .write_late(key.to_owned(), value, expected, lease),
-            );
-            return Err(Cut);
-        }
-        let written = state
-            .store
-            .write(key, value, expected, lease, Instant::now());
-        let answer = match written {
-            Ok(revision) => {
-                self.revision.send_replace(revision);
-                http::json(StatusCode::OK, &json!({ "revision": revision }))
-            }
-            Err(store::Refusal::Conflict(current)) => {
-                http::json(StatusCode::CONFLICT, &json!({ "current": current }))
-            }
-            Err(store::Refusal::NoSuchLease) => http::problem(StatusCode::GONE, "no such lease"),
-            Err(store::Refusal::TooLarge) => {
-                http::problem(StatusCode::PAYLOAD_TOO_LARGE, "a value is at most 1 MiB")
-            }
-        };
-        if state.faults.drop_answers > 0 {
-            state.faults.drop_answers -= 1;
-            return Err(Cut);
-        }
-        Ok(answer)
-    }
-
-    /// Carries out a compare-and-swap some time after its answer was lost.
-    async fn write_late(
-        self,
-        key: String,
-        value: Option<String>,
-        expected: Option<u64>,
-        lease: Option<u64>,
-    ) {
-        tokio::time::sleep(LATE_WRITE_DELAY).await;
-        let written = self
-            .lock()
-            .store
-            .write(&key, value, expected, lease, Instant::now());
-        if let Ok(revision) = written {
-            self.revision.send_replace(revision);
-        }
-    }
-
-    /// Answers a list of the keys with a prefix.
-    fn list(&self, request: &Request<Incoming>) -> Response<Body> {
-        let prefix = http::query(request, "prefix").unwrap_or_default();
-        let mut state = self.lock();
-        state.stats.count_read(prefix);
-        let outdated = state.faults.stale_reads > 0;
-        if outdated {
-            state.faults.stale_reads -= 1;
-        }
-        let items = state.store.list(prefix, outdated, Instant::now());
-        let revision = state.store.revision();
-        http::json(
-            StatusCode::OK,
-            &json!({ "items": items, "revision": revision }),
-        )
-    }
-
-    /// Answers a watch: the changes after a revision, or none after a timeout.
-    async fn watch(&self, request: &Request<Incoming>) -> Response<Body> {
-        let prefix = http::query(request, "prefix")
-            .unwrap_or_default()
-            .to_owned();
-        let after = http::query(request, "after")
-            .and_then(|value| value.parse().ok())
-            .unwrap_or(0);
-        let timeout = http::query(request, "timeout_ms")
-            .and_then(|value| value.parse().ok())
-            .unwrap_or(WATCH_TIMEOUT_MS);
-        let deadline = Instant::now() + Duration::from_millis(timeout);
-        self.lock().stats.count_read(&prefix);
-        let mut revision = self.revision.subscribe();
-        loop {
-            revision.borrow_and_update();
-            let (changes, now) = {
-                let mut state = self.lock();
-                state.store.expire(Instant::now());
-                (state.store.changes(&prefix, after), state.store.revision())
-            };
-            let waiting = changes.is_empty() && Instant::now() < deadline;
-            if !waiting {
-                return http::json(
-                    StatusCode::OK,
-                    &json!({ "changes": changes, "revision": now }),
-                );
-            }
-            let _ = tokio::time::timeout_at(deadline, revision.changed()).await;
-        }
-    }
-
-    /// Answers a grant, renewal or end of a lease.
-    async fn lease(&self, path: &str, request: Request<Incoming>) -> Result<Response<Body>, Cut> {
-        let method = request.method().clone();
-        let ttl = http::query(&request, "ttl_ms")
-            .and_then(|value| value.parse().ok())
-            .unwrap_or(5_000);
-        let _ = http::read(request).await;
-        let mut state = self.lock();
-        state.stats.writes += 1;
-        let now = Instant::now();
-        let lease = path.parse().ok();
-        let held = match (method, lease) {
-            (Method::POST, None) => Some(state.store.grant(Duration::from_millis(ttl), now)),
-            (Method::POST, Some(lease)) => state.store.renew(lease, now).then_some(lease),
-            (Method::DELETE, Some(lease)) => state.store.revoke(lease, now).then_some(lease),
-            _ => None,
-        };
-        self.revision.send_replace(state.store.revision());
-        if state.faults.drop_answers > 0 {
-            state.faults.drop_answers -= 1;
-            return Err(Cut);
-        }
-        match held {
-            Some(lease) => Ok(http::json(StatusCode::OK, &json!({ "lease": lease }))),
-            None => Ok(http::problem(StatusCode::GONE, "no such lease")),
-        }
-    }
-
-    /// Answers a load of weights: refused over the rate.
-    async fn weights(&self) -> Response<Body> {
-        let wait = {
-            let mut state = self.lock();
-            let now = Instant::now();
-            if state.next_weight_load > now + self.weight_interval {
-                return http::problem(
-                    StatusCode::TOO_MANY_REQUESTS,
-                    "over the weight store's rate: load later",
-                );
-            }
-            state.next_weight_load = state.next_weight_load.max(now) + self.weight_interval;
-            state.next_weight_load - now
-        };
-        tokio::time::sleep(wait).await;
-        http::json(StatusCode::OK, &json!({}))
-    }
-
-    /// Answers a read or change of the instance list.
-    async fn instances(&self, name: &str, request: Request<Incoming>) -> Response<Body> {
-        match *request.method() {
-            Method::GET => {
-                let mut state = self.lock();
-                state.stats.instance_reads += 1;
-                let list = state.instances.seen(Instant::now());
-                http::json(StatusCode::OK, &list)
-            }
-            Method::PUT => match http::read_json::<Instance>(request).await {
-                Some(instance) => {
-                    self.register(instance);
-                    http::json(StatusCode::OK, &json!({}))
-                }
-                None => http::problem(StatusCode::BAD_REQUEST, "an instance expected"),
-            },
-            Method::DELETE => {
-                self.lock().instances.remove(name);
-                http::json(StatusCode::OK, &json!({}))
-            }
-            _ => http::problem(
-                StatusCode::METHOD_NOT_ALLOWED,
-                "GET, PUT or DELETE expected",
-            ),
+        if path == "stats" {
+            return Ok(http::json(StatusCode::OK, &self.stats()));
         }
+        let set_faults = |faults| self.set_faults(faults);
+        self.life.control(path, request, set_faults).await
     }
 }
--- a/standin/src/service.rs
+++ b/standin/src/service.rs
@@ -288,21 +288,13 @@
     /// Answers a request on the control endpoint.
     async fn control(&self, path: &str, request: Request<Incoming>) -> Result<Response<Body>, Cut> {
         match path {
-            "faults" => match http::read_json(request).await {
-                Some(faults) => {
-                    self.set_faults(faults);
-                    Ok(http::json(StatusCode::OK, &json!({})))
-                }
-                None => Ok(http::problem(StatusCode::BAD_REQUEST, "faults expected")),
-            },
-            "process" => match http::read_json(request).await {
-                Some(order) => self.life.obey(order),
-                None => Ok(http::problem(StatusCode::BAD_REQUEST, "an order expected")),
-            },
             "stats" => Ok(http::json(StatusCode::OK, &self.stats())),
             "runs" => Ok(http::json(StatusCode::OK, &self.runs())),
             "ran" => Ok(http::json(StatusCode::OK, &self.ran())),
-            _ => Ok(http::problem(StatusCode::NOT_FOUND, "no such control")),
+            _ => {
+                let set_faults = |faults| self.set_faults(faults);
+                self.life.control(path, request, set_faults).await
+            }
         }
     }
 }
