--- a/programs/tests/callers.rs
+++ b/programs/tests/callers.rs
@@ -122,6 +122,34 @@
     );
 }
 
+#[tokio::test]
+async fn generations_are_counted_by_service_and_outcome() {
+    let cluster = cluster().await;
+    let completion = |stream, max_tokens| Completion {
+        model: BRIEFS.to_owned(),
+        prompt: "a".to_owned(),
+        max_tokens,
+        stream,
+    };
+    let caller = cluster.caller(0);
+    caller
+        .whole(&completion(false, 4))
+        .await
+        .expect("a whole answer");
+    let mut stream = caller.stream(&completion(true, 4)).await.expect("a stream");
+    stream.text().await.expect("the whole stream");
+    caller
+        .whole(&completion(false, 500_000))
+        .await
+        .expect_err("it is refused");
+    let metrics = cluster.entries[0].context.metrics.text();
+    for (run, count) in [("ran", 2), ("not-run", 1)] {
+        let line =
+            format!("medlarfall_requests_total{{service=\"{BRIEFS}\",run=\"{run}\"}} {count}");
+        assert!(metrics.contains(&line), "{line} is not in {metrics}");
+    }
+}
+
 #[tokio::test]
 async fn a_slow_request_is_ended() {
     let cluster = cluster().await;
--- a/serving/src/modules/callers/completions.rs
+++ b/serving/src/modules/callers/completions.rs
@@ -97,14 +97,32 @@
         let last_event = request.header::<String>(LAST_EVENT_ID);
         let read = services::read_body(request, limit).await;
         match read.and_then(|body| self.order(&body, &caller, last_event.as_deref())) {
-            Ok((order, sealer, true)) => self.stream(order, sealer, response),
-            Ok((order, _, false)) => self.whole(order, response).await,
+            Ok((order, sealer, streamed)) => {
+                let service = Arc::clone(&order.service);
+                if streamed {
+                    self.stream(order, sealer, response);
+                } else {
+                    self.whole(order, response).await;
+                }
+                self.count(&service, response);
+            }
             Err(problem) => problem.render(response),
         }
     }
 }
 
 impl Handle {
+    /// Counts a generation by what its answer says; a stream counts as run when it begins.
+    fn count(&self, service: &str, response: &Response) {
+        let run = response
+            .headers()
+            .get(RUN)
+            .and_then(|run| run.to_str().ok());
+        self.context
+            .metrics
+            .count_request(service, run.unwrap_or_default());
+    }
+
     /// Checks a request; returns the generation to run, what seals its resume tokens and whether to
     /// stream it.
     fn order(
--- a/serving/src/modules/callers/services.rs
+++ b/serving/src/modules/callers/services.rs
@@ -14,7 +14,7 @@
 use crate::backend::{Call, Reply};
 use crate::context::Context;
 use crate::modules::calls::{self, Order};
-use crate::modules::{claims, metrics};
+use crate::modules::claims;
 use crate::utils::budget::Hold;
 
 /// Header that carries the caller's identifier of a call.
@@ -75,18 +75,16 @@
         let name = order.service.name.clone();
         let answer = calls::run(&self.context, order).await;
         let answer = answer.map_err(|error| problem(&error));
-        self.count(name, answer.as_ref().err());
+        self.count(&name, answer.as_ref().err());
         answer
     }
 
     /// Counts a call of a declared service.
-    fn count(&self, service: String, problem: Option<&Problem>) {
+    fn count(&self, service: &str, problem: Option<&Problem>) {
         let outcome = problem.map_or(Outcome::Ran, Problem::outcome);
-        let labels = metrics::Request {
-            service,
-            run: outcome.as_str().to_owned(),
-        };
-        self.context.metrics.requests.get_or_create(&labels).inc();
+        self.context
+            .metrics
+            .count_request(service, outcome.as_str());
     }
 
     /// Returns the declaration of a plain service.
--- a/serving/src/modules/metrics.rs
+++ b/serving/src/modules/metrics.rs
@@ -165,6 +165,15 @@
         }
     }
 
+    /// Counts a request of a service, by whether it ran: `ran`, `not-run` or `unknown`.
+    pub fn count_request(&self, service: &str, run: &str) {
+        let labels = Request {
+            service: service.to_owned(),
+            run: run.to_owned(),
+        };
+        self.requests.get_or_create(&labels).inc();
+    }
+
     /// Returns the metrics in the text format of `OpenMetrics`.
     #[must_use]
     pub fn text(&self) -> String {
