fix(admission): grants of an entry's earlier run are reclaimed; plain names

A comment said that another run of an entry shows that the earlier one is gone, and the code looked at the entry's name only: after each restart under the same name the earlier run's grants would have stayed for good. Test: failed first, passes. Ruled out: trusting the entry's own word at its start (the engine may still hold the earlier run's requests; the grace covers them). Change: of the runs of one entry the highest counts as present; Desk, Wish, Granter and Mourner are State, Demand, Task and Absences.

--- a/coordination/src/grants.rs
+++ b/coordination/src/grants.rs
@@ -81,32 +81,44 @@
     Arc::from(format!("{entry}@{incarnation}"))
 }
 
+/// Returns the entry and the run that a holder's name is made of.
+fn parts(holder: &str) -> (&str, &str) {
+    holder.split_once('@').unwrap_or((holder, ""))
+}
+
 /// Decides which holders are gone for good, from the platform's list of instances.
 ///
 /// A holder is gone when its entry has been off the list, or has shown another run, for longer than
 /// a grace that covers the list's lag and the time that engines go on with requests nobody reads.
 #[derive(Clone, Debug, Default)]
-pub struct Mourner {
+pub struct Absences {
     absent_since: BTreeMap<Arc<str>, Duration>,
 }
 
-impl Mourner {
-    /// Returns a mourner that has seen no list.
+impl Absences {
+    /// Returns absences of which none has been seen.
     #[must_use]
     pub fn new() -> Self {
         Self::default()
     }
 
     /// Takes the holders of a record and the entries on the list as seen at `now`.
+    ///
+    /// Of the runs of one entry the one whose identifier is the highest counts as the present one.
     pub fn observe<'a>(
         &mut self,
-        holders: impl Iterator<Item = &'a Arc<str>>,
+        holders: impl Iterator<Item = &'a Arc<str>> + Clone,
         listed: impl Fn(&str) -> bool,
         now: Duration,
     ) {
+        let mut newest: BTreeMap<&str, &str> = BTreeMap::new();
+        for (entry, run) in holders.clone().map(|holder| parts(holder)) {
+            let known = newest.entry(entry).or_insert(run);
+            *known = run.max(known);
+        }
         for holder in holders {
-            let entry = holder.split_once('@').map_or(&**holder, |(entry, _)| entry);
-            if listed(entry) {
+            let (entry, run) = parts(holder);
+            if listed(entry) && newest.get(entry) == Some(&run) {
                 self.absent_since.remove(holder);
             } else {
                 self.absent_since.entry(Arc::clone(holder)).or_insert(now);
--- a/coordination/tests/grants.rs
+++ b/coordination/tests/grants.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bolero::{TypeGenerator, check};
-use medlarfall_coordination::grants::{Mourner, Record, holder};
+use medlarfall_coordination::grants::{Absences, Record, holder};
 
 const LIMIT: u64 = 1_000;
 
@@ -62,16 +62,31 @@
     assert!(record.with("a@1", 950, 500).is_err());
 }
 
+#[test]
+fn the_earlier_run_of_an_entry_is_gone_after_the_grace() {
+    let holders = [Arc::from("a@1"), Arc::from("a@2"), Arc::from("b@1")];
+    let grace = Duration::from_secs(30);
+    let at = Duration::from_secs;
+    let mut absences = Absences::new();
+    absences.observe(holders.iter(), |_| true, at(0));
+    absences.observe(holders.iter(), |_| true, at(31));
+    let gone: Vec<&Arc<str>> = holders
+        .iter()
+        .filter(|holder| absences.gone(holder, grace, at(31)))
+        .collect();
+    assert_eq!(gone, [&holders[0]]);
+}
+
 #[test]
 fn a_holder_is_gone_only_after_the_grace() {
     let holders = [Arc::from("a@1"), Arc::from("b@1")];
     let grace = Duration::from_secs(30);
     let at = Duration::from_secs;
-    let mut mourner = Mourner::new();
-    mourner.observe(holders.iter(), |entry| entry == "a", at(0));
-    assert!(!mourner.gone("b@1", grace, at(30)));
-    assert!(mourner.gone("b@1", grace, at(31)));
-    assert!(!mourner.gone("a@1", grace, at(31)));
-    mourner.observe(holders.iter(), |_| true, at(32));
-    assert!(!mourner.gone("b@1", grace, at(100)));
+    let mut absences = Absences::new();
+    absences.observe(holders.iter(), |entry| entry == "a", at(0));
+    assert!(!absences.gone("b@1", grace, at(30)));
+    assert!(absences.gone("b@1", grace, at(31)));
+    assert!(!absences.gone("a@1", grace, at(31)));
+    absences.observe(holders.iter(), |_| true, at(32));
+    assert!(!absences.gone("b@1", grace, at(100)));
 }
--- a/serving/src/modules/admission.rs
+++ b/serving/src/modules/admission.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use medlarfall_coordination::grants::{Mourner, holder};
+use medlarfall_coordination::grants::{Absences, holder};
 use medlarfall_coordination::memory::ReservationKey;
 use snafu::Snafu;
 use tokio::sync::{mpsc, oneshot, watch};
@@ -22,12 +22,12 @@
 use crate::platform::Store;
 use crate::telemetry;
 
-use desk::{Desk, Outlets};
-use grants::Granter;
+use grants::Task;
+use state::{Channels, State};
 
-mod desk;
 pub mod grants;
 mod pool;
+mod state;
 
 /// Pause between two looks for memory that lies idle.
 const IDLE_INTERVAL: Duration = Duration::from_millis(250);
@@ -183,22 +183,22 @@
 pub fn start<S: Store>(start: Start<'_, S>) -> Admission {
     let (sender, asks) = mpsc::channel(MAILBOX);
     let (releases, ended) = mpsc::unbounded_channel();
-    let (wishes, wanted) = mpsc::unbounded_channel();
-    let granter = Granter {
+    let (demands, wanted) = mpsc::unbounded_channel();
+    let task = Task {
         store: start.store,
         holder: holder(&start.identity.name, &start.identity.incarnation),
         reclaim_grace: start.settings.admission.reclaim_grace,
         clock: start.clock,
-        mourner: Mourner::new(),
+        absences: Absences::new(),
     };
-    let granting = granter.run(wanted, releases.clone());
-    let outlets = Outlets {
+    let granting = task.run(wanted, releases.clone());
+    let channels = Channels {
         admitted: start.admitted,
         releases,
-        wishes,
+        demands,
     };
-    let desk = Desk::new(start.settings, outlets);
-    let serving = serve(desk, start.clock, start.directory, asks, ended);
+    let state = State::new(start.settings, channels);
+    let serving = serve(state, start.clock, start.directory, asks, ended);
     let stop = start.stop;
     tokio::spawn(async move {
         tokio::select! {
@@ -212,7 +212,7 @@
 
 /// Serves messages for ever.
 async fn serve(
-    mut desk: Desk,
+    mut state: State,
     clock: Clock,
     mut directory: watch::Receiver<Arc<Directory>>,
     mut asks: mpsc::Receiver<Message>,
@@ -221,24 +221,26 @@
     let mut idle = tokio::time::interval(IDLE_INTERVAL);
     // What the directory held before the start is no change to wait for.
     let known = Arc::clone(&directory.borrow_and_update());
-    desk.set_directory(&known, clock.now());
+    state.set_directory(&known, clock.now());
     loop {
-        let wake = desk.next_deadline().map(|deadline| clock.instant(deadline));
+        let wake = state
+            .next_deadline()
+            .map(|deadline| clock.instant(deadline));
         tokio::select! {
             biased;
-            Some(message) = ended.recv() => desk.take(message, clock.now()),
+            Some(message) = ended.recv() => state.take(message, clock.now()),
             changed = directory.changed() => {
                 if changed.is_err() {
                     return;
                 }
                 let directory = Arc::clone(&directory.borrow_and_update());
-                desk.set_directory(&directory, clock.now());
+                state.set_directory(&directory, clock.now());
             }
-            Some(message) = asks.recv() => desk.take(message, clock.now()),
-            _ = idle.tick() => desk.tick(clock.now()),
+            Some(message) = asks.recv() => state.take(message, clock.now()),
+            _ = idle.tick() => state.tick(clock.now()),
             () = sleep_until(wake) => {}
         }
-        desk.refuse_late(clock.now());
+        state.refuse_late(clock.now());
     }
 }
 
--- a/serving/src/modules/admission/grants.rs
+++ b/serving/src/modules/admission/grants.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use medlarfall_coordination::grants::{Exceeded, Mourner, Record};
+use medlarfall_coordination::grants::{Absences, Exceeded, Record};
 use snafu::Snafu;
 use tokio::sync::mpsc;
 
@@ -18,9 +18,9 @@
 /// How often a write that met another entry's is tried again at once.
 const ATTEMPTS: usize = 8;
 
-/// A wish for memory of a server.
+/// A demand for memory of a server.
 #[derive(Clone, Debug, Eq, PartialEq)]
-pub(super) struct Wish {
+pub(super) struct Demand {
     /// Name of the server.
     pub(super) server: Arc<str>,
     /// Tokens that this entry wants to hold in all.
@@ -31,7 +31,7 @@
     pub(super) limit: u64,
 }
 
-/// Why a wish was not met.
+/// Why a demand was not met.
 #[derive(Debug, Snafu)]
 enum Error {
     /// Others hold the memory.
@@ -60,7 +60,7 @@
 }
 
 /// The task's state.
-pub(super) struct Granter<S> {
+pub(super) struct Task<S> {
     /// The platform's store.
     pub(super) store: S,
     /// Name under which this run of the entry holds grants.
@@ -70,45 +70,45 @@
     /// The entry's clock.
     pub(super) clock: Clock,
     /// Holders that may be gone.
-    pub(super) mourner: Mourner,
+    pub(super) absences: Absences,
 }
 
-impl<S: Store> Granter<S> {
-    /// Meets wishes for ever, one at a time, and tells the desk what this entry holds.
+impl<S: Store> Task<S> {
+    /// Meets demands for ever, one at a time, and tells the state what this entry holds.
     pub(super) async fn run(
         mut self,
-        mut wishes: mpsc::UnboundedReceiver<Wish>,
-        desk: mpsc::UnboundedSender<Message>,
+        mut demands: mpsc::UnboundedReceiver<Demand>,
+        state: mpsc::UnboundedSender<Message>,
     ) {
-        while let Some(wish) = wishes.recv().await {
-            let met = self.meet(&wish).await;
+        while let Some(demand) = demands.recv().await {
+            let met = self.meet(&demand).await;
             if let Err(error) = &met {
-                log::debug!(server = wish.server.as_ref(), reason = error.to_string().as_str(); "memory not granted");
+                log::debug!(server = demand.server.as_ref(), reason = error.to_string().as_str(); "memory not granted");
             }
-            let server = Arc::clone(&wish.server);
-            if desk.send(Message::Granted(server, met.ok())).is_err() {
+            let server = Arc::clone(&demand.server);
+            if state.send(Message::Granted(server, met.ok())).is_err() {
                 return;
             }
         }
     }
 
-    /// Stores a record in which this entry holds what it wishes, or as much of it as is free, and
+    /// Stores a record in which this entry holds what it demands, or as much of it as is free, and
     /// returns how much that is.
-    async fn meet(&mut self, wish: &Wish) -> Result<u64, Error> {
-        let key = format!("{PREFIX}{}", wish.server);
+    async fn meet(&mut self, demand: &Demand) -> Result<u64, Error> {
+        let key = format!("{PREFIX}{}", demand.server);
         for _ in 0..ATTEMPTS {
             let item = self.store.get(&key).await?;
             let record = read(item.as_ref())?;
             let held = record.granted(&self.holder);
-            if held == wish.tokens {
+            if held == demand.tokens {
                 return Ok(held);
             }
-            let record = match record.with(&self.holder, wish.tokens, wish.limit) {
+            let record = match record.with(&self.holder, demand.tokens, demand.limit) {
                 Ok(record) => record,
-                Err(Exceeded { free }) if free >= wish.least => {
-                    record.with(&self.holder, free, wish.limit)?
+                Err(Exceeded { free }) if free >= demand.least => {
+                    record.with(&self.holder, free, demand.limit)?
                 }
-                Err(exceeded) => self.reclaim(&record, wish, exceeded).await?,
+                Err(exceeded) => self.reclaim(&record, demand, exceeded).await?,
             };
             let granted = record.granted(&self.holder);
             let expected = item.map_or(0, |item| item.revision);
@@ -123,11 +123,11 @@
         Err(Error::Contended)
     }
 
-    /// Returns a record that leaves out the holders that are gone, if the wish then fits.
+    /// Returns a record that leaves out the holders that are gone, if the demand then fits.
     async fn reclaim(
         &mut self,
         record: &Record,
-        wish: &Wish,
+        demand: &Demand,
         exceeded: Exceeded,
     ) -> Result<Record, Error> {
         let listed: BTreeSet<String> = self
@@ -142,16 +142,15 @@
             return Err(exceeded.into());
         }
         let now = self.clock.now();
-        let others = record
-            .grants
-            .keys()
-            .filter(|holder| **holder != self.holder);
-        self.mourner
-            .observe(others, |entry| listed.contains(entry), now);
-        let gone = |holder: &str| self.mourner.gone(holder, self.reclaim_grace, now);
+        let holders = record.grants.keys().chain([&self.holder]);
+        self.absences
+            .observe(holders, |entry| listed.contains(entry), now);
+        let gone = |holder: &str| {
+            *holder != *self.holder && self.absences.gone(holder, self.reclaim_grace, now)
+        };
         Ok(record
             .without(gone)
-            .with(&self.holder, wish.least, wish.limit)?)
+            .with(&self.holder, demand.least, demand.limit)?)
     }
 }
 
--- a/serving/src/modules/admission/desk.rs
+++ b/serving/src/modules/admission/state.rs
@@ -9,7 +9,7 @@
 use medlarfall_coordination::placement::{Proximity, name_hash};
 use tokio::sync::{mpsc, oneshot};
 
-use super::grants::Wish;
+use super::grants::Demand;
 use super::pool::{Member, Pool};
 use super::{Message, Need, Outcome, Permit, Refusal};
 use crate::backend::{Role, Server};
@@ -30,18 +30,18 @@
     reply: oneshot::Sender<Result<Permit, Refusal>>,
 }
 
-/// Where the desk sends what it cannot do itself.
-pub(super) struct Outlets {
+/// Where the state sends what it cannot do itself.
+pub(super) struct Channels {
     /// Counts of admitted requests.
     pub(super) admitted: Admissions,
     /// Reservations that end.
     pub(super) releases: mpsc::UnboundedSender<Message>,
-    /// Wishes for memory.
-    pub(super) wishes: mpsc::UnboundedSender<Wish>,
+    /// Demands for memory.
+    pub(super) demands: mpsc::UnboundedSender<Demand>,
 }
 
 /// What the admission task holds.
-pub(super) struct Desk {
+pub(super) struct State {
     bounds: Admission,
     entry: Entry,
     ledger: Ledger,
@@ -49,12 +49,12 @@
     members: HashMap<Arc<str>, Member>,
     shares: HashMap<Arc<str>, shares::Share>,
     queue: FairQueue<Waiting>,
-    outlets: Outlets,
+    channels: Channels,
 }
 
-impl Desk {
-    /// Returns a desk that knows no server.
-    pub(super) fn new(settings: &Settings, outlets: Outlets) -> Self {
+impl State {
+    /// Returns a state that knows no server.
+    pub(super) fn new(settings: &Settings, channels: Channels) -> Self {
         Self {
             bounds: settings.admission,
             entry: settings.entry.clone(),
@@ -63,7 +63,7 @@
             members: HashMap::new(),
             shares: HashMap::new(),
             queue: FairQueue::new(),
-            outlets,
+            channels,
         }
     }
 
@@ -200,7 +200,7 @@
             .all(|member| member.limit() < need.tokens)
     }
 
-    /// Admits the requests that wait, in fair order, as long as one fits, and wishes for memory for
+    /// Admits the requests that wait, in fair order, as long as one fits, and demands for memory for
     /// those that do not.
     fn serve_waiting(&mut self, now: Duration) {
         loop {
@@ -237,12 +237,12 @@
             return;
         };
         let near = server.failure_domain == self.entry.failure_domain;
-        self.outlets.admitted.count(near);
+        self.channels.admitted.count(near);
         // A permit whose caller has gone is dropped here, which releases the reservation.
         let _ = waiting.reply.send(Ok(Permit {
             server,
             key,
-            sender: self.outlets.releases.clone(),
+            sender: self.channels.releases.clone(),
         }));
     }
 
--- a/serving/src/modules/admission/desk/shares.rs
+++ b/serving/src/modules/admission/state/shares.rs
@@ -4,8 +4,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::super::grants::Wish;
-use super::{Desk, pool_name};
+use super::super::grants::Demand;
+use super::{State, pool_name};
 
 /// How long a share is taken not to grow after the store refused.
 const DENIED_PAUSE: Duration = Duration::from_millis(500);
@@ -15,8 +15,8 @@
 pub(super) struct Share {
     /// Tokens that the store has granted and that may be used.
     granted: u64,
-    /// Whether a wish is on its way.
-    wishing: bool,
+    /// Whether a demand is on its way.
+    pending: bool,
     /// Since when a step or more has been idle.
     idle_since: Option<Duration>,
 }
@@ -28,14 +28,14 @@
     }
 }
 
-impl Desk {
-    /// Wishes for memory of a server for a request of `tokens`.
+impl State {
+    /// Demands for memory of a server for a request of `tokens`.
     pub(super) fn lacks(&mut self, server: &Arc<str>, tokens: u64) {
         let Some(member) = self.members.get(server) else {
             return;
         };
         let share = self.shares.entry(Arc::clone(server)).or_default();
-        if share.wishing {
+        if share.pending {
             return;
         }
         let step = self.bounds.grant_step(member.grant_limit);
@@ -47,11 +47,11 @@
         if tokens <= share.granted {
             return;
         }
-        share.wishing = true;
-        self.wish(server, tokens, wanted);
+        share.pending = true;
+        self.demand(server, tokens, wanted);
     }
 
-    /// Takes the store's answer to a wish; nothing granted means that it refused or is down.
+    /// Takes the store's answer to a demand; nothing granted means that it refused or is down.
     pub(in super::super) fn granted(
         &mut self,
         server: &Arc<str>,
@@ -62,7 +62,7 @@
             return;
         };
         let share = self.shares.entry(Arc::clone(server)).or_default();
-        share.wishing = false;
+        share.pending = false;
         if let Some(tokens) = tokens {
             share.granted = tokens;
             share.idle_since = None;
@@ -88,7 +88,7 @@
             let reserved = self.ledger.reserved(member.key);
             let used = reserved.saturating_sub(member.base);
             let kept = if used == 0 { 0 } else { used + step };
-            if share.wishing || share.granted <= kept {
+            if share.pending || share.granted <= kept {
                 share.idle_since = None;
                 continue;
             }
@@ -98,20 +98,20 @@
             }
             self.ledger.set_share(member.key, member.base + kept);
             share.granted = kept;
-            share.wishing = true;
+            share.pending = true;
             returned.push((Arc::clone(server), kept));
         }
         for (server, kept) in returned {
-            self.wish(&server, kept, kept);
+            self.demand(&server, kept, kept);
         }
     }
 
-    /// Sends a wish to the task that asks the store.
-    fn wish(&self, server: &Arc<str>, tokens: u64, least: u64) {
+    /// Sends a demand to the task that asks the store.
+    fn demand(&self, server: &Arc<str>, tokens: u64, least: u64) {
         let Some(member) = self.members.get(server) else {
             return;
         };
-        let _ = self.outlets.wishes.send(Wish {
+        let _ = self.channels.demands.send(Demand {
             server: Arc::clone(server),
             tokens,
             least,
