fix: start the tasks of stops once; forget servers that are off the list

Cause: reading the whole change again. Merging left stops::start in entry.rs twice, so that each entry held two watches of stops/ and looked twice at its drains. The rewrite of the admission task had dropped the removal of servers that are off the instance list: they stayed in their pools, marked as leaving, and were candidates of every choice for as long as the entry ran; each listed change also looked every server up by a walk over the directory. Ruled out: removing a server at once (its requests may still run there, and a grant must be returned first). Change: one start; a server off the list is forgotten once nothing is reserved, granted or on its way; names are looked up in a set. No test shows the growth; none was measured.

--- a/serving/src/entry.rs
+++ b/serving/src/entry.rs
@@ -94,7 +94,6 @@
     let (context, mailboxes) = build(settings);
     stops::start(&context);
     moves::driver::start(&context, mailboxes.moves);
-    stops::start(&context);
     generation::start_upkeep(Arc::clone(&context));
     let addresses = open(&context).await?;
     let advertised = context.settings.peers.advertise;
--- a/serving/src/modules/admission/state.rs
+++ b/serving/src/modules/admission/state.rs
@@ -1,6 +1,6 @@
 //! The state of the admission task.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -88,8 +88,10 @@
     /// A server that is off the list keeps its reservations until they end, since it may come back
     /// while their requests still run there.
     pub(super) fn set_directory(&mut self, directory: &Directory, now: Duration) {
+        let listed: HashSet<&Arc<str>> = directory.iter().map(|server| &server.name).collect();
+        self.forget_idle(&listed);
         for member in self.members.values_mut() {
-            if directory.find(&member.server.name).is_none() {
+            if !listed.contains(&member.server.name) {
                 member.leaving = true;
                 member.server = Arc::new(Server {
                     leaving: true,
@@ -105,6 +107,20 @@
         self.serve_waiting(now);
     }
 
+    /// Forgets the servers that are off the list and on which this entry holds nothing.
+    fn forget_idle(&mut self, listed: &HashSet<&Arc<str>>) {
+        let (ledger, shares) = (&mut self.ledger, &mut self.shares);
+        self.members.retain(|name, member| {
+            let held = shares.get(name).is_some_and(shares::Share::held);
+            let kept = listed.contains(name) || held || ledger.reserved(member.key) > 0;
+            if !kept {
+                ledger.remove(member.key);
+                shares.remove(name);
+            }
+            kept
+        });
+    }
+
     /// Returns idle memory, and tries again for the requests that wait.
     pub(super) fn tick(&mut self, now: Duration) {
         self.return_idle(now);
--- a/serving/src/modules/admission/state/shares.rs
+++ b/serving/src/modules/admission/state/shares.rs
@@ -22,6 +22,11 @@
 }
 
 impl Share {
+    /// Returns whether anything is granted, or a demand is on its way.
+    pub(super) fn held(&self) -> bool {
+        self.granted > 0 || self.pending
+    }
+
     /// Returns the tokens that the store has granted and that may be used.
     pub(super) fn granted(&self) -> u64 {
         self.granted
