--- /dev/null
+++ b/coordination/src/balance.rs
@@ -0,0 +1,147 @@
+//! Which of a service's servers a request is sent to, from what this entry knows of their load.
+//!
+//! The load that answers: several entries that spread requests over the same servers, each from
+//! stale reports. An entry counts its own requests at once and those of the others from the
+//! servers' reports, which fade with age; ties are broken by a hash of the request, so that
+//! entries with the same reports do not all choose the same server.
+
+use std::cmp::Reverse;
+use std::time::Duration;
+
+use crate::placement::{Proximity, mix};
+
+/// Weight of a new outcome in a server's share of failures. 1/8 lets three failures in a row
+/// outweigh a loss of a third.
+const OUTCOME_WEIGHT: f64 = 1.0 / 8.0;
+
+/// Load, in requests, that a server's share of failures counts for when all of them fail.
+const FAULT_LOAD: f64 = 24.0;
+
+/// First time that a server which cannot be reached is put behind the others. Source: an engine
+/// that crashed takes about a second to start again.
+const FIRST_SUSPICION: Duration = Duration::from_millis(1_000);
+
+/// Longest time that a server which cannot be reached is put behind the others.
+const LONGEST_SUSPICION: Duration = Duration::from_secs(4);
+
+/// What is known of one server's load and health.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Load {
+    own: u32,
+    others: f64,
+    reported_at: Duration,
+    faults: f64,
+    suspected_until: Duration,
+    suspicions: u32,
+}
+
+impl Load {
+    /// Counts a request that is sent.
+    pub fn started(&mut self) {
+        self.own = self.own.saturating_add(1);
+    }
+
+    /// Counts a request that has ended.
+    pub fn ended(&mut self) {
+        self.own = self.own.saturating_sub(1);
+    }
+
+    /// Returns the requests of this entry at the server.
+    #[must_use]
+    pub fn own(&self) -> u32 {
+        self.own
+    }
+
+    /// Takes in a report of all requests at the server, this entry's included.
+    pub fn reported(&mut self, requests: u32, now: Duration) {
+        self.others = f64::from(requests.saturating_sub(self.own));
+        self.reported_at = now;
+    }
+
+    /// Notes how a request ended at the server.
+    pub fn outcome(&mut self, failed: bool) {
+        let value = if failed { 1.0 } else { 0.0 };
+        self.faults += (value - self.faults) * OUTCOME_WEIGHT;
+        if !failed {
+            self.suspicions = 0;
+            self.suspected_until = Duration::ZERO;
+        }
+    }
+
+    /// Notes that the server could not be reached, or was lost.
+    pub fn unreachable(&mut self, now: Duration) {
+        let doubled = FIRST_SUSPICION * 2_u32.pow(self.suspicions.min(4));
+        self.suspicions = self.suspicions.saturating_add(1);
+        self.suspected_until = now + doubled.min(LONGEST_SUSPICION);
+    }
+
+    /// Returns whether the server is put behind the others.
+    #[must_use]
+    pub fn suspect(&self, now: Duration) -> bool {
+        now < self.suspected_until
+    }
+
+    /// Returns the share of requests that failed lately.
+    #[must_use]
+    pub fn faults(&self) -> f64 {
+        self.faults
+    }
+
+    /// Returns the requests that are probably at the server. Those of other entries fade over
+    /// `horizon`, about as long as one of the service's requests lasts.
+    #[must_use]
+    pub fn estimate(&self, now: Duration, horizon: Duration) -> f64 {
+        let age = now.saturating_sub(self.reported_at).as_secs_f64();
+        let fresh = (-age / horizon.as_secs_f64().max(1e-3)).exp();
+        f64::from(self.own) + self.others * fresh
+    }
+}
+
+/// A server that may take the request.
+#[derive(Clone, Copy, Debug)]
+pub struct Candidate {
+    /// Hash of the server's name, from [`crate::placement::name_hash`].
+    pub hash: u64,
+    /// How near the server is.
+    pub proximity: Proximity,
+    /// Requests that are probably at the server.
+    pub requests: f64,
+    /// Requests that it serves at once.
+    pub slots: u32,
+    /// Share of its requests that failed lately.
+    pub faults: f64,
+    /// Whether it could not be reached lately.
+    pub suspect: bool,
+}
+
+/// Returns the index of the candidate to send to. `distance` is the load, in requests, that a
+/// server in another failure domain counts for; `lot` breaks ties.
+#[must_use]
+pub fn choose(candidates: &[Candidate], distance: f64, lot: u64) -> Option<usize> {
+    let usual = candidates
+        .iter()
+        .map(|candidate| candidate.faults)
+        .fold(f64::INFINITY, f64::min);
+    let cost = |candidate: &Candidate| {
+        let over = (candidate.requests + 1.0 - f64::from(candidate.slots)).max(0.0);
+        let away = match candidate.proximity {
+            Proximity::FailureDomain => 0.0,
+            Proximity::Region => distance,
+            Proximity::Anywhere => 2.0 * distance,
+        };
+        candidate.requests + 4.0 * over + away + FAULT_LOAD * (candidate.faults - usual)
+    };
+    candidates
+        .iter()
+        .enumerate()
+        .min_by(|(_, left), (_, right)| {
+            let order = left.suspect.cmp(&right.suspect);
+            // Loads within half a request are alike: reports are no more exact than that.
+            let halves = |candidate: &Candidate| (cost(candidate) * 2.0).round();
+            let weight = |candidate: &Candidate| Reverse(mix(candidate.hash ^ lot));
+            order
+                .then(halves(left).total_cmp(&halves(right)))
+                .then(weight(left).cmp(&weight(right)))
+        })
+        .map(|(index, _)| index)
+}
--- a/coordination/src/lib.rs
+++ b/coordination/src/lib.rs
@@ -4,6 +4,7 @@
 //! decisions. None owns a socket, a task or a clock, so that a test can drive it through any order
 //! of events. Times are [`std::time::Duration`]s since an arbitrary origin that never goes back.
 
+pub mod balance;
 pub mod claim;
 pub mod detector;
 pub mod ejection;
@@ -12,6 +13,7 @@
 pub mod fencing;
 pub mod grants;
 pub mod journal;
+pub mod liveness;
 pub mod membership;
 pub mod memory;
 pub mod placement;
@@ -20,5 +22,7 @@
 pub mod retry_budget;
 pub mod revision;
 pub mod rollout;
+pub mod roster;
+pub mod routing;
 pub mod schedule;
 pub mod spread;
--- a/coordination/src/placement.rs
+++ b/coordination/src/placement.rs
@@ -102,7 +102,7 @@
 }
 
 /// Mixes the bits of a hash. Source: `fmix64` of A. Appleby's `MurmurHash3`.
-fn mix(hash: u64) -> u64 {
+pub(crate) fn mix(hash: u64) -> u64 {
     let hash = (hash ^ (hash >> 33)).wrapping_mul(0xff51_afd7_ed55_8ccd);
     let hash = (hash ^ (hash >> 33)).wrapping_mul(0xc4ce_b9fe_1a85_ec53);
     hash ^ (hash >> 33)
--- a/serving/src/modules.rs
+++ b/serving/src/modules.rs
@@ -13,5 +13,6 @@
 pub mod operators;
 pub mod orders;
 pub mod peers;
+pub mod relay;
 pub mod spread;
 pub mod stops;
--- /dev/null
+++ b/serving/src/modules/relay/daemon.rs
@@ -0,0 +1,93 @@
+//! Runs the relay of one entry from its start to its orderly stop.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::TcpListener;
+use tokio_util::task::TaskTracker;
+
+use crate::platform::Store;
+
+use super::dialect::Dialect;
+use super::state::Relay;
+use super::{follow, listener};
+
+/// Time after the order to stop until kept connections are closed: the platform asks once a second
+/// and sends nothing new after two answers that are not ready.
+const LEAVE_ROTATION: Duration = Duration::from_millis(2_200);
+
+/// Time before the end of the grace period at which the process ends whatever still runs.
+const GRACE_MARGIN: Duration = Duration::from_millis(300);
+
+/// Path at which metrics are served.
+const METRICS_PATH: &str = "/metrics";
+
+/// Serves until `stop` resolves, then stops in order.
+pub async fn run<D: Dialect, S: Store>(
+    relay: Arc<Relay<D>>,
+    store: S,
+    callers: TcpListener,
+    readiness: TcpListener,
+    stop: impl Future<Output = ()>,
+) {
+    let tracker = TaskTracker::new();
+    tokio::spawn(follow::run(Arc::clone(&relay), store));
+    tokio::spawn(watch(Arc::clone(&relay), readiness));
+    let accepting = listener::serve(Arc::clone(&relay), callers, tracker.clone());
+    let accepting = tokio::spawn(accepting);
+    log::info!(entry = &*relay.settings.entry, failure_domain = &*relay.settings.failure_domain; "start");
+    stop.await;
+    let open = tracker.len();
+    log::info!(connections = open; "stop ordered: no longer ready");
+    relay.stopping.send_replace(true);
+    let grace = relay.settings.grace.saturating_sub(GRACE_MARGIN);
+    let end = tokio::time::Instant::now() + grace;
+    tokio::time::sleep(LEAVE_ROTATION.min(grace)).await;
+    relay.draining.send_replace(true);
+    tracker.close();
+    let ended = tokio::time::timeout_at(end, tracker.wait()).await;
+    accepting.abort();
+    log::info!(connections = tracker.len(), whole = ended.is_ok(); "stop");
+}
+
+/// Answers whether the entry is ready, and serves its metrics.
+pub async fn watch<D: Dialect>(relay: Arc<Relay<D>>, listener: TcpListener) {
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                log::warn!(reason = error.to_string().as_str(); "question of readiness not accepted");
+                tokio::time::sleep(Duration::from_millis(20)).await;
+                continue;
+            }
+        };
+        let relay = Arc::clone(&relay);
+        let service = service_fn(move |request| {
+            std::future::ready(Ok::<_, Infallible>(reply(&relay, &request)))
+        });
+        let connection = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .serve_connection(TokioIo::new(stream), service);
+        tokio::spawn(connection);
+    }
+}
+
+fn reply<D: Dialect>(relay: &Relay<D>, request: &Request<Incoming>) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::default());
+    if request.uri().path() == METRICS_PATH {
+        *response.body_mut() = Full::from(relay.metrics.text());
+        return response;
+    }
+    if !relay.ready() {
+        *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    }
+    response
+}
--- /dev/null
+++ b/serving/src/modules/relay/dialect.rs
@@ -0,0 +1,147 @@
+//! What a protocol of callers, servers and the store has to tell the relay.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::http::response::Parts;
+use hyper::{HeaderMap, StatusCode};
+use medlarfall_coordination::roster::Server;
+use medlarfall_coordination::routing::Table;
+use snafu::Snafu;
+
+use crate::platform::Change;
+
+/// What the head of a caller's request says.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Caller {
+    /// Identifier of the request.
+    pub request_id: Arc<str>,
+    /// How long the caller waits.
+    pub patience: Option<Duration>,
+    /// The key it presents.
+    pub key: Option<Arc<str>>,
+    /// Last event that it has of a stream that broke off.
+    pub last_event: Option<u64>,
+    /// Hash of the prompt's parts, the same for prompts that share their beginning.
+    pub prompt_hash: Option<u64>,
+    /// Tokens that the prompt has and that the answer may have.
+    pub tokens: Option<u64>,
+}
+
+/// A copy of a run's memory on a server.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Copy {
+    /// The server that holds it.
+    pub holder: SocketAddr,
+    /// Identifier of the run, or handle of the copy.
+    pub handle: Arc<str>,
+}
+
+/// What one send to a server adds to the caller's request.
+#[derive(Clone, Debug)]
+pub struct Send {
+    /// The server that is meant.
+    pub server: Arc<Server>,
+    /// Client account of the request.
+    pub account: Option<Arc<str>>,
+    /// Urgency; 0 is the most urgent.
+    pub priority: u8,
+    /// Time that is left.
+    pub remains: Duration,
+    /// Server that is to keep a backup copy of the run's memory.
+    pub backup: Option<SocketAddr>,
+    /// Copy that the run goes on from.
+    pub copy: Option<Copy>,
+    /// Last event that was handed on.
+    pub last_event: Option<u64>,
+}
+
+/// What the head of a server's answer says.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Reply {
+    /// Whether the answer is to the request that was sent.
+    pub matches: bool,
+    /// Whether the server says that it did not run the request.
+    pub not_run: bool,
+    /// Whether a server signed the answer.
+    pub signed: bool,
+    /// Requests at the server, running and waiting.
+    pub requests: Option<u32>,
+    /// When the request may come back, if the server says so.
+    pub retry_after: Option<Duration>,
+}
+
+/// What a server says of itself when it is asked.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Report {
+    /// Requests at the server, running and waiting.
+    pub requests: u32,
+    /// When it started, in Unix milliseconds.
+    pub born_ms: Option<u64>,
+}
+
+/// What a change in the store means.
+#[derive(Debug)]
+pub enum Entry {
+    /// A configuration.
+    Configuration(Table),
+    /// What a server announces.
+    Server(Server),
+    /// A server's entry was removed, or names no server.
+    NoServer {
+        /// Name of the server.
+        id: Arc<str>,
+        /// What is wrong with the entry; nothing if it was removed.
+        problem: Option<String>,
+    },
+    /// Nothing that the relay uses.
+    Other,
+}
+
+/// Why the head of a request, or a value in the store, can't be used.
+#[derive(Clone, Debug, Eq, PartialEq, Snafu)]
+#[snafu(display("{problem}"))]
+pub struct Invalid {
+    /// What is wrong, and what would be right.
+    pub problem: String,
+}
+
+/// A protocol of callers, servers and the store.
+pub trait Dialect: std::marker::Send + Sync + 'static {
+    /// Decodes the head of a caller's request.
+    ///
+    /// # Errors
+    ///
+    /// Returns what is wrong with it.
+    fn caller(&self, headers: &HeaderMap) -> Result<Caller, Invalid>;
+
+    /// Returns the headers of a send: the caller's, but for those that concern one connection or
+    /// that only this system may set, and what the send adds.
+    fn headers(&self, caller: &HeaderMap, send: &Send) -> HeaderMap;
+
+    /// Decodes the head of a server's answer to the request `request_id`.
+    fn reply(&self, request_id: &str, parts: &Parts) -> Reply;
+
+    /// Returns the headers of a server's answer that the caller gets.
+    fn answer_headers(&self, headers: &HeaderMap) -> HeaderMap;
+
+    /// Returns the headers of an answer of this system's own.
+    fn own_headers(&self, request_id: Option<&str>, retry_after: Option<Duration>) -> HeaderMap;
+
+    /// Returns the path at which a server reports on itself.
+    fn report_path(&self) -> &'static str;
+
+    /// Decodes a server's report on itself.
+    fn report(&self, status: StatusCode, body: &[u8]) -> Option<Report>;
+
+    /// Decodes a change in the store.
+    ///
+    /// # Errors
+    ///
+    /// Returns what is wrong with a configuration.
+    fn entry(&self, change: &Change) -> Result<Entry, Invalid>;
+
+    /// Returns whether `key` is that of a server, and the server's name.
+    fn server_id<'key>(&self, key: &'key str) -> Option<&'key str>;
+}
--- /dev/null
+++ b/serving/src/modules/relay/events.rs
@@ -0,0 +1,81 @@
+//! Splits a stream of server-sent events into whole events, whose bytes stay as they are.
+
+use bytes::{Bytes, BytesMut};
+
+/// Largest event, in bytes; a larger one is not an event of a generation.
+const EVENT_LIMIT: usize = 1 << 20;
+
+/// One event.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Event {
+    /// Its `id` field, if it has one that is a number.
+    pub id: Option<u64>,
+    /// Its bytes, with the empty line that ends it.
+    pub bytes: Bytes,
+}
+
+/// Splits bytes into events.
+#[derive(Debug, Default)]
+pub struct Splitter {
+    buffer: BytesMut,
+    scanned: usize,
+}
+
+impl Splitter {
+    /// Adds bytes.
+    pub fn push(&mut self, bytes: &[u8]) {
+        self.buffer.extend_from_slice(bytes);
+    }
+
+    /// Takes the next whole event.
+    pub fn next_event(&mut self) -> Option<Event> {
+        let end = self.end()?;
+        let bytes = self.buffer.split_to(end).freeze();
+        self.scanned = 0;
+        Some(Event {
+            id: id(&bytes),
+            bytes,
+        })
+    }
+
+    /// Returns whether part of an event is left.
+    #[must_use]
+    pub fn has_rest(&self) -> bool {
+        !self.buffer.is_empty()
+    }
+
+    /// Returns whether what is left is too large for an event.
+    #[must_use]
+    pub fn overflows(&self) -> bool {
+        self.buffer.len() > EVENT_LIMIT
+    }
+
+    /// Drops part of an event.
+    pub fn clear(&mut self) {
+        self.buffer.clear();
+        self.scanned = 0;
+    }
+
+    /// Returns the end of the first event, after the empty line.
+    fn end(&mut self) -> Option<usize> {
+        let mut line_start = self.scanned;
+        while let Some(length) = self.buffer[line_start..].iter().position(|b| *b == b'\n') {
+            let line = &self.buffer[line_start..line_start + length];
+            let next = line_start + length + 1;
+            if line.is_empty() || line == b"\r" {
+                return Some(next);
+            }
+            line_start = next;
+        }
+        self.scanned = line_start;
+        None
+    }
+}
+
+/// Returns the `id` field of an event.
+fn id(event: &[u8]) -> Option<u64> {
+    event.split(|byte| *byte == b'\n').find_map(|line| {
+        let value = line.strip_prefix(b"id:")?;
+        std::str::from_utf8(value).ok()?.trim().parse().ok()
+    })
+}
--- /dev/null
+++ b/serving/src/modules/relay/follow.rs
@@ -0,0 +1,150 @@
+//! Follows configuration and servers in the store.
+//!
+//! One listing, then one watch over all that is of interest. What the store no longer says is
+//! kept: an outage changes no belief. The watch is bounded in time, since a connection may fall
+//! silent for good.
+
+use std::collections::HashSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::Rng;
+use tokio::time::timeout;
+
+use crate::platform::{Change, Changes, Error, Store};
+
+use super::dialect::{Dialect, Entry};
+use super::state::Relay;
+
+/// Longest time that a watch waits for changes. A configuration has to be in force within 2 s of
+/// its acceptance, also when a watch has fallen silent.
+const WATCH_TIME: Duration = Duration::from_millis(1_500);
+
+/// Time beyond its own that a call may take until it is given up.
+const ANSWER_TIME: Duration = Duration::from_millis(400);
+
+/// Longest pause after a call that failed; each call is paid for, and an outage lasts seconds.
+const RETRY_PAUSE: Duration = Duration::from_millis(250);
+
+/// Pause after the first call that failed.
+const FIRST_PAUSE: Duration = Duration::from_millis(20);
+
+/// Where the follower is.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Place {
+    /// Nothing is known, or the history is gone.
+    Unknown,
+    /// All changes up to this revision are known.
+    At(u64),
+}
+
+/// Follows the store for ever.
+pub async fn run<D: Dialect, S: Store>(relay: Arc<Relay<D>>, store: S) {
+    let mut place = Place::Unknown;
+    let mut up = None;
+    let mut failures = 0_u32;
+    loop {
+        relay.metrics.store_calls.inc();
+        let (next, reason) = match step(&relay, &store, place).await {
+            Ok(next) => (next, None),
+            Err(Error::HistoryGone) => (Place::Unknown, None),
+            Err(error) => (place, Some(error.to_string())),
+        };
+        place = next;
+        let answers = reason.is_none();
+        relay.store_answers(answers);
+        if up != Some(answers) {
+            tell(&relay, answers, reason.as_deref().unwrap_or(""));
+            up = Some(answers);
+        }
+        if answers {
+            failures = 0;
+        } else {
+            let longest = (FIRST_PAUSE * 2_u32.pow(failures.min(6))).min(RETRY_PAUSE);
+            failures = failures.saturating_add(1);
+            let pause = longest.mul_f64(rand::rng().random_range(0.5..=1.0));
+            tokio::time::sleep(pause).await;
+        }
+    }
+}
+
+fn tell<D: Dialect>(relay: &Relay<D>, answers: bool, reason: &str) {
+    relay.metrics.store_up.set(i64::from(answers));
+    if answers {
+        log::info!(dependency = "store"; "the store answers");
+    } else {
+        log::warn!(dependency = "store", reason; "the store does not answer");
+    }
+}
+
+/// Makes one call and takes in what it returns.
+async fn step<D: Dialect, S: Store>(
+    relay: &Relay<D>,
+    store: &S,
+    place: Place,
+) -> Result<Place, Error> {
+    match place {
+        Place::Unknown => {
+            let listing = within(Duration::ZERO, store.list("")).await?;
+            let mut listed = HashSet::new();
+            for item in listing.items {
+                if let Some(id) = relay.dialect.server_id(&item.key) {
+                    listed.insert(Arc::from(id));
+                }
+                let change = Change {
+                    key: item.key,
+                    value: Some(item.value),
+                    revision: item.revision,
+                };
+                take(relay, &change);
+            }
+            relay.retain(&listed, listing.revision);
+            Ok(Place::At(listing.revision))
+        }
+        Place::At(revision) => {
+            let watching = store.watch("", revision, WATCH_TIME);
+            let Changes { changes, revision } = within(WATCH_TIME, watching).await?;
+            // Changes of an outage come with the first answer after it.
+            relay.store_answers(true);
+            for change in &changes {
+                take(relay, change);
+            }
+            Ok(Place::At(revision))
+        }
+    }
+}
+
+/// Bounds a call that may itself wait for `wait`.
+async fn within<T>(
+    wait: Duration,
+    call: impl Future<Output = Result<T, Error>>,
+) -> Result<T, Error> {
+    let call = timeout(wait + ANSWER_TIME, call).await;
+    call.unwrap_or_else(|_| {
+        Err(Error::Lost {
+            reason: "no answer in time".to_owned(),
+        })
+    })
+}
+
+/// Takes in one change.
+fn take<D: Dialect>(relay: &Relay<D>, change: &Change) {
+    match relay.dialect.entry(change) {
+        Ok(Entry::Configuration(table)) => relay.configure(table),
+        Ok(Entry::Server(server)) => relay.announce(server, change.revision),
+        Ok(Entry::NoServer { id, problem }) => {
+            if let Some(problem) = problem {
+                log::warn!(server = &*id, problem = problem.as_str(); "entry names no server");
+            }
+            relay.remove(&id, change.revision);
+        }
+        Ok(Entry::Other) => {}
+        Err(invalid) => {
+            log::error!(
+                key = change.key.as_str(), revision = change.revision,
+                problem = invalid.to_string().as_str();
+                "configuration not used; the one before stays in force"
+            );
+        }
+    }
+}
--- /dev/null
+++ b/serving/src/modules/relay/listener.rs
@@ -0,0 +1,76 @@
+//! Accepts callers' connections, serves each on its own task, and ends them in order at a stop.
+
+use std::io;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
+use tokio_util::task::TaskTracker;
+
+use super::dialect::Dialect;
+use super::intake;
+use super::state::Relay;
+
+/// Callers may reuse a connection until shortly before the limit on idle time; the connection is
+/// kept a little longer, so that none is closed under a request.
+const IDLE_MARGIN: u32 = 2;
+
+/// Time after an accept that failed for lack of descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Accepts connections until `tracker` is closed and the task is ended.
+pub async fn serve<D: Dialect>(relay: Arc<Relay<D>>, listener: TcpListener, tracker: TaskTracker) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tracker.spawn(connection(Arc::clone(&relay), stream));
+            }
+            Err(error) => {
+                log::warn!(reason = error.to_string().as_str(); "connection not accepted");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Serves one connection.
+async fn connection<D: Dialect>(relay: Arc<Relay<D>>, stream: TcpStream) {
+    if let Err(error) = prepare(&stream) {
+        log::debug!(reason = error.to_string().as_str(); "connection without options");
+    }
+    let limits = relay.table().map(|table| table.limits).unwrap_or_default();
+    let mut draining = relay.draining.subscribe();
+    let service = {
+        let relay = Arc::clone(&relay);
+        service_fn(move |request| intake::handle(Arc::clone(&relay), request))
+    };
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.idle_time * IDLE_MARGIN)
+        .max_buf_size(limits.header_bytes.max(8 << 10) * 2)
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    let closing = async { draining.wait_for(|draining| *draining).await.map(drop) };
+    let ended = tokio::select! {
+        ended = &mut connection => Some(ended),
+        _ = closing => None,
+    };
+    let ended = match ended {
+        Some(ended) => ended,
+        None => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = ended {
+        log::debug!(reason = error.to_string().as_str(); "connection of a caller ended");
+    }
+}
+
+/// Sets the options of a caller's connection.
+fn prepare(stream: &TcpStream) -> io::Result<()> {
+    stream.set_nodelay(true)
+}
--- /dev/null
+++ b/serving/src/modules/relay/state.rs
@@ -0,0 +1,336 @@
+//! What the relay of one entry knows and holds.
+
+use std::collections::{HashMap, HashSet};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use medlarfall_coordination::balance::{self, Candidate, Load};
+use medlarfall_coordination::liveness;
+use medlarfall_coordination::placement::{Proximity, name_hash};
+use medlarfall_coordination::retry_budget::{Budget, Policy};
+use medlarfall_coordination::roster::{Effect, Roster, Server};
+use medlarfall_coordination::routing::Table;
+use tokio::sync::watch;
+
+use crate::clock::Clock;
+use crate::utils::budget;
+
+use super::dialect::Dialect;
+use super::metrics::Metrics;
+use super::monitor::Monitor;
+
+/// Settings of the relay.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Name of this entry.
+    pub entry: Arc<str>,
+    /// Failure domain that it runs in.
+    pub failure_domain: Arc<str>,
+    /// Region of each failure domain.
+    pub regions: HashMap<Arc<str>, Arc<str>>,
+    /// Memory for bodies that are held, in bytes.
+    pub held_bytes: usize,
+    /// Repeats that a service allows this entry.
+    pub retries: Policy,
+    /// Bounds on the silence of servers.
+    pub liveness: liveness::Bounds,
+    /// Time from the order to stop until the process is ended.
+    pub grace: Duration,
+}
+
+/// A server, with what this entry knows of it.
+#[derive(Debug)]
+pub struct Backend {
+    /// As it announces itself.
+    pub server: Arc<Server>,
+    /// Watches it while it runs streams.
+    pub monitor: Monitor,
+    hash: u64,
+    proximity: Proximity,
+    load: Mutex<Load>,
+}
+
+impl Backend {
+    /// Reads or changes the server's load.
+    pub fn load<T>(&self, act: impl FnOnce(&mut Load) -> T) -> T {
+        act(&mut self.load.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+}
+
+/// What is believed of configuration and servers.
+#[derive(Debug, Default)]
+struct Beliefs {
+    table: Option<Arc<Table>>,
+    roster: Roster,
+    backends: HashMap<Arc<str>, Vec<Arc<Backend>>>,
+    retries: HashMap<Arc<str>, Budget>,
+}
+
+/// The relay of one entry.
+#[derive(Debug)]
+pub struct Relay<D> {
+    /// The outside protocol.
+    pub dialect: D,
+    /// Settings.
+    pub settings: Settings,
+    /// The clock.
+    pub clock: Clock,
+    /// Counters.
+    pub metrics: Metrics,
+    /// Memory for bodies.
+    pub memory: budget::Budget,
+    /// Whether the entry is stopping.
+    pub stopping: watch::Sender<bool>,
+    /// Whether callers' connections are being closed.
+    pub draining: watch::Sender<bool>,
+    /// Tells of each change of configuration or servers.
+    pub changed: watch::Sender<u64>,
+    beliefs: Mutex<Beliefs>,
+}
+
+/// What to look for in a server.
+#[derive(Clone, Copy, Debug)]
+pub struct Wanted<'request> {
+    /// The service.
+    pub service: &'request str,
+    /// Servers that are not to be chosen.
+    pub not: &'request [Arc<str>],
+    /// Failure domains that are not to be chosen while others have servers.
+    pub outside: &'request [Arc<str>],
+    /// Load, in requests, that a server in another failure domain counts for.
+    pub distance: f64,
+    /// About how long a request of the service lasts.
+    pub horizon: Duration,
+    /// Breaks ties.
+    pub lot: u64,
+}
+
+impl<D: Dialect> Relay<D> {
+    /// Returns a relay that knows nothing yet.
+    #[must_use]
+    pub fn new(dialect: D, settings: Settings) -> Self {
+        Self {
+            dialect,
+            memory: budget::Budget::new(settings.held_bytes),
+            settings,
+            clock: Clock::start(),
+            metrics: Metrics::default(),
+            stopping: watch::Sender::new(false),
+            draining: watch::Sender::new(false),
+            changed: watch::Sender::new(0),
+            beliefs: Mutex::default(),
+        }
+    }
+
+    fn beliefs<T>(&self, act: impl FnOnce(&mut Beliefs) -> T) -> T {
+        act(&mut self.beliefs.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// Returns the configuration in force.
+    #[must_use]
+    pub fn table(&self) -> Option<Arc<Table>> {
+        self.beliefs(|beliefs| beliefs.table.clone())
+    }
+
+    /// Returns whether the entry takes requests: it knows a configuration and is not stopping.
+    #[must_use]
+    pub fn ready(&self) -> bool {
+        !*self.stopping.borrow() && self.beliefs(|beliefs| beliefs.table.is_some())
+    }
+
+    /// Puts a configuration in force, unless it is not newer than the one that is.
+    pub fn configure(&self, table: Table) {
+        let version = table.version;
+        let known = self.beliefs(|beliefs| {
+            let known = beliefs.table.as_ref().map(|table| table.version);
+            if known.is_none_or(|known| version > known) {
+                beliefs.table = Some(Arc::new(table));
+            }
+            known
+        });
+        if known.is_some_and(|known| version <= known) {
+            return;
+        }
+        self.metrics.configuration.set(i64::try_from(version).unwrap_or(i64::MAX));
+        log::info!(version, before = known.unwrap_or(0); "configuration in force");
+        self.tell();
+    }
+
+    /// Takes in what a server announced.
+    pub fn announce(&self, server: Server, revision: u64) {
+        let id = Arc::clone(&server.id);
+        let effect = self.beliefs(|beliefs| {
+            let effect = beliefs.roster.announce(server, revision);
+            if effect != Effect::Stale {
+                beliefs.refresh(&self.settings, &id);
+            }
+            effect
+        });
+        self.believed(effect, &id, revision);
+    }
+
+    /// Takes in that a server's entry was removed.
+    pub fn remove(&self, id: &Arc<str>, revision: u64) {
+        let now = self.clock.now();
+        let effect = self.beliefs(|beliefs| {
+            let effect = beliefs.roster.remove(id, revision, now);
+            beliefs.refresh(&self.settings, id);
+            effect
+        });
+        self.believed(effect, id, revision);
+    }
+
+    /// Takes in that a complete list read at `revision` named only `listed`.
+    pub fn retain(&self, listed: &HashSet<Arc<str>>, revision: u64) {
+        let now = self.clock.now();
+        self.beliefs(|beliefs| {
+            beliefs.roster.retain(listed, revision, now);
+            beliefs.refresh_all(&self.settings);
+        });
+        self.tell();
+    }
+
+    /// Notes whether the store answers, and drops servers that did not come back after an outage.
+    pub fn store_answers(&self, answers: bool) {
+        let now = self.clock.now();
+        let expired = self.beliefs(|beliefs| {
+            match answers {
+                true => beliefs.roster.keeper_answered(now),
+                false => beliefs.roster.keeper_lost(),
+            }
+            let expired = beliefs.roster.expire(now);
+            for id in &expired {
+                beliefs.refresh(&self.settings, id);
+            }
+            expired
+        });
+        for id in &expired {
+            self.believed(Effect::Gone, id, 0);
+        }
+    }
+
+    fn believed(&self, effect: Effect, id: &str, revision: u64) {
+        if effect == Effect::Stale {
+            return;
+        }
+        let effect = format!("{effect:?}").to_lowercase();
+        log::info!(server = id, revision, effect = effect.as_str(); "list of servers changed");
+        self.tell();
+    }
+
+    fn tell(&self) {
+        self.changed.send_modify(|count| *count += 1);
+    }
+
+    /// Chooses a server.
+    #[must_use]
+    pub fn choose(&self, wanted: Wanted) -> Option<Arc<Backend>> {
+        let now = self.clock.now();
+        self.beliefs(|beliefs| {
+            let backends = beliefs.backends.get(wanted.service)?;
+            let fits = |backend: &&Arc<Backend>| !wanted.not.contains(&backend.server.id);
+            let outside = |backend: &&Arc<Backend>| {
+                !wanted.outside.contains(&backend.server.failure_domain)
+                    && !backend.load(|load| load.suspect(now))
+            };
+            let mut fitting: Vec<&Arc<Backend>> =
+                backends.iter().filter(fits).filter(outside).collect();
+            if fitting.is_empty() {
+                fitting = backends.iter().filter(fits).collect();
+            }
+            let candidates: Vec<Candidate> = fitting
+                .iter()
+                .map(|backend| backend.candidate(now, wanted.horizon))
+                .collect();
+            let chosen = balance::choose(&candidates, wanted.distance, wanted.lot)?;
+            Some(Arc::clone(fitting[chosen]))
+        })
+    }
+
+    /// Counts a request for a service, which adds to its budget of repeats.
+    pub fn count_request(&self, service: &Arc<str>) {
+        self.beliefs(|beliefs| beliefs.budget(service, self.settings.retries).succeeded());
+    }
+
+    /// Takes a repeat from the budget of a service and returns whether there was one.
+    #[must_use]
+    pub fn take_retry(&self, service: &Arc<str>) -> bool {
+        let taken =
+            self.beliefs(|beliefs| beliefs.budget(service, self.settings.retries).withdraw());
+        match taken {
+            true => self.metrics.retries.inc(),
+            false => self.metrics.retries_refused.inc(),
+        };
+        taken
+    }
+}
+
+impl Backend {
+    fn new(server: Arc<Server>, settings: &Settings) -> Self {
+        let region = |domain: &str| settings.regions.get(domain);
+        let own = &settings.failure_domain;
+        let proximity = match &server.failure_domain {
+            domain if domain == own => Proximity::FailureDomain,
+            domain if region(domain) == region(own) => Proximity::Region,
+            _ => Proximity::Anywhere,
+        };
+        Self {
+            hash: name_hash(&server.id),
+            proximity,
+            server,
+            monitor: Monitor::default(),
+            load: Mutex::default(),
+        }
+    }
+
+    fn candidate(&self, now: Duration, horizon: Duration) -> Candidate {
+        self.load(|load| Candidate {
+            hash: self.hash,
+            proximity: self.proximity,
+            requests: load.estimate(now, horizon),
+            slots: self.server.slots,
+            faults: load.faults(),
+            suspect: load.suspect(now),
+        })
+    }
+}
+
+impl Beliefs {
+    fn budget(&mut self, service: &Arc<str>, policy: Policy) -> &mut Budget {
+        let budget = self.retries.entry(Arc::clone(service));
+        budget.or_insert_with(|| Budget::new(policy))
+    }
+
+    /// Brings the backends in line with what the roster says of one server.
+    fn refresh(&mut self, settings: &Settings, id: &Arc<str>) {
+        let known = self.roster.get(id).filter(|server| !server.leaving);
+        for backends in self.backends.values_mut() {
+            backends.retain(|backend| {
+                backend.server.id != *id || known.is_some_and(|known| *known == backend.server)
+            });
+        }
+        let Some(server) = known else {
+            return;
+        };
+        let backends = self.backends.entry(Arc::clone(&server.service)).or_default();
+        if backends.iter().all(|backend| backend.server.id != *id) {
+            backends.push(Arc::new(Backend::new(Arc::clone(server), settings)));
+        }
+    }
+
+    /// Brings the backends in line with the whole roster.
+    fn refresh_all(&mut self, settings: &Settings) {
+        for backends in self.backends.values_mut() {
+            let roster = &self.roster;
+            backends.retain(|backend| roster.get(&backend.server.id).is_some());
+        }
+        let ids: Vec<Arc<str>> = self
+            .roster
+            .iter()
+            .map(|server| Arc::clone(&server.id))
+            .collect();
+        for id in &ids {
+            self.refresh(settings, id);
+        }
+    }
+}
--- /dev/null
+++ b/serving/src/modules/relay/stream.rs
@@ -0,0 +1,505 @@
+//! Answers streams: hands on events as they come, and goes on at another server when the one that
+//! makes them is lost.
+//!
+//! Each run that may be resumed has a backup copy of its memory on a server of another failure
+//! domain from its start, so that going on costs no second reading of the prompt.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use hyper::header::CONTENT_LENGTH;
+use hyper::{HeaderMap, Response, StatusCode};
+use medlarfall_coordination::routing::Kind;
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+
+use super::answer::{Content, Part, Reason, Refusal};
+use super::attempt::{self, Answer, Failure, Guard};
+use super::dialect::{Copy, Dialect, Send};
+use super::events::Splitter;
+use super::intake::Job;
+use super::monitor::{self, Subscription};
+use super::state::{Backend, Relay, Wanted};
+
+/// Events that wait for a slow caller: a whole answer of usual size.
+const EVENTS_WAITING: usize = 256;
+
+/// Load, in runs, that a server in another failure domain counts for.
+const DISTANCE: f64 = 1.0;
+
+/// About how long a run lasts.
+const HORIZON: Duration = Duration::from_secs(4);
+
+/// Longest wait for the first event of a send at a server that lives, after which its connection
+/// is taken for dead. Two long prompts that are read before this one take about 3 s.
+const FIRST_EVENT: Duration = Duration::from_millis(3_500);
+
+/// Time at a server after which a run's backup copy is worth going on from.
+const COPY_WORTH: Duration = Duration::from_millis(250);
+
+/// When a request may come back that found no server, or only full ones.
+const NO_SERVER_PAUSE: Duration = Duration::from_millis(300);
+
+/// Longest wait for a server of the service to be known, as a part of the target latency.
+const SERVER_WAIT_PART: u32 = 8;
+
+/// Sends that reached no server, or that servers refused, in a row until the search ends.
+const REFUSALS: u32 = 6;
+
+/// A run at a server.
+struct Run {
+    backend: Arc<Backend>,
+    subscription: Subscription,
+}
+
+/// A stream that is being answered.
+struct Stream<D> {
+    relay: Arc<Relay<D>>,
+    job: Job,
+    last_event: Option<u64>,
+    lost: Vec<Arc<str>>,
+    lost_domain: Option<Arc<str>>,
+    backup: Option<Arc<Backend>>,
+    copy_from: Option<Duration>,
+    arrivals: u32,
+    ran: u32,
+    resumes: u32,
+    first_event_at: Option<Duration>,
+    last_event_at: Duration,
+    longest_pause: Duration,
+}
+
+/// A server's answer, and the run that makes it.
+struct Opened {
+    run: Run,
+    answer: Answer,
+}
+
+/// Why a run was left.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Left {
+    /// All events came.
+    Complete,
+    /// The caller left.
+    Caller,
+    /// The time ran out.
+    Deadline,
+    /// The run was lost.
+    Lost(&'static str),
+}
+
+/// Answers a stream.
+pub async fn answer<D: Dialect>(relay: &Arc<Relay<D>>, job: Job) -> Response<Content> {
+    let deadline = relay.clock.instant(job.deadline);
+    let mut stream = Stream::new(Arc::clone(relay), job);
+    let opened = tokio::time::timeout_at(deadline, stream.open()).await;
+    let opened = opened.unwrap_or_else(|_| {
+        Err(Refusal::new(match stream.ran {
+            0 => Reason::TooLate,
+            _ => Reason::TimedOut,
+        }))
+    });
+    match opened {
+        Ok(opened) => stream.respond(opened).await,
+        Err(refusal) => {
+            stream.ended(refusal.reason.status().as_u16(), refusal.reason.name());
+            refusal.response(&relay.dialect, Some(&stream.job.original.request_id))
+        }
+    }
+}
+
+impl<D: Dialect> Stream<D> {
+    fn new(relay: Arc<Relay<D>>, job: Job) -> Self {
+        Self {
+            last_event: job.caller.last_event,
+            lost: Vec::new(),
+            lost_domain: None,
+            backup: None,
+            copy_from: None,
+            arrivals: 0,
+            ran: 0,
+            resumes: 0,
+            first_event_at: None,
+            last_event_at: job.began,
+            longest_pause: Duration::ZERO,
+            relay,
+            job,
+        }
+    }
+
+    fn resumable(&self) -> bool {
+        self.job.route.kind == Kind::ResumableStream
+    }
+
+    /// Returns whether the service's servers keep backup copies.
+    fn backups(&self) -> bool {
+        let service = self.job.table.service(&self.job.service);
+        self.resumable() && service.is_some_and(|service| service.backups)
+    }
+
+    fn wanted<'this>(&'this self, outside: &'this [Arc<str>]) -> Wanted<'this> {
+        Wanted {
+            service: &self.job.service,
+            not: &self.lost,
+            outside,
+            distance: DISTANCE,
+            horizon: HORIZON,
+            lot: self.job.lot(),
+        }
+    }
+
+    /// Opens the stream at a server, or at several in turn.
+    async fn open(&mut self) -> Result<Opened, Refusal> {
+        let mut refusals = 0;
+        loop {
+            let (backend, copy) = self.next().await.ok_or_else(|| self.refusal())?;
+            if self.arrivals > 0 && !self.relay.take_retry(&self.job.service) {
+                return Err(match self.ran {
+                    0 => Refusal::come_back(Reason::RetryBudget, NO_SERVER_PAUSE),
+                    _ => Refusal::new(Reason::Lost),
+                });
+            }
+            match self.send(&backend, copy).await {
+                Ok(opened) => return Ok(opened),
+                Err(failure) => {
+                    self.note(&backend, &failure);
+                    refusals += 1;
+                }
+            }
+            if refusals >= REFUSALS || (self.ran > 0 && !self.may_repeat()) {
+                return Err(self.refusal());
+            }
+        }
+    }
+
+    fn may_repeat(&self) -> bool {
+        self.resumable() && self.ran < self.job.route.attempts
+    }
+
+    fn refusal(&self) -> Refusal {
+        match self.ran {
+            0 => Refusal::come_back(Reason::NoServer, NO_SERVER_PAUSE),
+            _ => Refusal::new(Reason::Lost),
+        }
+    }
+
+    /// Notes a send that failed.
+    fn note(&mut self, backend: &Backend, failure: &Failure) {
+        self.lost.push(Arc::clone(&backend.server.id));
+        match failure {
+            Failure::NotSent { .. } => {}
+            Failure::NotRun { .. } => self.arrivals += 1,
+            Failure::Lost { .. } => {
+                self.arrivals += 1;
+                self.ran += 1;
+                self.lost_domain = Some(Arc::clone(&backend.server.failure_domain));
+            }
+        }
+        log::info!(
+            request = &*self.job.original.request_id, server = &*backend.server.id,
+            failure_domain = &*backend.server.failure_domain,
+            last_event = self.last_event.unwrap_or(0), reason = failure.to_string().as_str();
+            "send failed"
+        );
+    }
+
+    /// Chooses the next server: the one with the run's copy, else any; waits a little for one
+    /// where none is known.
+    async fn next(&mut self) -> Option<(Arc<Backend>, Option<Copy>)> {
+        let now = self.relay.clock.now();
+        let worth = self
+            .copy_from
+            .is_some_and(|from| now.saturating_sub(from) >= COPY_WORTH);
+        let usable = |backend: &Arc<Backend>| !backend.load(|load| load.suspect(now));
+        if let Some(backup) = self.backup.take().filter(usable).filter(|_| worth) {
+            let copy = Copy {
+                holder: backup.server.address,
+                handle: Arc::clone(&self.job.original.request_id),
+            };
+            return Some((backup, Some(copy)));
+        }
+        let lost_domain: Vec<Arc<str>> = self.lost_domain.iter().cloned().collect();
+        if let Some(backend) = self.relay.choose(self.wanted(&lost_domain)) {
+            return Some((backend, None));
+        }
+        // All that are known have failed: they may be back by now.
+        self.lost.clear();
+        let wait = self.job.route.target_latency / SERVER_WAIT_PART;
+        let wanted = self.wanted(&[]);
+        let mut changed = self.relay.changed.subscribe();
+        let known = changed.wait_for(|_| self.relay.choose(wanted).is_some());
+        let _ = tokio::time::timeout(wait, known).await;
+        Some((self.relay.choose(wanted)?, None))
+    }
+
+    /// Chooses a server in another failure domain to keep a backup copy.
+    fn choose_backup(&self, primary: &Backend) -> Option<Arc<Backend>> {
+        if !self.backups() {
+            return None;
+        }
+        let mut not = self.lost.clone();
+        not.push(Arc::clone(&primary.server.id));
+        let mut outside = vec![Arc::clone(&primary.server.failure_domain)];
+        outside.extend(self.lost_domain.clone());
+        let wanted = Wanted {
+            not: &not,
+            lot: self.job.lot().rotate_left(17),
+            ..self.wanted(&outside)
+        };
+        let backup = self.relay.choose(Wanted {
+            distance: 0.0,
+            ..wanted
+        })?;
+        let apart = backup.server.failure_domain != primary.server.failure_domain;
+        apart.then_some(backup)
+    }
+
+    /// Sends the request to a server and waits for the head of its answer.
+    async fn send(
+        &mut self,
+        backend: &Arc<Backend>,
+        copy: Option<Copy>,
+    ) -> Result<Opened, Failure> {
+        let began = self.relay.clock.now();
+        let backup = self.choose_backup(backend);
+        let send = Send {
+            server: Arc::clone(&backend.server),
+            account: self.job.account.as_ref().map(|a| Arc::clone(&a.name)),
+            priority: self.job.priority(),
+            remains: self.job.deadline.saturating_sub(began),
+            backup: backup.as_ref().map(|backup| backup.server.address),
+            copy,
+            last_event: self.last_event,
+        };
+        let mut subscription = monitor::subscribe(&self.relay, backend);
+        let relay = Arc::clone(&self.relay);
+        let silent = Instant::now() + FIRST_EVENT;
+        let answer = tokio::select! {
+            answer = attempt::send(&relay, backend, &self.job.original, &send) => answer,
+            () = subscription.lost() => lost("the server was lost"),
+            () = tokio::time::sleep_until(silent) => lost("no answer, though the server lives"),
+        };
+        if !matches!(answer, Err(Failure::NotSent { .. } | Failure::NotRun { .. })) {
+            self.copy_from = Some(began);
+            self.backup = backup;
+        }
+        Ok(Opened {
+            answer: answer?,
+            run: Run {
+                backend: Arc::clone(backend),
+                subscription,
+            },
+        })
+    }
+
+    /// Begins the answer to the caller, and hands on the events on a task of its own.
+    async fn respond(mut self, opened: Opened) -> Response<Content> {
+        let (parts, body) = opened.answer.response.into_parts();
+        let mut headers = self.relay.dialect.answer_headers(&parts.headers);
+        let status = parts.status;
+        if !status.is_success() {
+            return self.whole(status, headers, body).await;
+        }
+        headers.remove(CONTENT_LENGTH);
+        let (sender, events) = mpsc::channel(EVENTS_WAITING);
+        let source = Source {
+            run: opened.run,
+            guard: opened.answer.guard,
+            body,
+        };
+        self.ran += 1;
+        self.arrivals += 1;
+        tokio::spawn(async move {
+            let left = self.pump(source, &sender).await;
+            match left {
+                Left::Complete => {
+                    let _ = sender.send(Part::End).await;
+                    self.ended(status.as_u16(), "answered");
+                }
+                Left::Caller => self.ended(status.as_u16(), "caller_left"),
+                Left::Deadline => self.ended(status.as_u16(), "timed_out"),
+                Left::Lost(_) => self.ended(status.as_u16(), "broken_off"),
+            }
+        });
+        let content = Content::Parts {
+            parts: events,
+            length: None,
+        };
+        let mut response = Response::new(content);
+        *response.status_mut() = status;
+        *response.headers_mut() = headers;
+        response
+    }
+
+    /// Answers with a server's failure, whose body is short.
+    async fn whole(
+        self,
+        status: StatusCode,
+        mut headers: HeaderMap,
+        body: Incoming,
+    ) -> Response<Content> {
+        let Ok(body) = body.collect().await else {
+            self.ended(Reason::Lost.status().as_u16(), Reason::Lost.name());
+            let id = Some(&*self.job.original.request_id);
+            return Refusal::new(Reason::Lost).response(&self.relay.dialect, id);
+        };
+        let body = body.to_bytes();
+        headers.insert(CONTENT_LENGTH, body.len().into());
+        self.ended(status.as_u16(), "answered");
+        let mut response = Response::new(Content::Whole(Some(body)));
+        *response.status_mut() = status;
+        *response.headers_mut() = headers;
+        response
+    }
+
+    /// Hands on events until the stream ends, going on at other servers as needed.
+    async fn pump(&mut self, mut source: Source, sender: &mpsc::Sender<Part>) -> Left {
+        loop {
+            let cause = match self.hand_on(&mut source, sender).await {
+                Left::Lost(cause) => cause,
+                left => return left,
+            };
+            let failed = Arc::clone(&source.run.backend);
+            // Ends the old connection first, so that the old run stops.
+            drop(source);
+            if !self.may_repeat() {
+                return Left::Lost(cause);
+            }
+            let now = self.relay.clock.now();
+            self.left(&failed, cause, now);
+            let deadline = self.relay.clock.instant(self.job.deadline);
+            let opened = tokio::select! {
+                opened = self.open() => opened,
+                () = sender.closed() => return Left::Caller,
+                () = tokio::time::sleep_until(deadline) => return Left::Deadline,
+            };
+            let Ok(opened) = opened else {
+                return Left::Lost(cause);
+            };
+            let (parts, body) = opened.answer.response.into_parts();
+            if !parts.status.is_success() {
+                return Left::Lost("refused");
+            }
+            self.ran += 1;
+            self.arrivals += 1;
+            source = Source {
+                run: opened.run,
+                guard: opened.answer.guard,
+                body,
+            };
+        }
+    }
+
+    /// Notes that the stream leaves a server.
+    fn left(&mut self, failed: &Backend, cause: &'static str, now: Duration) {
+        self.lost = vec![Arc::clone(&failed.server.id)];
+        self.lost_domain = Some(Arc::clone(&failed.server.failure_domain));
+        self.resumes += 1;
+        self.relay.metrics.resume(cause);
+        if cause != "silent" {
+            failed.load(|load| load.unreachable(now));
+        }
+        log::info!(
+            request = &*self.job.original.request_id, server = &*failed.server.id,
+            failure_domain = &*failed.server.failure_domain, cause,
+            last_event = self.last_event.unwrap_or(0),
+            silent_ms = now.saturating_sub(self.last_event_at).as_millis(),
+            copy = self.backup.as_ref().map_or("", |backup| &*backup.server.id);
+            "stream leaves its server"
+        );
+    }
+
+    /// Hands on the events of one run.
+    async fn hand_on(&mut self, source: &mut Source, sender: &mpsc::Sender<Part>) -> Left {
+        let deadline = self.relay.clock.instant(self.job.deadline);
+        let mut splitter = Splitter::default();
+        let mut begun = false;
+        loop {
+            let bound = match begun {
+                true => self.relay.settings.liveness.stream * 2_u32.pow(self.resumes.min(3)),
+                false => FIRST_EVENT,
+            };
+            let frame = tokio::select! {
+                biased;
+                frame = source.body.frame() => frame,
+                () = source.run.subscription.lost() => return Left::Lost("server_lost"),
+                () = sender.closed() => return Left::Caller,
+                () = tokio::time::sleep(bound) => return Left::Lost("silent"),
+                () = tokio::time::sleep_until(deadline) => return Left::Deadline,
+            };
+            match frame {
+                Some(Ok(frame)) => splitter.push(&frame.into_data().unwrap_or_default()),
+                Some(Err(_)) => return Left::Lost("connection"),
+                None if splitter.has_rest() => return Left::Lost("cut_event"),
+                None => return Left::Complete,
+            }
+            let now = self.relay.clock.now();
+            source.run.backend.monitor.heard(now);
+            while let Some(event) = splitter.next_event() {
+                match (event.id, self.last_event) {
+                    (Some(id), Some(last)) if id <= last => continue,
+                    (Some(id), Some(last)) if id > last + 1 => return Left::Lost("gap"),
+                    _ => {}
+                }
+                begun = true;
+                self.last_event = event.id.or(self.last_event);
+                self.event_passed(now);
+                if sender.send(Part::Data(event.bytes)).await.is_err() {
+                    return Left::Caller;
+                }
+            }
+            if splitter.overflows() {
+                return Left::Lost("not_events");
+            }
+        }
+    }
+
+    /// Notes an event that is handed on.
+    fn event_passed(&mut self, now: Duration) {
+        let pause = now.saturating_sub(self.last_event_at);
+        if self.first_event_at.is_none() {
+            self.first_event_at = Some(now);
+            let took = now.saturating_sub(self.job.began);
+            self.relay.metrics.answered(&self.job.route.name, took);
+        } else {
+            self.longest_pause = self.longest_pause.max(pause);
+        }
+        if self.resumes > 0 && pause > self.relay.settings.liveness.quiet {
+            self.relay.metrics.resume_gap.observe(pause.as_secs_f64());
+        }
+        self.last_event_at = now;
+    }
+
+    /// Logs and counts the end of the stream.
+    fn ended(&self, status: u16, reason: &'static str) {
+        let route = &*self.job.route.name;
+        let since = |time: Duration| time.saturating_sub(self.job.began).as_millis();
+        self.relay.metrics.end(route, status, reason);
+        log::info!(
+            request = &*self.job.original.request_id, route, status, reason,
+            account = self.job.account.as_ref().map_or("", |account| &*account.name),
+            configuration = self.job.table.version,
+            first_ms = self.first_event_at.map_or(0, since),
+            longest_pause_ms = self.longest_pause.as_millis(),
+            ms = since(self.relay.clock.now()),
+            last_event = self.last_event.unwrap_or(0), resumes = self.resumes, sends = self.arrivals;
+            "stream ended"
+        );
+    }
+}
+
+/// Where a stream's events come from.
+struct Source {
+    body: Incoming,
+    run: Run,
+    #[expect(dead_code, reason = "dropped with the source, which ends the connection")]
+    guard: Guard,
+}
+
+fn lost(reason: &str) -> Result<Answer, Failure> {
+    Err(Failure::Lost {
+        reason: reason.to_owned(),
+    })
+}
--- a/serving/src/platform.rs
+++ b/serving/src/platform.rs
@@ -106,6 +106,9 @@
     /// The lease has ended.
     #[snafu(display("the lease has ended; ask for a new one"))]
     LeaseEnded,
+    /// The changes after the revision of a watch are no longer kept.
+    #[snafu(display("the platform no longer has the history; read the keys anew"))]
+    HistoryGone,
     /// The value is larger than the platform takes.
     #[snafu(display("the value is too large for the platform; make it smaller than 1 MiB"))]
     TooLarge,
