refactor(runtime): clock, store interface, HTTP client and log output in a crate without the tracing clock

Cause: the tracing library measures the processor's counter before main runs; where the wall clock is simulated that took 7 s of processor time for each process, and one of six entries was ready in time. Ruled out: the store client, the log thread (the start took as long without either). Change: the relay and what it shares with the other daemons live in crates that do not link it.

--- a/programs/src/bin/medlarfalld.rs
+++ b/programs/src/bin/medlarfalld.rs
@@ -37,7 +37,7 @@
 
 /// Runs the entry until the process is interrupted; when it is told to terminate, it leaves first.
 async fn run(settings: Settings) -> ExitCode {
-    telemetry::start(settings.log.level, telemetry::Output::Stderr);
+    telemetry::start(settings.log.level);
     let entry = match entry::start(settings).await {
         Ok(entry) => entry,
         Err(error) => {
--- a/serving/src/modules/relay/answer.rs
+++ b/relay/src/answer.rs
@@ -9,7 +9,7 @@
 use hyper::{Response, StatusCode};
 use tokio::sync::mpsc;
 
-use super::dialect::Dialect;
+use crate::dialect::Dialect;
 
 /// A body that broke off; the connection is closed without the body's end.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
--- a/serving/src/modules/relay/attempt.rs
+++ b/relay/src/attempt.rs
@@ -19,8 +19,8 @@
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
-use super::dialect::{Dialect, Reply, Report, Send};
-use super::state::{Backend, Relay};
+use crate::dialect::{Dialect, Reply, Report, Send};
+use crate::state::{Backend, Relay};
 
 /// Longest time to connect. A connection within a region takes a few milliseconds; where the
 /// first packet is lost, another connection is sooner than the next try of this one, after 1 s.
--- a/serving/src/modules/relay/call.rs
+++ b/relay/src/call.rs
@@ -11,11 +11,11 @@
 use medlarfall_coordination::routing::Kind;
 use tokio::sync::mpsc;
 
-use super::answer::{Content, Part, Reason, Refusal};
-use super::attempt::{self, Answer, Failure};
-use super::dialect::{Dialect, Send};
-use super::intake::{Job, SHORT_WAIT};
-use super::state::{Backend, Relay, Wanted};
+use crate::answer::{Content, Part, Reason, Refusal};
+use crate::attempt::{self, Answer, Failure};
+use crate::dialect::{Dialect, Send};
+use crate::intake::{Job, SHORT_WAIT};
+use crate::state::{Backend, Relay, Wanted};
 
 /// Largest answer that is read whole before the caller gets its first byte, so that one that
 /// breaks off can be repeated or turned into an error.
--- a/serving/src/modules/relay/daemon.rs
+++ b/relay/src/daemon.rs
@@ -14,11 +14,11 @@
 use tokio::net::TcpListener;
 use tokio_util::task::TaskTracker;
 
-use crate::platform::Store;
+use medlarfall_runtime::store::Store;
 
-use super::dialect::Dialect;
-use super::state::Relay;
-use super::{follow, listener};
+use crate::dialect::Dialect;
+use crate::state::Relay;
+use crate::{follow, listener};
 
 /// Time after the order to stop until kept connections are closed: the platform asks once a second
 /// and sends nothing new after two answers that are not ready.
--- a/serving/src/modules/relay/dialect.rs
+++ b/relay/src/dialect.rs
@@ -10,7 +10,7 @@
 use medlarfall_coordination::routing::Table;
 use snafu::Snafu;
 
-use crate::platform::Change;
+use medlarfall_runtime::store::Change;
 
 /// What the head of a caller's request says.
 #[derive(Clone, Debug, Eq, PartialEq)]
--- a/serving/src/modules/relay/follow.rs
+++ b/relay/src/follow.rs
@@ -11,10 +11,10 @@
 use rand::Rng;
 use tokio::time::timeout;
 
-use crate::platform::{Change, Changes, Error, Store};
+use medlarfall_runtime::store::{Change, Changes, Error, Store};
 
-use super::dialect::{Dialect, Entry};
-use super::state::Relay;
+use crate::dialect::{Dialect, Entry};
+use crate::state::Relay;
 
 /// Longest time that a watch waits for changes. A configuration has to be in force within 2 s of
 /// its acceptance, also when a watch has fallen silent.
--- a/serving/src/modules/relay/intake.rs
+++ b/relay/src/intake.rs
@@ -10,14 +10,14 @@
 use medlarfall_coordination::routing::{Account, Route, Table};
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::utils::budget::Hold;
-use crate::utils::http::read_within;
+use medlarfall_runtime::budget::Hold;
+use medlarfall_runtime::http::read_within;
 
-use super::answer::{Content, Reason, Refusal};
-use super::attempt::Original;
-use super::dialect::{Caller, Dialect};
-use super::state::Relay;
-use super::{call, stream};
+use crate::answer::{Content, Reason, Refusal};
+use crate::attempt::Original;
+use crate::dialect::{Caller, Dialect};
+use crate::state::Relay;
+use crate::{call, stream};
 
 /// Longest time that a request waits for a configuration or a server that is about to be known.
 /// Within an eighth of the shortest target latency in use (300 ms), coming back is no sooner.
@@ -108,7 +108,7 @@
 async fn take<D: Dialect>(
     relay: &Arc<Relay<D>>,
     request: Request<Incoming>,
-    caller: Result<Caller, super::dialect::Invalid>,
+    caller: Result<Caller, crate::dialect::Invalid>,
     began: Duration,
 ) -> Result<Job, Refusal> {
     let caller = caller.map_err(|_| Refusal::new(Reason::Malformed))?;
--- a/serving/src/modules/relay/listener.rs
+++ b/relay/src/listener.rs
@@ -10,9 +10,9 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::task::TaskTracker;
 
-use super::dialect::Dialect;
-use super::intake;
-use super::state::Relay;
+use crate::dialect::Dialect;
+use crate::intake;
+use crate::state::Relay;
 
 /// Callers may reuse a connection until shortly before the limit on idle time; the connection is
 /// kept a little longer, so that none is closed under a request.
--- a/serving/src/modules/relay/monitor.rs
+++ b/relay/src/monitor.rs
@@ -9,9 +9,9 @@
 use medlarfall_coordination::liveness::{Detector, Step};
 use tokio::sync::watch;
 
-use super::attempt;
-use super::dialect::{Dialect, Report};
-use super::state::{Backend, Relay};
+use crate::attempt;
+use crate::dialect::{Dialect, Report};
+use crate::state::{Backend, Relay};
 
 /// What is known of a server with streams.
 #[derive(Debug)]
--- a/serving/src/modules/relay/state.rs
+++ b/relay/src/state.rs
@@ -12,12 +12,12 @@
 use medlarfall_coordination::routing::Table;
 use tokio::sync::watch;
 
-use crate::clock::Clock;
-use crate::utils::budget;
+use medlarfall_runtime::clock::Clock;
+use medlarfall_runtime::budget;
 
-use super::dialect::Dialect;
-use super::metrics::Metrics;
-use super::monitor::Monitor;
+use crate::dialect::Dialect;
+use crate::metrics::Metrics;
+use crate::monitor::Monitor;
 
 /// Settings of the relay.
 #[derive(Clone, Debug)]
--- a/serving/src/modules/relay/stream.rs
+++ b/relay/src/stream.rs
@@ -15,13 +15,13 @@
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
-use super::answer::{Content, Part, Reason, Refusal};
-use super::attempt::{self, Answer, Failure, Guard};
-use super::dialect::{Copy, Dialect, Send};
-use super::events::Splitter;
-use super::intake::Job;
-use super::monitor::{self, Subscription};
-use super::state::{Backend, Relay, Wanted};
+use crate::answer::{Content, Part, Reason, Refusal};
+use crate::attempt::{self, Answer, Failure, Guard};
+use crate::dialect::{Copy, Dialect, Send};
+use crate::events::Splitter;
+use crate::intake::Job;
+use crate::monitor::{self, Subscription};
+use crate::state::{Backend, Relay, Wanted};
 
 /// Events that wait for a slow caller: a whole answer of usual size.
 const EVENTS_WAITING: usize = 256;
--- a/serving/src/utils/http.rs
+++ b/runtime/src/http.rs
@@ -14,9 +14,7 @@
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 use snafu::Snafu;
 
-use crate::telemetry;
-
-use super::budget::{Budget, Hold};
+use crate::budget::{Budget, Hold};
 
 /// Longest time to connect.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -51,6 +49,7 @@
 #[derive(Clone, Debug)]
 pub struct Pool {
     client: Client<HttpConnector, Full<Bytes>>,
+    traceparent: fn() -> Option<String>,
 }
 
 impl Default for Pool {
@@ -63,6 +62,12 @@
     /// Returns a pool without connections.
     #[must_use]
     pub fn new() -> Self {
+        Self::traced(|| None)
+    }
+
+    /// Returns a pool without connections that sends the trace context that `traceparent` returns.
+    #[must_use]
+    pub fn traced(traceparent: fn() -> Option<String>) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
@@ -71,7 +76,10 @@
             .pool_timer(TokioTimer::new())
             .retry_canceled_requests(false)
             .build(connector);
-        Self { client }
+        Self {
+            client,
+            traceparent,
+        }
     }
 
     /// Sends a request and returns the answer, whose body is still to be read.
@@ -83,7 +91,7 @@
         &self,
         mut request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, Failure> {
-        if let Some(Ok(traceparent)) = telemetry::traceparent().map(TryInto::try_into) {
+        if let Some(Ok(traceparent)) = (self.traceparent)().map(TryInto::try_into) {
             request.headers_mut().insert(TRACEPARENT, traceparent);
         }
         self.client.request(request).await.map_err(|error| {
--- a/serving/src/lib.rs
+++ b/serving/src/lib.rs
@@ -3,7 +3,6 @@
 //! [`entry::start`] runs a whole entry instance; the daemon is a thin wrapper around it.
 
 pub mod backend;
-pub mod clock;
 pub mod configs;
 pub mod context;
 pub mod entry;
@@ -11,3 +10,5 @@
 pub mod platform;
 pub mod telemetry;
 pub mod utils;
+
+pub use medlarfall_runtime::clock;
--- a/serving/src/modules.rs
+++ b/serving/src/modules.rs
@@ -13,6 +13,5 @@
 pub mod operators;
 pub mod orders;
 pub mod peers;
-pub mod relay;
 pub mod spread;
 pub mod stops;
--- a/serving/src/platform/http.rs
+++ b/serving/src/platform/http.rs
@@ -49,7 +49,7 @@
     #[must_use]
     pub fn new(address: SocketAddr, caller: Arc<str>, timeout: Duration) -> Self {
         Self {
-            pool: Pool::new(),
+            pool: Pool::traced(telemetry::traceparent),
             address,
             caller,
             timeout,
--- a/serving/src/telemetry.rs
+++ b/serving/src/telemetry.rs
@@ -1,13 +1,11 @@
-//! Logs as JSON lines, and spans as log lines of the target `span`.
+//! Logs as JSON lines on standard error, and spans as log lines of the target `span`.
 
 use std::borrow::Cow;
 
 use fastrace::collector::{Config, Reporter, SpanRecord};
 use fastrace::prelude::{Span, SpanContext};
 use log::LevelFilter;
-use logforth::append;
-use logforth::filter::rustlog::RustLogFilterBuilder;
-use logforth::layout::JsonLayout;
+use medlarfall_runtime::logging::{self, Output};
 use rand::Rng;
 
 /// Returns the span of a request that has just come in.
@@ -51,53 +49,13 @@
     }
 }
 
-/// Lines that may wait for a slow reader of standard output; further ones are dropped.
-const LINES_WAITING: usize = 8_192;
-
-/// Where log lines go.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Output {
-    /// Standard error, at once.
-    Stderr,
-    /// Standard output, by a thread of its own, so that a slow reader blocks no request.
-    Stdout,
-}
-
-/// Starts logging at `level` and reporting spans; a second call changes nothing.
-pub fn start(level: LevelFilter, output: Output) {
-    let applied = logforth::starter_log::builder()
-        .dispatch(|dispatch| {
-            let dispatch = dispatch.filter(RustLogFilterBuilder::from_spec(filter(level)).build());
-            match output {
-                Output::Stderr => {
-                    dispatch.append(append::Stderr::default().with_layout(JsonLayout::default()))
-                }
-                Output::Stdout => dispatch.append(stdout()),
-            }
-        })
-        .try_apply();
-    if applied.is_ok() {
+/// Starts logging at `level` on standard error and reporting spans; a second call changes nothing.
+pub fn start(level: LevelFilter) {
+    if logging::start(level, Output::Stderr) {
         fastrace::set_reporter(Spans, Config::default());
     }
 }
 
-/// Returns an appender that writes to standard output and never blocks.
-fn stdout() -> append::Async {
-    append::asynchronous::AsyncBuilder::new("log")
-        .buffered_lines_limit(Some(LINES_WAITING))
-        .overflow_drop_incoming()
-        .append(append::Stdout::default().with_layout(JsonLayout::default()))
-        .build()
-}
-
-/// Returns the filter for a level; libraries only warn.
-fn filter(level: LevelFilter) -> String {
-    let level = level.as_str().to_lowercase();
-    format!(
-        "warn,medlarfall={level},medlarfall_relay={level},medlarfall_platform={level},medlarfall_serving={level},medlarfall_standin={level},span={level}"
-    )
-}
-
 /// Writes one span.
 fn write(span: &SpanRecord) {
     let properties: Vec<(&str, &str)> = span
