feat(relay): copies of runs whose backup was lost, search for restarted servers in an outage

With the store away 16 sends met a server's next start (421) whose name only the store knew. Change: a copy is used only while its holder is as it was; a lost holder's copy is made anew elsewhere; a lost server's address is asked for its next start while the store does not answer.

--- a/coordination/src/roster.rs
+++ b/coordination/src/roster.rs
@@ -108,11 +108,33 @@
             lapsed: false,
             server: Arc::new(server),
         };
-        self.records
-            .insert(Arc::clone(&record.server.id), record);
+        self.records.insert(Arc::clone(&record.server.id), record);
         effect
     }
 
+    /// Takes in a server that was found at the address of one that is known, while the keeper does
+    /// not answer. It is dropped unless it announces itself soon after the keeper's return.
+    pub fn adopt(&mut self, server: Server) -> Effect {
+        if self.records.contains_key(&server.id) || self.removed.contains_key(&server.id) {
+            return Effect::Stale;
+        }
+        self.records
+            .retain(|_, record| record.server.address != server.address);
+        let record = Record {
+            revision: 0,
+            lapsed: true,
+            server: Arc::new(server),
+        };
+        self.records.insert(Arc::clone(&record.server.id), record);
+        Effect::Joined
+    }
+
+    /// Returns whether the keeper answers.
+    #[must_use]
+    pub fn keeper_answers(&self) -> bool {
+        !self.away
+    }
+
     /// Takes in that an entry was removed, or holds nothing that names a server.
     pub fn remove(&mut self, id: &str, revision: u64, now: Duration) -> Effect {
         let trusted = !self.away && now >= self.trusted_from;
--- a/coordination/src/routing.rs
+++ b/coordination/src/routing.rs
@@ -96,6 +96,8 @@
     pub backups: bool,
     /// Memory of one of its engines, in tokens; 0 for plain services.
     pub memory_tokens: u64,
+    /// Models that its engines hold.
+    pub models: Vec<Arc<str>>,
 }
 
 /// A client account.
@@ -200,6 +202,15 @@
         self.services.get(name)
     }
 
+    /// Returns the only service whose engines hold one of `models`.
+    #[must_use]
+    pub fn service_of(&self, models: &[Arc<str>]) -> Option<&Arc<str>> {
+        let holds = |service: &Service| service.models.iter().any(|model| models.contains(model));
+        let mut holding = self.services.iter().filter(|(_, service)| holds(service));
+        let (name, _) = holding.next()?;
+        holding.next().is_none().then_some(name)
+    }
+
     /// Returns the services.
     pub fn services(&self) -> impl Iterator<Item = &Arc<str>> {
         self.services.keys()
--- a/relay/src/attempt.rs
+++ b/relay/src/attempt.rs
@@ -13,13 +13,14 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper::header::HOST;
+use hyper::http::response::Parts;
 use hyper::{HeaderMap, Method, Request, Response, Uri};
 use hyper_util::rt::TokioIo;
 use snafu::Snafu;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
-use crate::dialect::{Dialect, Reply, Report, Send};
+use crate::dialect::{Dialect, Order, Reply, Report, Send};
 use crate::state::{Backend, Relay};
 
 /// Longest time to connect. A connection within a region takes a few milliseconds; where the
@@ -183,10 +184,10 @@
             retry_after: reply.retry_after,
         });
     }
-    if !reply.matches {
+    if !reply.matches || (parts.status.is_success() && !reply.signed) {
         backend.load(|load| load.outcome(true));
         return Err(Failure::Lost {
-            reason: "the answer is to another request".to_owned(),
+            reason: "the answer is to another request, or of no server".to_owned(),
         });
     }
     backend.load(|load| load.outcome(parts.status.is_server_error()));
@@ -198,25 +199,55 @@
     })
 }
 
-/// Asks a server for its report on itself.
+/// Makes a call to a server that is no caller's request, and returns the whole answer.
 ///
 /// # Errors
 ///
 /// Returns why there is none.
-pub async fn report<D: Dialect>(
-    relay: &Relay<D>,
-    backend: &Arc<Backend>,
-) -> Result<Report, String> {
-    let (mut sender, connection) = open(backend.server.address).await?;
-    let request = Request::get(relay.dialect.report_path())
-        .header(HOST, backend.server.address.to_string())
-        .body(Full::default())
+pub async fn exchange(address: SocketAddr, order: Order) -> Result<(Parts, Bytes), String> {
+    let (mut sender, connection) = open(address).await?;
+    let request = Request::builder()
+        .method(order.method)
+        .uri(order.path)
+        .header(HOST, address.to_string())
+        .body(Full::new(order.body))
         .map_err(|error| error.to_string())?;
     let response = sender.send_request(request).await;
     let (parts, body) = response.map_err(|error| error.to_string())?.into_parts();
     let body = Limited::new(body, REPORT_LIMIT).collect().await;
     let body = body.map_err(|error| error.to_string())?.to_bytes();
     drop(connection);
+    Ok((parts, body))
+}
+
+fn get(path: &str) -> Order {
+    Order {
+        method: Method::GET,
+        path: path.to_owned(),
+        body: Bytes::new(),
+    }
+}
+
+/// Asks a server for its report on itself.
+///
+/// # Errors
+///
+/// Returns why there is none.
+pub async fn report<D: Dialect>(relay: &Relay<D>, address: SocketAddr) -> Result<Report, String> {
+    relay.metrics.questions.inc();
+    let (parts, body) = exchange(address, get(relay.dialect.report_path())).await?;
     let report = relay.dialect.report(parts.status, &body);
     report.ok_or_else(|| format!("status {} without a report", parts.status))
 }
+
+/// Asks the server at an address for its name.
+///
+/// # Errors
+///
+/// Returns why there is none.
+pub async fn name<D: Dialect>(relay: &Relay<D>, address: SocketAddr) -> Result<Arc<str>, String> {
+    relay.metrics.questions.inc();
+    let (parts, _) = exchange(address, get(relay.dialect.health_path())).await?;
+    let name = relay.dialect.healthy(&parts);
+    name.ok_or_else(|| format!("status {}", parts.status))
+}
--- a/relay/src/call.rs
+++ b/relay/src/call.rs
@@ -54,6 +54,7 @@
     ran: u32,
     refusals: u32,
     arrivals: u32,
+    paid: u32,
     offered: bool,
     full: bool,
 }
@@ -109,13 +110,15 @@
         let Some(backend) = next(relay, job, course).await else {
             return failed.ok_or_else(|| refusal(course));
         };
-        if course.arrivals > 0 && !relay.take_retry(&job.service) {
+        let repeat = course.arrivals > course.paid;
+        if repeat && !relay.take_retry(&job.service) {
             let refused = match course.ran {
                 0 => Refusal::come_back(Reason::RetryBudget, FULL_PAUSE),
                 _ => Refusal::new(Reason::Lost),
             };
             return failed.ok_or(refused);
         }
+        course.paid = course.arrivals;
         course.tried.push(Arc::clone(&backend.server.id));
         course.offered = true;
         let send = send(relay, job, &backend);
--- a/relay/src/dialect.rs
+++ b/relay/src/dialect.rs
@@ -4,8 +4,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use hyper::http::response::Parts;
-use hyper::{HeaderMap, StatusCode};
+use hyper::{HeaderMap, Method, StatusCode};
 use medlarfall_coordination::roster::Server;
 use medlarfall_coordination::routing::Table;
 use snafu::Snafu;
@@ -73,12 +74,25 @@
 }
 
 /// What a server says of itself when it is asked.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Report {
     /// Requests at the server, running and waiting.
     pub requests: u32,
     /// When it started, in Unix milliseconds.
     pub born_ms: Option<u64>,
+    /// Models that it holds.
+    pub models: Vec<Arc<str>>,
+}
+
+/// A call to a server about a copy of a run's memory.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Order {
+    /// Method.
+    pub method: Method,
+    /// Path.
+    pub path: String,
+    /// Body.
+    pub body: Bytes,
 }
 
 /// What a change in the store means.
@@ -135,6 +149,21 @@
     /// Decodes a server's report on itself.
     fn report(&self, status: StatusCode, body: &[u8]) -> Option<Report>;
 
+    /// Returns the path at which a server tells its health and its name.
+    fn health_path(&self) -> &'static str;
+
+    /// Decodes the name of a server that says that it is well.
+    fn healthy(&self, parts: &Parts) -> Option<Arc<str>>;
+
+    /// Returns the order to copy the memory of the run `request_id` to the server at `target`.
+    fn copy_order(&self, request_id: &str, target: SocketAddr) -> Order;
+
+    /// Decodes the handle of a copy that was made.
+    fn copy_made(&self, status: StatusCode, body: &[u8]) -> Option<Arc<str>>;
+
+    /// Returns the order to free a copy.
+    fn copy_drop(&self, handle: &str) -> Order;
+
     /// Decodes a change in the store.
     ///
     /// # Errors
--- a/relay/src/lib.rs
+++ b/relay/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod answer;
 pub mod attempt;
 pub mod call;
+pub mod copy;
 pub mod daemon;
 pub mod dialect;
 pub mod events;
@@ -18,5 +19,6 @@
 pub mod listener;
 pub mod metrics;
 pub mod monitor;
+pub mod rediscover;
 pub mod state;
 pub mod stream;
--- a/relay/src/monitor.rs
+++ b/relay/src/monitor.rs
@@ -11,6 +11,7 @@
 
 use crate::attempt;
 use crate::dialect::{Dialect, Report};
+use crate::rediscover;
 use crate::state::{Backend, Relay};
 
 /// What is known of a server with streams.
@@ -130,6 +131,7 @@
                     server = &*backend.server.id, failure_domain = &*backend.server.failure_domain;
                     "server lost: it is silent and does not answer questions"
                 );
+                rediscover::start(&relay, &backend);
                 return;
             }
         }
@@ -140,11 +142,11 @@
 async fn ask<D: Dialect>(relay: &Relay<D>, backend: &Arc<Backend>) {
     let asked_at = relay.clock.now();
     let wait = relay.settings.liveness.answer;
-    relay.metrics.questions.inc();
-    let answer = tokio::time::timeout(wait, attempt::report(relay, backend)).await;
+    let answer = attempt::report(relay, backend.server.address);
+    let answer = tokio::time::timeout(wait, answer).await;
     let now = relay.clock.now();
     match answer {
-        Ok(Ok(report)) if same_start(backend, report) => {
+        Ok(Ok(report)) if same_start(backend, &report) => {
             backend.monitor.heard(now);
             backend.load(|load| load.reported(report.requests, now));
         }
@@ -158,7 +160,7 @@
 }
 
 /// Returns whether a report is by the start of the server that the streams run at.
-fn same_start(backend: &Backend, report: Report) -> bool {
+fn same_start(backend: &Backend, report: &Report) -> bool {
     match (backend.server.born_ms, report.born_ms) {
         (Some(known), Some(told)) => known == told,
         _ => true,
--- a/relay/src/state.rs
+++ b/relay/src/state.rs
@@ -1,6 +1,7 @@
 //! What the relay of one entry knows and holds.
 
 use std::collections::{HashMap, HashSet};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -48,9 +49,15 @@
     hash: u64,
     proximity: Proximity,
     load: Mutex<Load>,
+    searched: AtomicBool,
 }
 
 impl Backend {
+    /// Returns whether a search for the server's next start has begun before, and begins it.
+    pub fn searched(&self) -> bool {
+        self.searched.swap(true, Ordering::Relaxed)
+    }
+
     /// Reads or changes the server's load.
     pub fn load<T>(&self, act: impl FnOnce(&mut Load) -> T) -> T {
         act(&mut self.load.lock().unwrap_or_else(PoisonError::into_inner))
@@ -222,6 +229,45 @@
         self.changed.send_modify(|count| *count += 1);
     }
 
+    /// Takes in a server that was found in place of `gone`, while the store does not answer.
+    pub fn adopt(&self, gone: &Server, id: Arc<str>, born_ms: Option<u64>) {
+        let server = Server {
+            id: Arc::clone(&id),
+            leaving: false,
+            born_ms,
+            ..gone.clone()
+        };
+        let effect = self.beliefs(|beliefs| {
+            let effect = beliefs.roster.adopt(server);
+            beliefs.refresh(&self.settings, &gone.id);
+            beliefs.refresh(&self.settings, &id);
+            effect
+        });
+        self.believed(effect, &id, 0);
+    }
+
+    /// Returns whether the store answers.
+    #[must_use]
+    pub fn store_up(&self) -> bool {
+        self.beliefs(|beliefs| beliefs.roster.keeper_answers())
+    }
+
+    /// Returns whether a server is still as it was when it was chosen: it neither leaves, nor has
+    /// gone, nor has another start taken its address.
+    #[must_use]
+    pub fn current(&self, backend: &Arc<Backend>) -> bool {
+        let now = self.clock.now();
+        let listed = self.beliefs(|beliefs| {
+            let mut all = beliefs.backends.values().flatten();
+            let mut listed = false;
+            all.all(|other| {
+                listed |= Arc::ptr_eq(other, backend);
+                Arc::ptr_eq(other, backend) || other.server.address != backend.server.address
+            }) && listed
+        });
+        listed && !backend.load(|load| load.suspect(now))
+    }
+
     /// Chooses a server.
     #[must_use]
     pub fn choose(&self, wanted: Wanted) -> Option<Arc<Backend>> {
@@ -280,6 +326,7 @@
             server,
             monitor: Monitor::default(),
             load: Mutex::default(),
+            searched: AtomicBool::new(false),
         }
     }
 
--- a/relay/src/stream.rs
+++ b/relay/src/stream.rs
@@ -17,10 +17,12 @@
 
 use crate::answer::{Content, Part, Reason, Refusal};
 use crate::attempt::{self, Answer, Failure, Guard};
+use crate::copy::{self, Keeper};
 use crate::dialect::{Copy, Dialect, Send};
 use crate::events::Splitter;
 use crate::intake::Job;
 use crate::monitor::{self, Subscription};
+use crate::rediscover;
 use crate::state::{Backend, Relay, Wanted};
 
 /// Events that wait for a slow caller: a whole answer of usual size.
@@ -33,11 +35,8 @@
 const HORIZON: Duration = Duration::from_secs(4);
 
 /// Longest wait for the first event of a send at a server that lives, after which its connection
-/// is taken for dead. Two long prompts that are read before this one take about 3 s.
-const FIRST_EVENT: Duration = Duration::from_millis(3_500);
-
-/// Time at a server after which a run's backup copy is worth going on from.
-const COPY_WORTH: Duration = Duration::from_millis(250);
+/// is taken for dead. Reading a prompt takes a second or two, and that of others before it as long.
+const FIRST_EVENT: Duration = Duration::from_millis(5_000);
 
 /// When a request may come back that found no server, or only full ones.
 const NO_SERVER_PAUSE: Duration = Duration::from_millis(300);
@@ -62,7 +61,9 @@
     lost: Vec<Arc<str>>,
     lost_domain: Option<Arc<str>>,
     backup: Option<Arc<Backend>>,
-    copy_from: Option<Duration>,
+    keeper: Option<Keeper>,
+    begun: bool,
+    paid: bool,
     arrivals: u32,
     ran: u32,
     resumes: u32,
@@ -117,7 +118,9 @@
             lost: Vec::new(),
             lost_domain: None,
             backup: None,
-            copy_from: None,
+            keeper: None,
+            begun: false,
+            paid: false,
             arrivals: 0,
             ran: 0,
             resumes: 0,
@@ -155,7 +158,7 @@
         let mut refusals = 0;
         loop {
             let (backend, copy) = self.next().await.ok_or_else(|| self.refusal())?;
-            if self.arrivals > 0 && !self.relay.take_retry(&self.job.service) {
+            if !self.pay() {
                 return Err(match self.ran {
                     0 => Refusal::come_back(Reason::RetryBudget, NO_SERVER_PAUSE),
                     _ => Refusal::new(Reason::Lost),
@@ -174,6 +177,18 @@
         }
     }
 
+    /// Takes a repeat from the budget for each arrival at a server after the first.
+    fn pay(&mut self) -> bool {
+        self.paid |= self.arrivals == 0 || self.relay.take_retry(&self.job.service);
+        self.paid
+    }
+
+    /// Notes that the request arrived at a server.
+    fn arrived(&mut self) {
+        self.arrivals += 1;
+        self.paid = false;
+    }
+
     fn may_repeat(&self) -> bool {
         self.resumable() && self.ran < self.job.route.attempts
     }
@@ -186,13 +201,16 @@
     }
 
     /// Notes a send that failed.
-    fn note(&mut self, backend: &Backend, failure: &Failure) {
+    fn note(&mut self, backend: &Arc<Backend>, failure: &Failure) {
         self.lost.push(Arc::clone(&backend.server.id));
+        if !self.relay.store_up() && !matches!(failure, Failure::NotRun { status: 503, .. }) {
+            rediscover::start(&self.relay, backend);
+        }
         match failure {
             Failure::NotSent { .. } => {}
-            Failure::NotRun { .. } => self.arrivals += 1,
+            Failure::NotRun { .. } => self.arrived(),
             Failure::Lost { .. } => {
-                self.arrivals += 1;
+                self.arrived();
                 self.ran += 1;
                 self.lost_domain = Some(Arc::clone(&backend.server.failure_domain));
             }
@@ -208,17 +226,8 @@
     /// Chooses the next server: the one with the run's copy, else any; waits a little for one
     /// where none is known.
     async fn next(&mut self) -> Option<(Arc<Backend>, Option<Copy>)> {
-        let now = self.relay.clock.now();
-        let worth = self
-            .copy_from
-            .is_some_and(|from| now.saturating_sub(from) >= COPY_WORTH);
-        let usable = |backend: &Arc<Backend>| !backend.load(|load| load.suspect(now));
-        if let Some(backup) = self.backup.take().filter(usable).filter(|_| worth) {
-            let copy = Copy {
-                holder: backup.server.address,
-                handle: Arc::clone(&self.job.original.request_id),
-            };
-            return Some((backup, Some(copy)));
+        if let Some(copied) = self.take_copy() {
+            return Some(copied);
         }
         let lost_domain: Vec<Arc<str>> = self.lost_domain.iter().cloned().collect();
         if let Some(backend) = self.relay.choose(self.wanted(&lost_domain)) {
@@ -234,6 +243,44 @@
         Some((self.relay.choose(wanted)?, None))
     }
 
+    /// Takes the run's copy, if there is one and its holder still has it. A run that has made no
+    /// event has none.
+    fn take_copy(&mut self) -> Option<(Arc<Backend>, Option<Copy>)> {
+        let keeper = self.keeper.take();
+        let backup = self.backup.take();
+        if !self.begun {
+            return None;
+        }
+        if let Some(keeper) = keeper.filter(|keeper| self.relay.current(&keeper.holder)) {
+            let copy = keeper.copy();
+            let holder = Arc::clone(&keeper.holder);
+            return copy.map(|copy| (holder, Some(copy)));
+        }
+        let backup = backup.filter(|backup| self.relay.current(backup))?;
+        let copy = Copy {
+            holder: backup.server.address,
+            handle: Arc::clone(&self.job.original.request_id),
+        };
+        Some((backup, Some(copy)))
+    }
+
+    /// Has the run's memory copied elsewhere if the server that held the copy has gone.
+    fn keep_copy(&mut self, source: &Arc<Backend>) {
+        let holder = match (&self.keeper, &self.backup) {
+            (Some(keeper), _) => &keeper.holder,
+            (None, Some(backup)) => backup,
+            (None, None) => return,
+        };
+        if self.relay.current(holder) || !self.relay.current(source) {
+            return;
+        }
+        self.backup = None;
+        self.keeper = self.choose_backup(source).map(|holder| {
+            let request_id = &self.job.original.request_id;
+            copy::keep(&self.relay, request_id, source, holder)
+        });
+    }
+
     /// Chooses a server in another failure domain to keep a backup copy.
     fn choose_backup(&self, primary: &Backend) -> Option<Arc<Backend>> {
         if !self.backups() {
@@ -281,9 +328,9 @@
             () = subscription.lost() => lost("the server was lost"),
             () = tokio::time::sleep_until(silent) => lost("no answer, though the server lives"),
         };
-        if !matches!(answer, Err(Failure::NotSent { .. } | Failure::NotRun { .. })) {
-            self.copy_from = Some(began);
+        if answer.is_ok() {
             self.backup = backup;
+            self.begun = false;
         }
         Ok(Opened {
             answer: answer?,
@@ -310,12 +357,15 @@
             body,
         };
         self.ran += 1;
-        self.arrivals += 1;
+        self.arrived();
         tokio::spawn(async move {
             let left = self.pump(source, &sender).await;
             match left {
                 Left::Complete => {
                     let _ = sender.send(Part::End).await;
+                    if let Some(keeper) = self.keeper.take() {
+                        keeper.free(&self.relay);
+                    }
                     self.ended(status.as_u16(), "answered");
                 }
                 Left::Caller => self.ended(status.as_u16(), "caller_left"),
@@ -383,7 +433,7 @@
                 return Left::Lost("refused");
             }
             self.ran += 1;
-            self.arrivals += 1;
+            self.arrived();
             source = Source {
                 run: opened.run,
                 guard: opened.answer.guard,
@@ -393,13 +443,14 @@
     }
 
     /// Notes that the stream leaves a server.
-    fn left(&mut self, failed: &Backend, cause: &'static str, now: Duration) {
+    fn left(&mut self, failed: &Arc<Backend>, cause: &'static str, now: Duration) {
         self.lost = vec![Arc::clone(&failed.server.id)];
         self.lost_domain = Some(Arc::clone(&failed.server.failure_domain));
         self.resumes += 1;
         self.relay.metrics.resume(cause);
         if cause != "silent" {
             failed.load(|load| load.unreachable(now));
+            rediscover::start(&self.relay, failed);
         }
         log::info!(
             request = &*self.job.original.request_id, server = &*failed.server.id,
@@ -415,9 +466,10 @@
     async fn hand_on(&mut self, source: &mut Source, sender: &mpsc::Sender<Part>) -> Left {
         let deadline = self.relay.clock.instant(self.job.deadline);
         let mut splitter = Splitter::default();
-        let mut begun = false;
+        let mut changed = self.relay.changed.subscribe();
+        let mut heard = Instant::now();
         loop {
-            let bound = match begun {
+            let bound = match self.begun {
                 true => self.relay.settings.liveness.stream * 2_u32.pow(self.resumes.min(3)),
                 false => FIRST_EVENT,
             };
@@ -426,8 +478,12 @@
                 frame = source.body.frame() => frame,
                 () = source.run.subscription.lost() => return Left::Lost("server_lost"),
                 () = sender.closed() => return Left::Caller,
-                () = tokio::time::sleep(bound) => return Left::Lost("silent"),
+                () = tokio::time::sleep_until(heard + bound) => return Left::Lost("silent"),
                 () = tokio::time::sleep_until(deadline) => return Left::Deadline,
+                _ = changed.changed() => {
+                    self.keep_copy(&source.run.backend);
+                    continue;
+                }
             };
             match frame {
                 Some(Ok(frame)) => splitter.push(&frame.into_data().unwrap_or_default()),
@@ -435,6 +491,7 @@
                 None if splitter.has_rest() => return Left::Lost("cut_event"),
                 None => return Left::Complete,
             }
+            heard = Instant::now();
             let now = self.relay.clock.now();
             source.run.backend.monitor.heard(now);
             while let Some(event) = splitter.next_event() {
@@ -443,7 +500,7 @@
                     (Some(id), Some(last)) if id > last + 1 => return Left::Lost("gap"),
                     _ => {}
                 }
-                begun = true;
+                self.begun = true;
                 self.last_event = event.id.or(self.last_event);
                 self.event_passed(now);
                 if sender.send(Part::Data(event.bytes)).await.is_err() {
