--- a/coordination/src/lib.rs
+++ b/coordination/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod liveness;
 pub mod membership;
 pub mod memory;
+pub mod outage;
 pub mod placement;
 pub mod planned_stop;
 pub mod resume_token;
--- a/relay/src/answer.rs
+++ b/relay/src/answer.rs
@@ -117,6 +117,8 @@
     TooLate,
     /// This entry holds as much as its memory allows.
     Memory,
+    /// This entry stops before the request could end; others take it.
+    Stopping,
 }
 
 impl Reason {
@@ -133,7 +135,8 @@
             | Self::Full
             | Self::RetryBudget
             | Self::TooLate
-            | Self::Memory => StatusCode::SERVICE_UNAVAILABLE,
+            | Self::Memory
+            | Self::Stopping => StatusCode::SERVICE_UNAVAILABLE,
             Self::Lost => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
         }
@@ -156,6 +159,7 @@
             Self::TimedOut => "timed_out",
             Self::TooLate => "too_late",
             Self::Memory => "memory",
+            Self::Stopping => "stopping",
         }
     }
 }
--- a/relay/src/attempt.rs
+++ b/relay/src/attempt.rs
@@ -148,8 +148,7 @@
 ) -> Result<Answer, Failure> {
     let opened = open(backend.server.address).await;
     let (mut sender, connection) = opened.map_err(|reason| {
-        let now = relay.clock.now();
-        backend.load(|load| load.unreachable(now));
+        relay.unreachable(backend);
         Failure::NotSent { reason }
     })?;
     backend.load(medlarfall_coordination::balance::Load::started);
@@ -176,7 +175,7 @@
         let status = parts.status.as_u16();
         match status {
             // Another server has the address now.
-            421 => backend.load(|load| load.unreachable(now)),
+            421 => relay.unreachable(backend),
             _ => backend.load(|load| load.outcome(true)),
         }
         return Err(Failure::NotRun {
@@ -191,7 +190,7 @@
         });
     }
     backend.load(|load| load.outcome(parts.status.is_server_error()));
-    backend.monitor.heard(now);
+    relay.answered(backend);
     Ok(Answer {
         response: Response::from_parts(parts, body),
         reply,
--- a/relay/src/daemon.rs
+++ b/relay/src/daemon.rs
@@ -47,8 +47,9 @@
     stop.await;
     let open = tracker.len();
     log::info!(connections = open; "stop ordered: no longer ready");
-    relay.stopping.send_replace(true);
     let grace = relay.settings.grace.saturating_sub(GRACE_MARGIN);
+    let _ = relay.ends_at.set(relay.clock.now() + grace);
+    relay.stopping.send_replace(true);
     let end = tokio::time::Instant::now() + grace;
     tokio::time::sleep(LEAVE_ROTATION.min(grace)).await;
     relay.draining.send_replace(true);
--- a/relay/src/intake.rs
+++ b/relay/src/intake.rs
@@ -26,6 +26,12 @@
 /// When a request may come back that found no configuration: reading one takes a few calls.
 const CONFIGURATION_PAUSE: Duration = Duration::from_millis(300);
 
+/// When a request may come back that another entry can take at once.
+const ELSEWHERE_PAUSE: Duration = Duration::from_millis(5);
+
+/// Time that a stream usually needs: a prompt of a second or two and some 130 events of 40 ms.
+const STREAM_TIME: Duration = Duration::from_millis(7_000);
+
 /// A request that is about to be placed.
 #[derive(Debug)]
 pub struct Job {
@@ -127,6 +133,9 @@
     if account.is_none() && table.needs_key(&route) {
         return Err(Refusal::new(Reason::UnknownKey));
     }
+    if relay.ends_before(usual_time(&route)) {
+        return Err(Refusal::come_back(Reason::Stopping, ELSEWHERE_PAUSE));
+    }
     let patience = caller.patience.unwrap_or(route.timeout);
     let body = read_within(body, table.limits.body_bytes, &relay.memory).await;
     let (body, hold) = match body {
@@ -160,6 +169,15 @@
     })
 }
 
+/// Returns how long a request of a route usually lasts at most.
+fn usual_time(route: &Route) -> Duration {
+    if route.kind.streams() {
+        STREAM_TIME
+    } else {
+        route.timeout
+    }
+}
+
 /// Returns the configuration, for which a request may wait a little.
 async fn table<D: Dialect>(relay: &Arc<Relay<D>>) -> Result<Arc<Table>, Refusal> {
     if let Some(table) = relay.table() {
--- a/relay/src/monitor.rs
+++ b/relay/src/monitor.rs
@@ -124,8 +124,7 @@
             Step::Wait(until) => tokio::time::sleep_until(relay.clock.instant(until)).await,
             Step::Ask => ask(&relay, &backend).await,
             Step::Lost => {
-                let now = relay.clock.now();
-                backend.load(|load| load.unreachable(now));
+                relay.unreachable(&backend);
                 relay.metrics.servers_lost.inc();
                 log::warn!(
                     server = &*backend.server.id, failure_domain = &*backend.server.failure_domain;
@@ -147,7 +146,7 @@
     let now = relay.clock.now();
     match answer {
         Ok(Ok(report)) if same_start(backend, &report) => {
-            backend.monitor.heard(now);
+            relay.answered(backend);
             backend.load(|load| load.reported(report.requests, now));
         }
         // The connection was refused, or another start of the server answered: no need to wait.
--- a/relay/src/state.rs
+++ b/relay/src/state.rs
@@ -2,11 +2,12 @@
 
 use std::collections::{HashMap, HashSet};
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, OnceLock, PoisonError};
 use std::time::Duration;
 
 use medlarfall_coordination::balance::{self, Candidate, Load};
 use medlarfall_coordination::liveness;
+use medlarfall_coordination::outage::Groups;
 use medlarfall_coordination::placement::{Proximity, name_hash};
 use medlarfall_coordination::retry_budget::{Budget, Policy};
 use medlarfall_coordination::roster::{Effect, Roster, Server};
@@ -71,6 +72,14 @@
     roster: Roster,
     backends: HashMap<Arc<str>, Vec<Arc<Backend>>>,
     retries: HashMap<Arc<str>, Budget>,
+    groups: Groups<Group>,
+}
+
+/// The servers of a service in one failure domain.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+struct Group {
+    service: Arc<str>,
+    failure_domain: Arc<str>,
 }
 
 /// The relay of one entry.
@@ -88,6 +97,8 @@
     pub memory: budget::Budget,
     /// Whether the entry is stopping.
     pub stopping: watch::Sender<bool>,
+    /// When the process ends, once it is stopping.
+    pub ends_at: OnceLock<Duration>,
     /// Whether callers' connections are being closed.
     pub draining: watch::Sender<bool>,
     /// Tells of each change of configuration or servers.
@@ -123,6 +134,7 @@
             clock: Clock::start(),
             metrics: Metrics::default(),
             stopping: watch::Sender::new(false),
+            ends_at: OnceLock::new(),
             draining: watch::Sender::new(false),
             changed: watch::Sender::new(0),
             beliefs: Mutex::default(),
@@ -145,6 +157,13 @@
         !*self.stopping.borrow() && self.beliefs(|beliefs| beliefs.table.is_some())
     }
 
+    /// Returns whether a request that may last `needs` would be cut by the end of the process.
+    #[must_use]
+    pub fn ends_before(&self, needs: Duration) -> bool {
+        let ends_at = self.ends_at.get();
+        ends_at.is_some_and(|ends_at| *ends_at < self.clock.now() + needs)
+    }
+
     /// Puts a configuration in force, unless it is not newer than the one that is.
     pub fn configure(&self, table: Table) {
         let version = table.version;
@@ -268,6 +287,30 @@
         listed && !backend.load(|load| load.suspect(now))
     }
 
+    /// Notes that a server could not be reached, or was lost.
+    pub fn unreachable(&self, backend: &Backend) {
+        let now = self.clock.now();
+        backend.load(|load| load.unreachable(now));
+        let id = &backend.server.id;
+        let group = backend.group();
+        let suspect = self.beliefs(|beliefs| beliefs.groups.failed(group, id, now));
+        if suspect {
+            log::warn!(
+                service = &*backend.server.service,
+                failure_domain = &*backend.server.failure_domain, server = &**id;
+                "servers of a failure domain can't be reached"
+            );
+        }
+    }
+
+    /// Notes that a server answered.
+    pub fn answered(&self, backend: &Backend) {
+        let now = self.clock.now();
+        backend.monitor.heard(now);
+        let group = backend.group();
+        self.beliefs(|beliefs| beliefs.groups.answered(&group));
+    }
+
     /// Chooses a server.
     #[must_use]
     pub fn choose(&self, wanted: Wanted) -> Option<Arc<Backend>> {
@@ -278,6 +321,7 @@
             let outside = |backend: &&Arc<Backend>| {
                 !wanted.outside.contains(&backend.server.failure_domain)
                     && !backend.load(|load| load.suspect(now))
+                    && !beliefs.groups.suspect(&backend.group(), now)
             };
             let mut fitting: Vec<&Arc<Backend>> =
                 backends.iter().filter(fits).filter(outside).collect();
@@ -330,6 +374,13 @@
         }
     }
 
+    fn group(&self) -> Group {
+        Group {
+            service: Arc::clone(&self.server.service),
+            failure_domain: Arc::clone(&self.server.failure_domain),
+        }
+    }
+
     fn candidate(&self, now: Duration, horizon: Duration) -> Candidate {
         self.load(|load| Candidate {
             hash: self.hash,
--- a/relay/src/stream.rs
+++ b/relay/src/stream.rs
@@ -449,7 +449,7 @@
         self.resumes += 1;
         self.relay.metrics.resume(cause);
         if cause != "silent" {
-            failed.load(|load| load.unreachable(now));
+            self.relay.unreachable(failed);
             rediscover::start(&self.relay, failed);
         }
         log::info!(
