--- a/coordination/src/roster.rs
+++ b/coordination/src/roster.rs
@@ -96,6 +96,9 @@
         if revision < seen.max(removed) || (revision == seen && known.is_some_and(|r| !r.lapsed)) {
             return Effect::Stale;
         }
+        if self.superseded(&server, revision) {
+            return Effect::Stale;
+        }
         let again = known.is_none_or(|record| record.server.born_ms != server.born_ms);
         let effect = match server.leaving {
             true => Effect::Leaving,
@@ -103,6 +106,9 @@
             false => Effect::Changed,
         };
         self.removed.remove(&server.id);
+        self.records.retain(|id, other| {
+            *id == server.id || other.server.address != server.address
+        });
         let record = Record {
             revision,
             lapsed: false,
@@ -112,6 +118,17 @@
         effect
     }
 
+    /// Returns whether another server has started at the address of `server` since it started.
+    fn superseded(&self, server: &Server, revision: u64) -> bool {
+        self.records.iter().any(|(id, other)| {
+            let later = match (other.server.born_ms, server.born_ms) {
+                (Some(other), Some(own)) => other > own,
+                _ => other.revision > revision,
+            };
+            *id != server.id && other.server.address == server.address && later
+        })
+    }
+
     /// Takes in a server that was found at the address of one that is known, while the keeper does
     /// not answer. It is dropped unless it announces itself soon after the keeper's return.
     pub fn adopt(&mut self, server: Server) -> Effect {
--- a/relay/src/state.rs
+++ b/relay/src/state.rs
@@ -59,6 +59,12 @@
         self.searched.swap(true, Ordering::Relaxed)
     }
 
+    /// Returns the requests that are probably at the server.
+    #[must_use]
+    pub fn requests(&self, now: Duration, horizon: Duration) -> f64 {
+        self.load(|load| load.estimate(now, horizon))
+    }
+
     /// Reads or changes the server's load.
     pub fn load<T>(&self, act: impl FnOnce(&mut Load) -> T) -> T {
         act(&mut self.load.lock().unwrap_or_else(PoisonError::into_inner))
@@ -188,6 +194,7 @@
         let effect = self.beliefs(|beliefs| {
             let effect = beliefs.roster.announce(server, revision);
             if effect != Effect::Stale {
+                beliefs.forget_unlisted();
                 beliefs.refresh(&self.settings, &id);
             }
             effect
@@ -258,7 +265,7 @@
         };
         let effect = self.beliefs(|beliefs| {
             let effect = beliefs.roster.adopt(server);
-            beliefs.refresh(&self.settings, &gone.id);
+            beliefs.forget_unlisted();
             beliefs.refresh(&self.settings, &id);
             effect
         });
@@ -416,12 +423,17 @@
         }
     }
 
-    /// Brings the backends in line with the whole roster.
-    fn refresh_all(&mut self, settings: &Settings) {
+    /// Drops the backends that the roster no longer lists.
+    fn forget_unlisted(&mut self) {
+        let roster = &self.roster;
         for backends in self.backends.values_mut() {
-            let roster = &self.roster;
             backends.retain(|backend| roster.get(&backend.server.id).is_some());
         }
+    }
+
+    /// Brings the backends in line with the whole roster.
+    fn refresh_all(&mut self, settings: &Settings) {
+        self.forget_unlisted();
         let ids: Vec<Arc<str>> = self
             .roster
             .iter()
--- a/relay/src/stream.rs
+++ b/relay/src/stream.rs
@@ -320,6 +320,15 @@
             copy,
             last_event: self.last_event,
         };
+        log::info!(
+            request = &*self.job.original.request_id, server = &*backend.server.id,
+            failure_domain = &*backend.server.failure_domain,
+            requests = backend.requests(began, HORIZON), own = backend.load(|load| load.own()),
+            backup = backup.as_ref().map_or("", |backup| &*backup.server.id),
+            copy = send.copy.as_ref().map_or("", |copy| &*copy.handle),
+            last_event = self.last_event.unwrap_or(0);
+            "stream sent"
+        );
         let mut subscription = monitor::subscribe(&self.relay, backend);
         let relay = Arc::clone(&self.relay);
         let silent = Instant::now() + FIRST_EVENT;
