feat(relay): entries tell one another of their streams at each server

Load: several entries place prompts of a second each; each counted only its own. Change: datagrams with each entry's streams at each change; placement counts prompts that are read.

--- a/coordination/src/balance.rs
+++ b/coordination/src/balance.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use crate::placement::{Proximity, mix};
+use crate::shared_load::Count;
 
 /// Weight of a new outcome in a server's share of failures. 1/8 lets three failures in a row
 /// outweigh a loss of a third.
@@ -17,6 +18,10 @@
 /// Load, in requests, that a server's share of failures counts for when all of them fail.
 const FAULT_LOAD: f64 = 24.0;
 
+/// Load of a stream that makes events, in prompts that are read: each adds some percent to a step
+/// and holds memory that a prompt needs.
+const RUN_LOAD: f64 = 0.2;
+
 /// First time that a server which cannot be reached is put behind the others. Source: an engine
 /// that crashed takes about a second to start again.
 const FIRST_SUSPICION: Duration = Duration::from_millis(1_000);
@@ -28,6 +33,7 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Load {
     own: u32,
+    reading: u32,
     others: f64,
     reported_at: Duration,
     faults: f64,
@@ -52,6 +58,33 @@
         self.own
     }
 
+    /// Counts a stream whose first event is awaited.
+    pub fn reading_started(&mut self) {
+        self.reading = self.reading.saturating_add(1);
+    }
+
+    /// Counts a stream whose first event came, or that ended before it.
+    pub fn reading_ended(&mut self) {
+        self.reading = self.reading.saturating_sub(1);
+    }
+
+    /// Returns the streams of this entry at the server.
+    #[must_use]
+    pub fn streams(&self) -> Count {
+        Count {
+            runs: self.own,
+            reading: self.reading,
+        }
+    }
+
+    /// Returns the load of streams, counted in prompts that are read: a stream that is past its
+    /// prompt delays others by a fraction of what a prompt does.
+    #[must_use]
+    pub fn stream_load(&self, peers: Count) -> f64 {
+        let reading = f64::from(self.reading + peers.reading);
+        reading + f64::from(self.own + peers.runs) * RUN_LOAD
+    }
+
     /// Takes in a report of all requests at the server, this entry's included.
     pub fn reported(&mut self, requests: u32, now: Duration) {
         self.others = f64::from(requests.saturating_sub(self.own));
--- a/coordination/src/lib.rs
+++ b/coordination/src/lib.rs
@@ -26,4 +26,5 @@
 pub mod roster;
 pub mod routing;
 pub mod schedule;
+pub mod shared_load;
 pub mod spread;
--- a/relay/src/call.rs
+++ b/relay/src/call.rs
@@ -15,7 +15,7 @@
 use crate::attempt::{self, Answer, Failure};
 use crate::dialect::{Dialect, Send};
 use crate::intake::{Job, SHORT_WAIT};
-use crate::state::{Backend, Relay, Wanted};
+use crate::state::{Backend, Measure, Relay, Wanted};
 
 /// Largest answer that is read whole before the caller gets its first byte, so that one that
 /// breaks off can be repeated or turned into an error.
@@ -193,7 +193,7 @@
         not: &course.tried,
         outside: &[],
         distance: DISTANCE,
-        horizon: HORIZON,
+        measure: Measure::Calls { horizon: HORIZON },
         lot: job.lot(),
     };
     if let Some(backend) = relay.choose(wanted) {
--- a/relay/src/daemon.rs
+++ b/relay/src/daemon.rs
@@ -11,14 +11,14 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, UdpSocket};
 use tokio_util::task::TaskTracker;
 
 use medlarfall_runtime::store::Store;
 
 use crate::dialect::Dialect;
 use crate::state::Relay;
-use crate::{follow, listener};
+use crate::{exchange, follow, listener};
 
 /// Time after the order to stop until kept connections are closed: the platform asks once a second
 /// and sends nothing new after two answers that are not ready.
@@ -39,8 +39,21 @@
     stop: impl Future<Output = ()>,
 ) {
     let tracker = TaskTracker::new();
-    tokio::spawn(follow::run(Arc::clone(&relay), store));
+    tokio::spawn(follow::run(Arc::clone(&relay), store.clone()));
     tokio::spawn(watch(Arc::clone(&relay), readiness));
+    if let Some(address) = relay.settings.exchange {
+        match UdpSocket::bind(address).await {
+            Ok(socket) => {
+                tokio::spawn(exchange::run(Arc::clone(&relay), socket));
+                tokio::spawn(exchange::register(Arc::clone(&relay), store.clone(), address));
+            }
+            Err(error) => {
+                let reason = error.to_string();
+                log::error!(address = address.to_string().as_str(), reason = reason.as_str();
+                    "no messages of other entries: the address can't be used");
+            }
+        }
+    }
     let accepting = listener::serve(Arc::clone(&relay), callers, tracker.clone());
     let accepting = tokio::spawn(accepting);
     log::info!(entry = &*relay.settings.entry, failure_domain = &*relay.settings.failure_domain; "start");
--- a/relay/src/dialect.rs
+++ b/relay/src/dialect.rs
@@ -109,6 +109,13 @@
         /// What is wrong with the entry; nothing if it was removed.
         problem: Option<String>,
     },
+    /// The address of another entry.
+    Peer {
+        /// Name of the entry.
+        name: Arc<str>,
+        /// Where it takes messages; nothing if its lease ended.
+        address: Option<SocketAddr>,
+    },
     /// Nothing that the relay uses.
     Other,
 }
@@ -171,6 +178,9 @@
     /// Returns what is wrong with a configuration.
     fn entry(&self, change: &Change) -> Result<Entry, Invalid>;
 
+    /// Returns the key under which an entry makes its address known.
+    fn entry_key(&self, entry: &str) -> String;
+
     /// Returns whether `key` is that of a server, and the server's name.
     fn server_id<'key>(&self, key: &'key str) -> Option<&'key str>;
 }
--- /dev/null
+++ b/relay/src/exchange.rs
@@ -0,0 +1,164 @@
+//! Tells the other entries how many streams this one has at each server, and hears it from them.
+//!
+//! Messages are datagrams on a port of the entries' own; each holds all that its sender has. An
+//! entry makes its address known through the store, under a lease.
+
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use medlarfall_coordination::shared_load::Count;
+use medlarfall_runtime::store::{Error, Lease, Store};
+use serde::{Deserialize, Serialize};
+use tokio::net::UdpSocket;
+use tokio::time::{MissedTickBehavior, interval, sleep, timeout};
+
+use crate::dialect::Dialect;
+use crate::state::Relay;
+
+/// Shortest time between two messages: several changes go into one.
+const SHORTEST: Duration = Duration::from_millis(10);
+
+/// Longest time between two messages, so that a lost one does no lasting harm.
+const LONGEST: Duration = Duration::from_millis(1_000);
+
+/// Largest message.
+const MESSAGE_LIMIT: usize = 60_000;
+
+/// Time after which the store forgets an entry that does not renew its lease.
+const LEASE_TIME: Duration = Duration::from_secs(20);
+
+/// Time between renewals: three fit into a lease.
+const RENEWAL: Duration = Duration::from_secs(6);
+
+/// Pause after a call to the store that failed.
+const RETRY_PAUSE: Duration = Duration::from_millis(1_500);
+
+/// Longest wait for the store.
+const ANSWER_TIME: Duration = Duration::from_millis(1_000);
+
+/// What an entry tells: its name and, for each server, its streams and those still unread.
+#[derive(Debug, Deserialize, Serialize)]
+struct Message {
+    entry: Arc<str>,
+    streams: Vec<(Arc<str>, u32, u32)>,
+}
+
+/// Sends and receives messages for ever.
+pub async fn run<D: Dialect>(relay: Arc<Relay<D>>, socket: UdpSocket) {
+    let socket = Arc::new(socket);
+    tokio::spawn(tell(Arc::clone(&relay), Arc::clone(&socket)));
+    let mut buffer = vec![0; MESSAGE_LIMIT];
+    loop {
+        match socket.recv_from(&mut buffer).await {
+            Ok((length, from)) => hear(&relay, &buffer[..length], from),
+            Err(error) => {
+                log::debug!(reason = error.to_string().as_str(); "message not received");
+                sleep(SHORTEST).await;
+            }
+        }
+    }
+}
+
+/// Takes in a message.
+fn hear<D: Dialect>(relay: &Relay<D>, bytes: &[u8], from: SocketAddr) {
+    let message: Message = match serde_json::from_slice(bytes) {
+        Ok(message) => message,
+        Err(error) => {
+            log::warn!(
+                from = from.to_string().as_str(), reason = error.to_string().as_str();
+                "message of another entry can't be read"
+            );
+            return;
+        }
+    };
+    let counts: HashMap<Arc<str>, Count> = message
+        .streams
+        .into_iter()
+        .map(|(server, runs, reading)| (server, Count { runs, reading }))
+        .collect();
+    relay.peer_told(message.entry, counts);
+}
+
+/// Sends what this entry has at each change, and now and then without one.
+async fn tell<D: Dialect>(relay: Arc<Relay<D>>, socket: Arc<UdpSocket>) {
+    let mut ticks = interval(LONGEST);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            () = relay.streams_changed.notified() => {}
+            _ = ticks.tick() => {}
+        }
+        let message = Message {
+            entry: Arc::clone(&relay.settings.entry),
+            streams: relay.own_streams(),
+        };
+        let bytes = match serde_json::to_vec(&message) {
+            Ok(bytes) => bytes,
+            Err(error) => {
+                log::error!(reason = error.to_string().as_str(); "message can't be written");
+                continue;
+            }
+        };
+        for peer in relay.peers() {
+            if let Err(error) = send(&socket, &bytes, peer).await {
+                log::debug!(reason = error.to_string().as_str(); "message not sent");
+            }
+        }
+        sleep(SHORTEST).await;
+    }
+}
+
+async fn send(socket: &UdpSocket, bytes: &[u8], peer: SocketAddr) -> io::Result<()> {
+    socket.send_to(bytes, peer).await.map(|_| ())
+}
+
+/// Keeps this entry's address in the store.
+pub async fn register<D: Dialect, S: Store>(relay: Arc<Relay<D>>, store: S, address: SocketAddr) {
+    let mut lease = None;
+    loop {
+        relay.metrics.store_calls.inc();
+        let step = timeout(ANSWER_TIME, renew(&relay, &store, address, lease)).await;
+        let pause = match step {
+            Ok(Ok(renewed)) => {
+                lease = Some(renewed);
+                RENEWAL
+            }
+            Ok(Err(Error::LeaseEnded)) => {
+                lease = None;
+                RETRY_PAUSE
+            }
+            Ok(Err(error)) => {
+                log::info!(reason = error.to_string().as_str(); "this entry's address not renewed");
+                RETRY_PAUSE
+            }
+            Err(_) => RETRY_PAUSE,
+        };
+        sleep(pause).await;
+    }
+}
+
+/// Renews the lease, or writes the address under a new one.
+async fn renew<D: Dialect, S: Store>(
+    relay: &Relay<D>,
+    store: &S,
+    address: SocketAddr,
+    lease: Option<Lease>,
+) -> Result<Lease, Error> {
+    if let Some(lease) = lease {
+        store.renew(lease).await?;
+        return Ok(lease);
+    }
+    let lease = store.grant(LEASE_TIME).await?;
+    let key = relay.dialect.entry_key(&relay.settings.entry);
+    let value = address.to_string();
+    match store.put(&key, value.clone(), 0, Some(lease)).await {
+        Err(Error::Conflict {
+            current: Some(current),
+        }) => store.put(&key, value, current.revision, Some(lease)).await?,
+        written => written?,
+    };
+    Ok(lease)
+}
--- a/relay/src/follow.rs
+++ b/relay/src/follow.rs
@@ -138,6 +138,7 @@
             }
             relay.remove(&id, change.revision);
         }
+        Ok(Entry::Peer { name, address }) => relay.peer(&name, address),
         Ok(Entry::Other) => {}
         Err(invalid) => {
             log::error!(
--- a/relay/src/lib.rs
+++ b/relay/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod daemon;
 pub mod dialect;
 pub mod events;
+pub mod exchange;
 pub mod follow;
 pub mod intake;
 pub mod listener;
--- a/relay/src/state.rs
+++ b/relay/src/state.rs
@@ -1,7 +1,8 @@
 //! What the relay of one entry knows and holds.
 
 use std::collections::{HashMap, HashSet};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, OnceLock, PoisonError};
 use std::time::Duration;
 
@@ -12,7 +13,8 @@
 use medlarfall_coordination::retry_budget::{Budget, Policy};
 use medlarfall_coordination::roster::{Effect, Roster, Server};
 use medlarfall_coordination::routing::Table;
-use tokio::sync::watch;
+use medlarfall_coordination::shared_load::{self, Count};
+use tokio::sync::{Notify, watch};
 
 use medlarfall_runtime::clock::Clock;
 use medlarfall_runtime::budget;
@@ -36,6 +38,8 @@
     pub retries: Policy,
     /// Bounds on the silence of servers.
     pub liveness: liveness::Bounds,
+    /// Where this entry takes messages of the others.
+    pub exchange: Option<SocketAddr>,
     /// Time from the order to stop until the process is ended.
     pub grace: Duration,
 }
@@ -51,6 +55,8 @@
     proximity: Proximity,
     load: Mutex<Load>,
     searched: AtomicBool,
+    /// Streams of this entry that are at the server.
+    pub streams: AtomicUsize,
 }
 
 impl Backend {
@@ -59,12 +65,6 @@
         self.searched.swap(true, Ordering::Relaxed)
     }
 
-    /// Returns the requests that are probably at the server.
-    #[must_use]
-    pub fn requests(&self, now: Duration, horizon: Duration) -> f64 {
-        self.load(|load| load.estimate(now, horizon))
-    }
-
     /// Reads or changes the server's load.
     pub fn load<T>(&self, act: impl FnOnce(&mut Load) -> T) -> T {
         act(&mut self.load.lock().unwrap_or_else(PoisonError::into_inner))
@@ -79,6 +79,8 @@
     backends: HashMap<Arc<str>, Vec<Arc<Backend>>>,
     retries: HashMap<Arc<str>, Budget>,
     groups: Groups<Group>,
+    peers: HashMap<Arc<str>, SocketAddr>,
+    shared: shared_load::Table,
 }
 
 /// The servers of a service in one failure domain.
@@ -109,9 +111,23 @@
     pub draining: watch::Sender<bool>,
     /// Tells of each change of configuration or servers.
     pub changed: watch::Sender<u64>,
+    /// Wakes the task that tells the other entries of this one's streams.
+    pub streams_changed: Notify,
     beliefs: Mutex<Beliefs>,
 }
 
+/// How a server's load is counted.
+#[derive(Clone, Copy, Debug)]
+pub enum Measure {
+    /// By calls: this entry's, and those of others from reports that fade over `horizon`.
+    Calls {
+        /// About how long a call lasts.
+        horizon: Duration,
+    },
+    /// By streams, of this entry and of its peers.
+    Streams,
+}
+
 /// What to look for in a server.
 #[derive(Clone, Copy, Debug)]
 pub struct Wanted<'request> {
@@ -123,8 +139,8 @@
     pub outside: &'request [Arc<str>],
     /// Load, in requests, that a server in another failure domain counts for.
     pub distance: f64,
-    /// About how long a request of the service lasts.
-    pub horizon: Duration,
+    /// How load is counted.
+    pub measure: Measure,
     /// Breaks ties.
     pub lot: u64,
 }
@@ -143,6 +159,7 @@
             ends_at: OnceLock::new(),
             draining: watch::Sender::new(false),
             changed: watch::Sender::new(0),
+            streams_changed: Notify::new(),
             beliefs: Mutex::default(),
         }
     }
@@ -272,6 +289,13 @@
         self.believed(effect, &id, 0);
     }
 
+    /// Returns the load of streams at a server, in prompts that are read.
+    #[must_use]
+    pub fn stream_load(&self, backend: &Backend) -> f64 {
+        let peers = self.beliefs(|beliefs| beliefs.shared.at(&backend.server.id));
+        backend.load(|load| load.stream_load(peers))
+    }
+
     /// Returns whether the store answers.
     #[must_use]
     pub fn store_up(&self) -> bool {
@@ -283,15 +307,64 @@
     #[must_use]
     pub fn current(&self, backend: &Arc<Backend>) -> bool {
         let now = self.clock.now();
-        let listed = self.beliefs(|beliefs| {
+        self.listed(backend) && !backend.load(|load| load.suspect(now))
+    }
+
+    /// Returns whether a server is still listed as it was when it was chosen.
+    #[must_use]
+    pub fn listed(&self, backend: &Arc<Backend>) -> bool {
+        self.beliefs(|beliefs| {
             let mut all = beliefs.backends.values().flatten();
             let mut listed = false;
             all.all(|other| {
                 listed |= Arc::ptr_eq(other, backend);
                 Arc::ptr_eq(other, backend) || other.server.address != backend.server.address
             }) && listed
-        });
-        listed && !backend.load(|load| load.suspect(now))
+        })
+    }
+
+    /// Takes in the address of another entry. One whose lease ended is kept while it tells
+    /// something: leases also end while the store is away.
+    pub fn peer(&self, name: &Arc<str>, address: Option<SocketAddr>) {
+        if *name == self.settings.entry {
+            return;
+        }
+        let Some(address) = address else {
+            return;
+        };
+        let before = self.beliefs(|beliefs| beliefs.peers.insert(Arc::clone(name), address));
+        if before != Some(address) {
+            log::info!(peer = &**name, address = address.to_string().as_str(); "entry known");
+        }
+    }
+
+    /// Returns the addresses of the other entries.
+    #[must_use]
+    pub fn peers(&self) -> Vec<SocketAddr> {
+        self.beliefs(|beliefs| beliefs.peers.values().copied().collect())
+    }
+
+    /// Takes in what another entry has at each server.
+    pub fn peer_told(&self, peer: Arc<str>, counts: HashMap<Arc<str>, Count>) {
+        let now = self.clock.now();
+        self.beliefs(|beliefs| beliefs.shared.told(peer, counts, now));
+    }
+
+    /// Returns the streams of this entry at each server: all, and those whose prompt is read.
+    #[must_use]
+    pub fn own_streams(&self) -> Vec<(Arc<str>, u32, u32)> {
+        let now = self.clock.now();
+        self.beliefs(|beliefs| {
+            beliefs.shared.expire(now);
+            let backends = beliefs.backends.values().flatten();
+            let counted = backends.filter_map(|backend| {
+                let count = backend.load(|load| load.streams());
+                let streams = backend.streams.load(Ordering::Relaxed);
+                let id = Arc::clone(&backend.server.id);
+                (streams > 0).then_some((id, count.runs, count.reading))
+            });
+            counted.collect()
+        })
     }
 
     /// Notes that a server could not be reached, or was lost.
@@ -337,7 +410,10 @@
             }
             let candidates: Vec<Candidate> = fitting
                 .iter()
-                .map(|backend| backend.candidate(now, wanted.horizon))
+                .map(|backend| {
+                    let peers = beliefs.shared.at(&backend.server.id);
+                    backend.candidate(now, wanted, peers)
+                })
                 .collect();
             let chosen = balance::choose(&candidates, wanted.distance, wanted.lot)?;
             Some(Arc::clone(fitting[chosen]))
@@ -378,6 +454,7 @@
             monitor: Monitor::default(),
             load: Mutex::default(),
             searched: AtomicBool::new(false),
+            streams: AtomicUsize::new(0),
         }
     }
 
@@ -388,11 +465,15 @@
         }
     }
 
-    fn candidate(&self, now: Duration, horizon: Duration) -> Candidate {
+    fn candidate(&self, now: Duration, wanted: Wanted, peers: Count) -> Candidate {
+        let requests = |load: &mut Load| match wanted.measure {
+            Measure::Calls { horizon } => load.estimate(now, horizon),
+            Measure::Streams => load.stream_load(peers),
+        };
         self.load(|load| Candidate {
             hash: self.hash,
             proximity: self.proximity,
-            requests: load.estimate(now, horizon),
+            requests: requests(load),
             slots: self.server.slots,
             faults: load.faults(),
             suspect: load.suspect(now),
--- a/relay/src/stream.rs
+++ b/relay/src/stream.rs
@@ -5,12 +5,14 @@
 //! domain from its start, so that going on costs no second reading of the prompt.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::header::CONTENT_LENGTH;
 use hyper::{HeaderMap, Response, StatusCode};
+use medlarfall_coordination::balance::Load;
 use medlarfall_coordination::routing::Kind;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
@@ -23,7 +25,7 @@
 use crate::intake::Job;
 use crate::monitor::{self, Subscription};
 use crate::rediscover;
-use crate::state::{Backend, Relay, Wanted};
+use crate::state::{Backend, Measure, Relay, Wanted};
 
 /// Events that wait for a slow caller: a whole answer of usual size.
 const EVENTS_WAITING: usize = 256;
@@ -31,9 +33,6 @@
 /// Load, in runs, that a server in another failure domain counts for.
 const DISTANCE: f64 = 1.0;
 
-/// About how long a run lasts.
-const HORIZON: Duration = Duration::from_secs(4);
-
 /// Longest wait for the first event of a send at a server that lives, after which its connection
 /// is taken for dead. Reading a prompt takes a second or two, and that of others before it as long.
 const FIRST_EVENT: Duration = Duration::from_millis(5_000);
@@ -48,13 +47,50 @@
 const REFUSALS: u32 = 6;
 
 /// A run at a server.
-struct Run {
+struct Run<D: Dialect> {
     backend: Arc<Backend>,
     subscription: Subscription,
+    place: Place<D>,
+}
+
+/// A stream's place at a server, counted until this is dropped.
+struct Place<D: Dialect> {
+    relay: Arc<Relay<D>>,
+    backend: Arc<Backend>,
+    reading: bool,
+}
+
+impl<D: Dialect> Place<D> {
+    fn take(relay: &Arc<Relay<D>>, backend: &Arc<Backend>) -> Self {
+        backend.load(Load::reading_started);
+        backend.streams.fetch_add(1, Ordering::Relaxed);
+        relay.streams_changed.notify_one();
+        Self {
+            relay: Arc::clone(relay),
+            backend: Arc::clone(backend),
+            reading: true,
+        }
+    }
+
+    /// Notes that the prompt has been read.
+    fn read(&mut self) {
+        if std::mem::take(&mut self.reading) {
+            self.backend.load(Load::reading_ended);
+            self.relay.streams_changed.notify_one();
+        }
+    }
+}
+
+impl<D: Dialect> Drop for Place<D> {
+    fn drop(&mut self) {
+        self.read();
+        self.backend.streams.fetch_sub(1, Ordering::Relaxed);
+        self.relay.streams_changed.notify_one();
+    }
 }
 
 /// A stream that is being answered.
-struct Stream<D> {
+struct Stream<D: Dialect> {
     relay: Arc<Relay<D>>,
     job: Job,
     last_event: Option<u64>,
@@ -73,8 +109,8 @@
 }
 
 /// A server's answer, and the run that makes it.
-struct Opened {
-    run: Run,
+struct Opened<D: Dialect> {
+    run: Run<D>,
     answer: Answer,
 }
 
@@ -148,13 +184,13 @@
             not: &self.lost,
             outside,
             distance: DISTANCE,
-            horizon: HORIZON,
+            measure: Measure::Streams,
             lot: self.job.lot(),
         }
     }
 
     /// Opens the stream at a server, or at several in turn.
-    async fn open(&mut self) -> Result<Opened, Refusal> {
+    async fn open(&mut self) -> Result<Opened<D>, Refusal> {
         let mut refusals = 0;
         loop {
             let (backend, copy) = self.next().await.ok_or_else(|| self.refusal())?;
@@ -251,12 +287,12 @@
         if !self.begun {
             return None;
         }
-        if let Some(keeper) = keeper.filter(|keeper| self.relay.current(&keeper.holder)) {
+        if let Some(keeper) = keeper.filter(|keeper| self.relay.listed(&keeper.holder)) {
             let copy = keeper.copy();
             let holder = Arc::clone(&keeper.holder);
             return copy.map(|copy| (holder, Some(copy)));
         }
-        let backup = backup.filter(|backup| self.relay.current(backup))?;
+        let backup = backup.filter(|backup| self.relay.listed(backup))?;
         let copy = Copy {
             holder: backup.server.address,
             handle: Arc::clone(&self.job.original.request_id),
@@ -308,7 +344,7 @@
         &mut self,
         backend: &Arc<Backend>,
         copy: Option<Copy>,
-    ) -> Result<Opened, Failure> {
+    ) -> Result<Opened<D>, Failure> {
         let began = self.relay.clock.now();
         let backup = self.choose_backup(backend);
         let send = Send {
@@ -323,12 +359,13 @@
         log::info!(
             request = &*self.job.original.request_id, server = &*backend.server.id,
             failure_domain = &*backend.server.failure_domain,
-            requests = backend.requests(began, HORIZON), own = backend.load(|load| load.own()),
+            load = self.relay.stream_load(backend), own = backend.load(|load| load.own()),
             backup = backup.as_ref().map_or("", |backup| &*backup.server.id),
             copy = send.copy.as_ref().map_or("", |copy| &*copy.handle),
             last_event = self.last_event.unwrap_or(0);
             "stream sent"
         );
+        let place = Place::take(&self.relay, backend);
         let mut subscription = monitor::subscribe(&self.relay, backend);
         let relay = Arc::clone(&self.relay);
         let silent = Instant::now() + FIRST_EVENT;
@@ -346,12 +383,13 @@
             run: Run {
                 backend: Arc::clone(backend),
                 subscription,
+                place,
             },
         })
     }
 
     /// Begins the answer to the caller, and hands on the events on a task of its own.
-    async fn respond(mut self, opened: Opened) -> Response<Content> {
+    async fn respond(mut self, opened: Opened<D>) -> Response<Content> {
         let (parts, body) = opened.answer.response.into_parts();
         let mut headers = self.relay.dialect.answer_headers(&parts.headers);
         let status = parts.status;
@@ -414,7 +452,7 @@
     }
 
     /// Hands on events until the stream ends, going on at other servers as needed.
-    async fn pump(&mut self, mut source: Source, sender: &mpsc::Sender<Part>) -> Left {
+    async fn pump(&mut self, mut source: Source<D>, sender: &mpsc::Sender<Part>) -> Left {
         loop {
             let cause = match self.hand_on(&mut source, sender).await {
                 Left::Lost(cause) => cause,
@@ -472,7 +510,7 @@
     }
 
     /// Hands on the events of one run.
-    async fn hand_on(&mut self, source: &mut Source, sender: &mpsc::Sender<Part>) -> Left {
+    async fn hand_on(&mut self, source: &mut Source<D>, sender: &mpsc::Sender<Part>) -> Left {
         let deadline = self.relay.clock.instant(self.job.deadline);
         let mut splitter = Splitter::default();
         let mut changed = self.relay.changed.subscribe();
@@ -510,6 +548,7 @@
                     _ => {}
                 }
                 self.begun = true;
+                source.run.place.read();
                 self.last_event = event.id.or(self.last_event);
                 self.event_passed(now);
                 if sender.send(Part::Data(event.bytes)).await.is_err() {
@@ -557,9 +596,9 @@
 }
 
 /// Where a stream's events come from.
-struct Source {
+struct Source<D: Dialect> {
     body: Incoming,
-    run: Run,
+    run: Run<D>,
     #[expect(dead_code, reason = "dropped with the source, which ends the connection")]
     guard: Guard,
 }
