feat(relay): an entry that is behind in the store catches up from a peer

Change: entries serve what they last read; messages tell how far each is, and one that is behind asks.

--- a/relay/src/daemon.rs
+++ b/relay/src/daemon.rs
@@ -1,6 +1,8 @@
 //! Runs the relay of one entry from its start to its orderly stop.
 
 use std::convert::Infallible;
+use std::io;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -18,7 +20,7 @@
 
 use crate::dialect::Dialect;
 use crate::state::Relay;
-use crate::{exchange, follow, listener};
+use crate::{exchange, follow, listener, mirror};
 
 /// Time after the order to stop until kept connections are closed: the platform asks once a second
 /// and sends nothing new after two answers that are not ready.
@@ -42,8 +44,9 @@
     tokio::spawn(follow::run(Arc::clone(&relay), store.clone()));
     tokio::spawn(watch(Arc::clone(&relay), readiness));
     if let Some(address) = relay.settings.exchange {
-        match UdpSocket::bind(address).await {
-            Ok(socket) => {
+        match messages(address).await {
+            Ok((socket, listener)) => {
+                tokio::spawn(mirror::serve(Arc::clone(&relay), listener));
                 tokio::spawn(exchange::run(Arc::clone(&relay), socket));
                 tokio::spawn(exchange::register(Arc::clone(&relay), store.clone(), address));
             }
@@ -72,6 +75,12 @@
     log::info!(connections = tracker.len(), whole = ended.is_ok(); "stop");
 }
 
+/// Opens the port for messages of other entries.
+async fn messages(address: SocketAddr) -> io::Result<(UdpSocket, TcpListener)> {
+    let socket = UdpSocket::bind(address).await?;
+    Ok((socket, TcpListener::bind(address).await?))
+}
+
 /// Answers whether the entry is ready, and serves its metrics.
 pub async fn watch<D: Dialect>(relay: Arc<Relay<D>>, listener: TcpListener) {
     loop {
--- a/relay/src/exchange.rs
+++ b/relay/src/exchange.rs
@@ -16,6 +16,7 @@
 use tokio::time::{MissedTickBehavior, interval, sleep, timeout};
 
 use crate::dialect::Dialect;
+use crate::mirror;
 use crate::state::Relay;
 
 /// Shortest time between two messages: several changes go into one.
@@ -43,6 +44,8 @@
 #[derive(Debug, Deserialize, Serialize)]
 struct Message {
     entry: Arc<str>,
+    /// How far the entry has read in the store.
+    revision: u64,
     streams: Vec<(Arc<str>, u32, u32)>,
 }
 
@@ -63,7 +66,7 @@
 }
 
 /// Takes in a message.
-fn hear<D: Dialect>(relay: &Relay<D>, bytes: &[u8], from: SocketAddr) {
+fn hear<D: Dialect>(relay: &Arc<Relay<D>>, bytes: &[u8], from: SocketAddr) {
     let message: Message = match serde_json::from_slice(bytes) {
         Ok(message) => message,
         Err(error) => {
@@ -74,6 +77,15 @@
             return;
         }
     };
+    relay.peer(&message.entry, Some(from));
+    let behind = message.revision > relay.mirror(|mirror| mirror.revision());
+    if behind && !relay.begin_catching_up() {
+        let relay = Arc::clone(relay);
+        tokio::spawn(async move {
+            mirror::catch_up(Arc::clone(&relay), from, message.revision).await;
+            relay.end_catching_up();
+        });
+    }
     let counts: HashMap<Arc<str>, Count> = message
         .streams
         .into_iter()
@@ -93,6 +105,7 @@
         }
         let message = Message {
             entry: Arc::clone(&relay.settings.entry),
+            revision: relay.mirror(|mirror| mirror.revision()),
             streams: relay.own_streams(),
         };
         let bytes = match serde_json::to_vec(&message) {
--- a/relay/src/follow.rs
+++ b/relay/src/follow.rs
@@ -99,6 +99,7 @@
                 take(relay, &change);
             }
             relay.retain(&listed, listing.revision);
+            relay.mirror(|mirror| mirror.complete(listing.revision));
             Ok(Place::At(listing.revision))
         }
         Place::At(revision) => {
@@ -109,6 +110,7 @@
             for change in &changes {
                 take(relay, change);
             }
+            relay.mirror(|mirror| mirror.complete(revision));
             Ok(Place::At(revision))
         }
     }
@@ -128,7 +130,8 @@
 }
 
 /// Takes in one change.
-fn take<D: Dialect>(relay: &Relay<D>, change: &Change) {
+pub fn take<D: Dialect>(relay: &Relay<D>, change: &Change) {
+    relay.mirror(|mirror| mirror.insert(change));
     match relay.dialect.entry(change) {
         Ok(Entry::Configuration(table)) => relay.configure(table),
         Ok(Entry::Server(server)) => relay.announce(server, change.revision),
--- a/relay/src/lib.rs
+++ b/relay/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod intake;
 pub mod listener;
 pub mod metrics;
+pub mod mirror;
 pub mod monitor;
 pub mod rediscover;
 pub mod state;
--- a/relay/src/state.rs
+++ b/relay/src/state.rs
@@ -21,6 +21,7 @@
 
 use crate::dialect::Dialect;
 use crate::metrics::Metrics;
+use crate::mirror::Mirror;
 use crate::monitor::Monitor;
 
 /// Settings of the relay.
@@ -114,6 +115,8 @@
     /// Wakes the task that tells the other entries of this one's streams.
     pub streams_changed: Notify,
     beliefs: Mutex<Beliefs>,
+    mirror: Mutex<Mirror>,
+    catching_up: AtomicBool,
 }
 
 /// How a server's load is counted.
@@ -161,6 +164,8 @@
             changed: watch::Sender::new(0),
             streams_changed: Notify::new(),
             beliefs: Mutex::default(),
+            mirror: Mutex::default(),
+            catching_up: AtomicBool::new(false),
         }
     }
 
@@ -168,6 +173,21 @@
         act(&mut self.beliefs.lock().unwrap_or_else(PoisonError::into_inner))
     }
 
+    /// Reads or changes what was last read in the store.
+    pub fn mirror<T>(&self, act: impl FnOnce(&mut Mirror) -> T) -> T {
+        act(&mut self.mirror.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// Returns whether this entry is catching up from a peer, and notes that it is.
+    pub fn begin_catching_up(&self) -> bool {
+        self.catching_up.swap(true, Ordering::Relaxed)
+    }
+
+    /// Notes that this entry has caught up, or failed to.
+    pub fn end_catching_up(&self) {
+        self.catching_up.store(false, Ordering::Relaxed);
+    }
+
     /// Returns the configuration in force.
     #[must_use]
     pub fn table(&self) -> Option<Arc<Table>> {
--- a/relay/src/stream.rs
+++ b/relay/src/stream.rs
@@ -103,6 +103,7 @@
     arrivals: u32,
     ran: u32,
     resumes: u32,
+    silences: u32,
     first_event_at: Option<Duration>,
     last_event_at: Duration,
     longest_pause: Duration,
@@ -160,6 +161,7 @@
             arrivals: 0,
             ran: 0,
             resumes: 0,
+            silences: 0,
             first_event_at: None,
             last_event_at: job.began,
             longest_pause: Duration::ZERO,
@@ -495,6 +497,12 @@
         self.lost_domain = Some(Arc::clone(&failed.server.failure_domain));
         self.resumes += 1;
         self.relay.metrics.resume(cause);
+        match cause {
+            "silent" => self.silences += 1,
+            // A server that was lost no longer counts as one that the request was sent to.
+            "server_lost" => self.ran -= 1,
+            _ => {}
+        }
         if cause != "silent" {
             self.relay.unreachable(failed);
             rediscover::start(&self.relay, failed);
@@ -517,7 +525,7 @@
         let mut heard = Instant::now();
         loop {
             let bound = match self.begun {
-                true => self.relay.settings.liveness.stream * 2_u32.pow(self.resumes.min(3)),
+                true => self.relay.settings.liveness.stream * 2_u32.pow(self.silences.min(3)),
                 false => FIRST_EVENT,
             };
             let frame = tokio::select! {
