feat(relay): the whole group of a lost server is looked for in an outage

Cause: with the store away, servers that crashed together were looked for one by one, each only after a send had failed.

--- a/relay/src/monitor.rs
+++ b/relay/src/monitor.rs
@@ -11,7 +11,6 @@
 
 use crate::attempt;
 use crate::dialect::{Dialect, Report};
-use crate::rediscover;
 use crate::state::{Backend, Relay};
 
 /// What is known of a server with streams.
@@ -130,7 +129,6 @@
                     server = &*backend.server.id, failure_domain = &*backend.server.failure_domain;
                     "server lost: it is silent and does not answer questions"
                 );
-                rediscover::start(&relay, &backend);
                 return;
             }
         }
--- a/relay/src/rediscover.rs
+++ b/relay/src/rediscover.rs
@@ -15,27 +15,45 @@
 /// Time between questions.
 const INTERVAL: Duration = Duration::from_millis(250);
 
-/// Questions until the search ends: a crashed server is back within a few seconds.
-const QUESTIONS: u32 = 16;
+/// Time after a loss in which an outage of the store may begin and still hide the next start.
+const WATCHED: Duration = Duration::from_secs(4);
+
+/// Questions until a search ends. A crashed server is back within a few seconds.
+const QUESTIONS: u32 = 40;
 
 /// Longest wait for an answer.
 const ANSWER_TIME: Duration = Duration::from_millis(150);
 
-/// Looks for what has taken the place of `backend`, unless a search is under way.
-pub fn start<D: Dialect>(relay: &Arc<Relay<D>>, backend: &Arc<Backend>) {
-    if backend.searched() {
-        return;
+/// Looks for what has taken the place of the servers that are lost, for ever.
+pub async fn run<D: Dialect>(relay: Arc<Relay<D>>) {
+    loop {
+        relay.search_wanted.notified().await;
+        for backend in relay.take_searches() {
+            if !backend.searched() {
+                tokio::spawn(search(Arc::clone(&relay), backend));
+            }
+        }
     }
-    tokio::spawn(search(Arc::clone(relay), Arc::clone(backend)));
 }
 
 async fn search<D: Dialect>(relay: Arc<Relay<D>>, backend: Arc<Backend>) {
-    for _ in 0..QUESTIONS {
-        if !relay.store_up() && look(&relay, &backend).await {
-            return;
+    let began = relay.clock.now();
+    let mut questions = 0;
+    while questions < QUESTIONS {
+        let recent = relay.clock.now().saturating_sub(began) < WATCHED;
+        match relay.store_up() {
+            true if !recent => break,
+            true => {}
+            false => {
+                questions += 1;
+                if look(&relay, &backend).await {
+                    break;
+                }
+            }
         }
         tokio::time::sleep(INTERVAL).await;
     }
+    backend.search_ended();
 }
 
 /// Asks once and returns whether the search has ended.
--- a/relay/src/state.rs
+++ b/relay/src/state.rs
@@ -66,6 +66,11 @@
         self.searched.swap(true, Ordering::Relaxed)
     }
 
+    /// Notes that a search has ended; the next loss begins another.
+    pub fn search_ended(&self) {
+        self.searched.store(false, Ordering::Relaxed);
+    }
+
     /// Reads or changes the server's load.
     pub fn load<T>(&self, act: impl FnOnce(&mut Load) -> T) -> T {
         act(&mut self.load.lock().unwrap_or_else(PoisonError::into_inner))
@@ -82,6 +87,7 @@
     groups: Groups<Group>,
     peers: HashMap<Arc<str>, SocketAddr>,
     shared: shared_load::Table,
+    to_search: Vec<Arc<Backend>>,
 }
 
 /// The servers of a service in one failure domain.
@@ -114,6 +120,8 @@
     pub changed: watch::Sender<u64>,
     /// Wakes the task that tells the other entries of this one's streams.
     pub streams_changed: Notify,
+    /// Wakes the task that looks for what has taken the place of lost servers.
+    pub search_wanted: Notify,
     beliefs: Mutex<Beliefs>,
     mirror: Mutex<Mirror>,
     catching_up: AtomicBool,
@@ -163,6 +171,7 @@
             draining: watch::Sender::new(false),
             changed: watch::Sender::new(0),
             streams_changed: Notify::new(),
+            search_wanted: Notify::new(),
             beliefs: Mutex::default(),
             mirror: Mutex::default(),
             catching_up: AtomicBool::new(false),
@@ -387,13 +396,24 @@
         })
     }
 
-    /// Notes that a server could not be reached, or was lost.
-    pub fn unreachable(&self, backend: &Backend) {
+    /// Notes that a server could not be reached, or was lost. It is looked for anew, with the
+    /// others of its group if they can't be reached either.
+    pub fn unreachable(&self, backend: &Arc<Backend>) {
         let now = self.clock.now();
         backend.load(|load| load.unreachable(now));
         let id = &backend.server.id;
         let group = backend.group();
-        let suspect = self.beliefs(|beliefs| beliefs.groups.failed(group, id, now));
+        let suspect = self.beliefs(|beliefs| {
+            let suspect = beliefs.groups.failed(group.clone(), id, now);
+            beliefs.to_search.push(Arc::clone(backend));
+            if suspect {
+                let all = beliefs.backends.get(&group.service).into_iter().flatten();
+                let members = all.filter(|other| other.group() == group).cloned();
+                beliefs.to_search.extend(members);
+            }
+            suspect
+        });
+        self.search_wanted.notify_one();
         if suspect {
             log::warn!(
                 service = &*backend.server.service,
@@ -403,6 +423,11 @@
         }
     }
 
+    /// Takes the servers that are to be looked for.
+    pub fn take_searches(&self) -> Vec<Arc<Backend>> {
+        self.beliefs(|beliefs| std::mem::take(&mut beliefs.to_search))
+    }
+
     /// Notes that a server answered.
     pub fn answered(&self, backend: &Backend) {
         let now = self.clock.now();
--- a/relay/src/stream.rs
+++ b/relay/src/stream.rs
@@ -24,7 +24,6 @@
 use crate::events::Splitter;
 use crate::intake::Job;
 use crate::monitor::{self, Subscription};
-use crate::rediscover;
 use crate::state::{Backend, Measure, Relay, Wanted};
 
 /// Events that wait for a slow caller: a whole answer of usual size.
@@ -241,9 +240,6 @@
     /// Notes a send that failed.
     fn note(&mut self, backend: &Arc<Backend>, failure: &Failure) {
         self.lost.push(Arc::clone(&backend.server.id));
-        if !self.relay.store_up() && !matches!(failure, Failure::NotRun { status: 503, .. }) {
-            rediscover::start(&self.relay, backend);
-        }
         match failure {
             Failure::NotSent { .. } => {}
             Failure::NotRun { .. } => self.arrived(),
@@ -505,7 +501,6 @@
         }
         if cause != "silent" {
             self.relay.unreachable(failed);
-            rediscover::start(&self.relay, failed);
         }
         log::info!(
             request = &*self.job.original.request_id, server = &*failed.server.id,
@@ -555,8 +550,10 @@
                     (Some(id), Some(last)) if id > last + 1 => return Left::Lost("gap"),
                     _ => {}
                 }
-                self.begun = true;
-                source.run.place.read();
+                if !std::mem::replace(&mut self.begun, true) {
+                    source.run.place.read();
+                    self.keep_copy(&source.run.backend);
+                }
                 self.last_event = event.id.or(self.last_event);
                 self.event_passed(now);
                 if sender.send(Part::Data(event.bytes)).await.is_err() {
