--- a/coordination/src/balance.rs
+++ b/coordination/src/balance.rs
@@ -29,6 +29,13 @@
 /// Longest time that a server which cannot be reached is put behind the others.
 const LONGEST_SUSPICION: Duration = Duration::from_secs(4);
 
+/// Time for which an answer speaks against what other entries say.
+const OWN_EVIDENCE: Duration = Duration::from_millis(300);
+
+/// Time that a server which others could not reach is put behind the others; they tell it again
+/// while it lasts.
+const TOLD_SUSPICION: Duration = Duration::from_millis(500);
+
 /// What is known of one server's load and health.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Load {
@@ -37,6 +44,7 @@
     others: f64,
     reported_at: Duration,
     faults: f64,
+    answered_at: Duration,
     suspected_until: Duration,
     suspicions: u32,
 }
@@ -92,7 +100,8 @@
     }
 
     /// Notes how a request ended at the server.
-    pub fn outcome(&mut self, failed: bool) {
+    pub fn outcome(&mut self, failed: bool, now: Duration) {
+        self.answered_at = now;
         let value = if failed { 1.0 } else { 0.0 };
         self.faults += (value - self.faults) * OUTCOME_WEIGHT;
         if !failed {
@@ -108,6 +117,16 @@
         self.suspected_until = now + doubled.min(LONGEST_SUSPICION);
     }
 
+    /// Notes that another entry could not reach the server; returns whether this entry has not
+    /// heard of it lately either, so that it is put behind the others for a short while.
+    pub fn told_unreachable(&mut self, now: Duration) -> bool {
+        if now.saturating_sub(self.answered_at) < OWN_EVIDENCE {
+            return false;
+        }
+        self.suspected_until = self.suspected_until.max(now + TOLD_SUSPICION);
+        true
+    }
+
     /// Returns whether the server is put behind the others.
     #[must_use]
     pub fn suspect(&self, now: Duration) -> bool {
--- a/relay/src/attempt.rs
+++ b/relay/src/attempt.rs
@@ -161,7 +161,8 @@
     *request.uri_mut() = original.uri.clone();
     *request.headers_mut() = relay.dialect.headers(&original.headers, send);
     let response = sender.send_request(request).await.map_err(|error| {
-        backend.load(|load| load.outcome(true));
+        let now = relay.clock.now();
+        backend.load(|load| load.outcome(true, now));
         let reason = error.to_string();
         Failure::Lost { reason }
     })?;
@@ -176,7 +177,7 @@
         match status {
             // Another server has the address now.
             421 => relay.unreachable(backend),
-            _ => backend.load(|load| load.outcome(true)),
+            _ => backend.load(|load| load.outcome(true, now)),
         }
         return Err(Failure::NotRun {
             status,
@@ -184,12 +185,12 @@
         });
     }
     if !reply.matches || (parts.status.is_success() && !reply.signed) {
-        backend.load(|load| load.outcome(true));
+        backend.load(|load| load.outcome(true, now));
         return Err(Failure::Lost {
             reason: "the answer is to another request, or of no server".to_owned(),
         });
     }
-    backend.load(|load| load.outcome(parts.status.is_server_error()));
+    backend.load(|load| load.outcome(parts.status.is_server_error(), now));
     relay.answered(backend);
     Ok(Answer {
         response: Response::from_parts(parts, body),
--- a/relay/src/call.rs
+++ b/relay/src/call.rs
@@ -235,7 +235,8 @@
     let mut bytes = BytesMut::new();
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|error| {
-            backend.load(|load| load.outcome(true));
+            let now = relay.clock.now();
+            backend.load(|load| load.outcome(true, now));
             Failure::Lost {
                 reason: error.to_string(),
             }
--- a/relay/src/exchange.rs
+++ b/relay/src/exchange.rs
@@ -47,6 +47,23 @@
     /// How far the entry has read in the store.
     revision: u64,
     streams: Vec<(Arc<str>, u32, u32)>,
+    /// Servers that it could not reach lately.
+    #[serde(default)]
+    lost: Vec<Arc<str>>,
+    /// Servers that it found in place of others while the store was away.
+    #[serde(default)]
+    found: Vec<Found>,
+}
+
+/// A server that was found at the address of another.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Found {
+    /// Name of the server that was there before.
+    pub before: Arc<str>,
+    /// Name of the server that is there now.
+    pub now: Arc<str>,
+    /// When it started, in Unix milliseconds.
+    pub born_ms: Option<u64>,
 }
 
 /// Sends and receives messages for ever.
@@ -86,6 +103,8 @@
             relay.end_catching_up();
         });
     }
+    relay.peer_lost(&message.lost);
+    relay.peer_found(message.found);
     let counts: HashMap<Arc<str>, Count> = message
         .streams
         .into_iter()
@@ -107,6 +126,8 @@
             entry: Arc::clone(&relay.settings.entry),
             revision: relay.mirror(|mirror| mirror.revision()),
             streams: relay.own_streams(),
+            lost: relay.lately_lost(),
+            found: relay.found(),
         };
         let bytes = match serde_json::to_vec(&message) {
             Ok(bytes) => bytes,
--- a/relay/src/state.rs
+++ b/relay/src/state.rs
@@ -20,10 +20,14 @@
 use medlarfall_runtime::budget;
 
 use crate::dialect::Dialect;
+use crate::exchange::Found;
 use crate::metrics::Metrics;
 use crate::mirror::Mirror;
 use crate::monitor::Monitor;
 
+/// Time for which the other entries are told that a server could not be reached.
+const LOSS_TOLD: Duration = Duration::from_millis(1_500);
+
 /// Settings of the relay.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -88,6 +92,8 @@
     peers: HashMap<Arc<str>, SocketAddr>,
     shared: shared_load::Table,
     to_search: Vec<Arc<Backend>>,
+    found: Vec<Found>,
+    lost: HashMap<Arc<str>, Duration>,
 }
 
 /// The servers of a service in one failure domain.
@@ -301,6 +307,65 @@
         self.changed.send_modify(|count| *count += 1);
     }
 
+    /// Returns the servers that this entry itself could not reach lately.
+    #[must_use]
+    pub fn lately_lost(&self) -> Vec<Arc<str>> {
+        let now = self.clock.now();
+        self.beliefs(|beliefs| {
+            beliefs
+                .lost
+                .retain(|_, at| now.saturating_sub(*at) < LOSS_TOLD);
+            beliefs.lost.keys().cloned().collect()
+        })
+    }
+
+    /// Takes in the servers that another entry could not reach: one that this entry has not heard
+    /// of since either is put behind the others and looked for.
+    pub fn peer_lost(&self, lost: &[Arc<str>]) {
+        if lost.is_empty() {
+            return;
+        }
+        let now = self.clock.now();
+        self.beliefs(|beliefs| {
+            for backend in beliefs.backends.values().flatten() {
+                let silent = || backend.load(|load| load.told_unreachable(now));
+                if lost.contains(&backend.server.id) && silent() {
+                    beliefs.to_search.push(Arc::clone(backend));
+                }
+            }
+        });
+        self.search_wanted.notify_one();
+    }
+
+    /// Returns the servers that were found while the store is away.
+    #[must_use]
+    pub fn found(&self) -> Vec<Found> {
+        self.beliefs(|beliefs| {
+            if beliefs.roster.keeper_answers() {
+                beliefs.found.clear();
+            }
+            beliefs.found.clone()
+        })
+    }
+
+    /// Takes in the servers that another entry found.
+    pub fn peer_found(&self, found: Vec<Found>) {
+        if self.store_up() {
+            return;
+        }
+        for Found {
+            before,
+            now,
+            born_ms,
+        } in found
+        {
+            let before = self.beliefs(|beliefs| beliefs.roster.get(&before).cloned());
+            if let Some(before) = before {
+                self.adopt(&before, now, born_ms);
+            }
+        }
+    }
+
     /// Takes in a server that was found in place of `gone`, while the store does not answer.
     pub fn adopt(&self, gone: &Server, id: Arc<str>, born_ms: Option<u64>) {
         let server = Server {
@@ -311,6 +376,13 @@
         };
         let effect = self.beliefs(|beliefs| {
             let effect = beliefs.roster.adopt(server);
+            if effect != Effect::Stale {
+                beliefs.found.push(Found {
+                    before: Arc::clone(&gone.id),
+                    now: Arc::clone(&id),
+                    born_ms,
+                });
+            }
             beliefs.forget_unlisted();
             beliefs.refresh(&self.settings, &id);
             effect
@@ -406,6 +478,7 @@
         let suspect = self.beliefs(|beliefs| {
             let suspect = beliefs.groups.failed(group.clone(), id, now);
             beliefs.to_search.push(Arc::clone(backend));
+            beliefs.lost.insert(Arc::clone(id), now);
             if suspect {
                 let all = beliefs.backends.get(&group.service).into_iter().flatten();
                 let members = all.filter(|other| other.group() == group).cloned();
@@ -414,6 +487,7 @@
             suspect
         });
         self.search_wanted.notify_one();
+        self.streams_changed.notify_one();
         if suspect {
             log::warn!(
                 service = &*backend.server.service,
