--- a/coordination/src/balance.rs
+++ b/coordination/src/balance.rs
@@ -188,11 +188,11 @@
         .enumerate()
         .min_by(|(_, left), (_, right)| {
             let order = left.suspect.cmp(&right.suspect);
-            // Loads within half a request are alike: reports are no more exact than that.
-            let halves = |candidate: &Candidate| (cost(candidate) * 2.0).round();
+            // Loads within half a request are alike: entries know no more of one another's.
+            let level = |candidate: &Candidate| (cost(candidate) * 2.0).round();
             let weight = |candidate: &Candidate| Reverse(mix(candidate.hash ^ lot));
             order
-                .then(halves(left).total_cmp(&halves(right)))
+                .then(level(left).total_cmp(&level(right)))
                 .then(weight(left).cmp(&weight(right)))
         })
         .map(|(index, _)| index)
