--- a/relay/src/dialect.rs
+++ b/relay/src/dialect.rs
@@ -26,6 +26,8 @@
     pub last_event: Option<u64>,
     /// Hash of the prompt's parts, the same for prompts that share their beginning.
     pub prompt_hash: Option<u64>,
+    /// Identifier of the prompt's last part, which is the request's own.
+    pub last_part: Option<Arc<str>>,
     /// Tokens that the prompt has and that the answer may have.
     pub tokens: Option<u64>,
 }
@@ -171,6 +173,12 @@
     /// Returns the order to free a copy.
     fn copy_drop(&self, handle: &str) -> Order;
 
+    /// Returns the question for the parts of prompts that a server keeps.
+    fn cache_order(&self) -> Order;
+
+    /// Decodes how many tokens of `part` a server keeps.
+    fn cached(&self, status: StatusCode, body: &[u8], part: &str) -> u64;
+
     /// Decodes a change in the store.
     ///
     /// # Errors
--- a/relay/src/state.rs
+++ b/relay/src/state.rs
@@ -510,6 +510,19 @@
         self.beliefs(|beliefs| beliefs.groups.answered(&group));
     }
 
+    /// Returns the servers of a service that are not suspect, the nearest first.
+    #[must_use]
+    pub fn usable(&self, service: &str) -> Vec<Arc<Backend>> {
+        let now = self.clock.now();
+        let mut usable: Vec<Arc<Backend>> = self.beliefs(|beliefs| {
+            let backends = beliefs.backends.get(service).into_iter().flatten();
+            let usable = backends.filter(|backend| !backend.load(|load| load.suspect(now)));
+            usable.cloned().collect()
+        });
+        usable.sort_by_key(|backend| backend.proximity);
+        usable
+    }
+
     /// Chooses a server.
     #[must_use]
     pub fn choose(&self, wanted: Wanted) -> Option<Arc<Backend>> {
--- a/relay/src/stream.rs
+++ b/relay/src/stream.rs
@@ -24,6 +24,7 @@
 use crate::events::Splitter;
 use crate::intake::Job;
 use crate::monitor::{self, Subscription};
+use crate::prompt_cache;
 use crate::state::{Backend, Measure, Relay, Wanted};
 
 /// Events that wait for a slow caller: a whole answer of usual size.
@@ -193,8 +194,14 @@
     /// Opens the stream at a server, or at several in turn.
     async fn open(&mut self) -> Result<Opened<D>, Refusal> {
         let mut refusals = 0;
+        let mut holder = self.prompt_holder().await;
         loop {
-            let (backend, copy) = self.next().await.ok_or_else(|| self.refusal())?;
+            let found = holder.take().map(|backend| (backend, None));
+            let next = match found {
+                Some(found) => Some(found),
+                None => self.next().await,
+            };
+            let (backend, copy) = next.ok_or_else(|| self.refusal())?;
             if !self.pay() {
                 return Err(match self.ran {
                     0 => Refusal::come_back(Reason::RetryBudget, NO_SERVER_PAUSE),
@@ -214,6 +221,14 @@
         }
     }
 
+    /// Returns the server that has read the prompt of a stream that its caller goes on with.
+    async fn prompt_holder(&self) -> Option<Arc<Backend>> {
+        let first = self.arrivals == 0 && self.resumable();
+        let resumed = self.job.caller.last_event.filter(|_| first);
+        let part = resumed.and(self.job.caller.last_part.as_deref())?;
+        prompt_cache::holder(&self.relay, &self.job.service, part).await
+    }
+
     /// Takes a repeat from the budget for each arrival at a server after the first.
     fn pay(&mut self) -> bool {
         self.paid |= self.arrivals == 0 || self.relay.take_retry(&self.job.service);
