--- a/coordination/src/balance.rs
+++ b/coordination/src/balance.rs
@@ -24,7 +24,7 @@
 
 /// First time that a server which cannot be reached is put behind the others. Source: an engine
 /// that crashed takes about a second to start again.
-const FIRST_SUSPICION: Duration = Duration::from_millis(1_000);
+const FIRST_SUSPICION: Duration = Duration::from_secs(1);
 
 /// Longest time that a server which cannot be reached is put behind the others.
 const LONGEST_SUSPICION: Duration = Duration::from_secs(4);
--- a/coordination/src/outage.rs
+++ b/coordination/src/outage.rs
@@ -14,7 +14,7 @@
 const SHORT_ORDER: Duration = Duration::from_millis(500);
 
 /// Time that a group is put behind the others. Engines start again within about a second.
-const SUSPICION: Duration = Duration::from_millis(1_000);
+const SUSPICION: Duration = Duration::from_secs(1);
 
 /// What is known of one group.
 #[derive(Clone, Debug)]
@@ -69,6 +69,8 @@
     /// Returns whether `group` is put behind the others.
     #[must_use]
     pub fn suspect(&self, group: &K, now: Duration) -> bool {
-        self.records.get(group).is_some_and(|record| now < record.until)
+        self.records
+            .get(group)
+            .is_some_and(|record| now < record.until)
     }
 }
--- a/coordination/src/roster.rs
+++ b/coordination/src/roster.rs
@@ -106,9 +106,8 @@
             false => Effect::Changed,
         };
         self.removed.remove(&server.id);
-        self.records.retain(|id, other| {
-            *id == server.id || other.server.address != server.address
-        });
+        self.records
+            .retain(|id, other| *id == server.id || other.server.address != server.address);
         let record = Record {
             revision,
             lapsed: false,
--- a/coordination/src/routing.rs
+++ b/coordination/src/routing.rs
@@ -179,9 +179,7 @@
     #[must_use]
     pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
         let routes = self.routes.get(host)?;
-        routes
-            .iter()
-            .find(|route| path.starts_with(&*route.prefix))
+        routes.iter().find(|route| path.starts_with(&*route.prefix))
     }
 
     /// Returns whether requests of `route` need the key of an account.
--- a/relay/src/attempt.rs
+++ b/relay/src/attempt.rs
@@ -77,7 +77,8 @@
 
 impl Drop for Guard {
     fn drop(&mut self) {
-        self.backend.load(medlarfall_coordination::balance::Load::ended);
+        self.backend
+            .load(medlarfall_coordination::balance::Load::ended);
     }
 }
 
--- a/relay/src/copy.rs
+++ b/relay/src/copy.rs
@@ -15,7 +15,7 @@
 const REFRESH: Duration = Duration::from_millis(2_500);
 
 /// Longest wait for a copy to be made: a long prompt takes some tens of milliseconds.
-const COPY_TIME: Duration = Duration::from_millis(1_000);
+const COPY_TIME: Duration = Duration::from_secs(1);
 
 /// A copy that is kept up to date until this is dropped.
 #[derive(Debug)]
--- a/relay/src/daemon.rs
+++ b/relay/src/daemon.rs
@@ -49,7 +49,11 @@
             Ok((socket, listener)) => {
                 tokio::spawn(mirror::serve(Arc::clone(&relay), listener));
                 tokio::spawn(exchange::run(Arc::clone(&relay), socket));
-                tokio::spawn(exchange::register(Arc::clone(&relay), store.clone(), address));
+                tokio::spawn(exchange::register(
+                    Arc::clone(&relay),
+                    store.clone(),
+                    address,
+                ));
             }
             Err(error) => {
                 let reason = error.to_string();
--- a/relay/src/exchange.rs
+++ b/relay/src/exchange.rs
@@ -23,7 +23,7 @@
 const SHORTEST: Duration = Duration::from_millis(10);
 
 /// Longest time between two messages, so that a lost one does no lasting harm.
-const LONGEST: Duration = Duration::from_millis(1_000);
+const LONGEST: Duration = Duration::from_secs(1);
 
 /// Largest message.
 const MESSAGE_LIMIT: usize = 60_000;
@@ -38,7 +38,7 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(1_500);
 
 /// Longest wait for the store.
-const ANSWER_TIME: Duration = Duration::from_millis(1_000);
+const ANSWER_TIME: Duration = Duration::from_secs(1);
 
 /// What an entry tells: its name and, for each server, its streams and those still unread.
 #[derive(Debug, Deserialize, Serialize)]
@@ -104,7 +104,7 @@
         });
     }
     relay.peer_lost(&message.lost);
-    relay.peer_found(message.found);
+    relay.peer_found(&message.found);
     let counts: HashMap<Arc<str>, Count> = message
         .streams
         .into_iter()
@@ -191,7 +191,11 @@
     match store.put(&key, value.clone(), 0, Some(lease)).await {
         Err(Error::Conflict {
             current: Some(current),
-        }) => store.put(&key, value, current.revision, Some(lease)).await?,
+        }) => {
+            store
+                .put(&key, value, current.revision, Some(lease))
+                .await?
+        }
         written => written?,
     };
     Ok(lease)
--- a/relay/src/intake.rs
+++ b/relay/src/intake.rs
@@ -30,7 +30,7 @@
 const ELSEWHERE_PAUSE: Duration = Duration::from_millis(5);
 
 /// Time that a stream usually needs: a prompt of a second or two and some 130 events of 40 ms.
-const STREAM_TIME: Duration = Duration::from_millis(7_000);
+const STREAM_TIME: Duration = Duration::from_secs(7);
 
 /// A request that is about to be placed.
 #[derive(Debug)]
@@ -193,7 +193,9 @@
 /// Returns the host that a request names, without a port and in lower case.
 fn host(uri: &Uri, headers: &HeaderMap) -> Option<String> {
     let named = headers.get(HOST).and_then(|host| host.to_str().ok());
-    let host = uri.authority().map_or(named, |authority| Some(authority.as_str()))?;
+    let host = uri
+        .authority()
+        .map_or(named, |authority| Some(authority.as_str()))?;
     let name = match host.rsplit_once(':') {
         Some((name, port)) if port.bytes().all(|byte| byte.is_ascii_digit()) => name,
         _ => host,
--- a/relay/src/listener.rs
+++ b/relay/src/listener.rs
@@ -58,12 +58,11 @@
         ended = &mut connection => Some(ended),
         _ = closing => None,
     };
-    let ended = match ended {
-        Some(ended) => ended,
-        None => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
-        }
+    let ended = if let Some(ended) = ended {
+        ended
+    } else {
+        connection.as_mut().graceful_shutdown();
+        connection.await
     };
     if let Err(error) = ended {
         log::debug!(reason = error.to_string().as_str(); "connection of a caller ended");
--- a/relay/src/metrics.rs
+++ b/relay/src/metrics.rs
@@ -80,21 +80,66 @@
         let first: Family<OfRoute, Histogram> = Family::new_with_constructor(latency);
         let resumed = Family::default();
         let resume_gap = latency();
-        let [questions, servers_lost, retries, retries_refused, store_calls] =
-            std::array::from_fn(|_| Counter::default());
+        let [
+            questions,
+            servers_lost,
+            retries,
+            retries_refused,
+            store_calls,
+        ] = std::array::from_fn(|_| Counter::default());
         let [configuration, store_up] = std::array::from_fn(|_| Gauge::default());
         let mut registry = Registry::with_prefix("medlarfall_relay");
-        registry.register("requests", "Requests by how they ended", Family::clone(&ended));
-        registry.register("first_seconds", "Time to the answer or first event", first.clone());
-        registry.register("resumes", "Streams that changed servers", Family::clone(&resumed));
-        registry.register("resume_gap_seconds", "Pause of a resume", resume_gap.clone());
-        registry.register("questions", "Questions to servers", Counter::clone(&questions));
-        registry.register("servers_lost", "Servers found lost", Counter::clone(&servers_lost));
+        registry.register(
+            "requests",
+            "Requests by how they ended",
+            Family::clone(&ended),
+        );
+        registry.register(
+            "first_seconds",
+            "Time to the answer or first event",
+            first.clone(),
+        );
+        registry.register(
+            "resumes",
+            "Streams that changed servers",
+            Family::clone(&resumed),
+        );
+        registry.register(
+            "resume_gap_seconds",
+            "Pause of a resume",
+            resume_gap.clone(),
+        );
+        registry.register(
+            "questions",
+            "Questions to servers",
+            Counter::clone(&questions),
+        );
+        registry.register(
+            "servers_lost",
+            "Servers found lost",
+            Counter::clone(&servers_lost),
+        );
         registry.register("retries", "Repeats sent", Counter::clone(&retries));
-        registry.register("retries_refused", "Repeats refused", Counter::clone(&retries_refused));
-        registry.register("store_calls", "Calls to the store", Counter::clone(&store_calls));
-        registry.register("configuration", "Version in force", Gauge::clone(&configuration));
-        registry.register("store_up", "Whether the store answers", Gauge::clone(&store_up));
+        registry.register(
+            "retries_refused",
+            "Repeats refused",
+            Counter::clone(&retries_refused),
+        );
+        registry.register(
+            "store_calls",
+            "Calls to the store",
+            Counter::clone(&store_calls),
+        );
+        registry.register(
+            "configuration",
+            "Version in force",
+            Gauge::clone(&configuration),
+        );
+        registry.register(
+            "store_up",
+            "Whether the store answers",
+            Gauge::clone(&store_up),
+        );
         Self {
             ended,
             first,
@@ -128,7 +173,9 @@
         let labels = OfRoute {
             route: route.to_owned(),
         };
-        self.first.get_or_create(&labels).observe(time.as_secs_f64());
+        self.first
+            .get_or_create(&labels)
+            .observe(time.as_secs_f64());
     }
 
     /// Counts a stream that goes on at another server.
--- a/relay/src/prompt_cache.rs
+++ b/relay/src/prompt_cache.rs
@@ -34,7 +34,10 @@
     backends.truncate(ASKED);
     let asked = backends.iter().map(|backend| kept(relay, backend, part));
     let kept = join_all(asked).await;
-    let best = kept.iter().zip(&backends).max_by_key(|(tokens, _)| **tokens);
+    let best = kept
+        .iter()
+        .zip(&backends)
+        .max_by_key(|(tokens, _)| **tokens);
     let (tokens, backend) = best.filter(|(tokens, _)| **tokens > 0)?;
     let load = relay.stream_load(backend);
     log::info!(
--- a/relay/src/rediscover.rs
+++ b/relay/src/rediscover.rs
@@ -64,22 +64,23 @@
         let report = attempt::report(relay, address).await?;
         Ok::<_, String>((name, report))
     };
-    let (name, report) = match tokio::time::timeout(ANSWER_TIME, asked).await {
-        Ok(Ok(found)) => found,
-        _ => return false,
+    let Ok(Ok((name, report))) = tokio::time::timeout(ANSWER_TIME, asked).await else {
+        return false;
     };
     if name == backend.server.id {
         return true;
     }
     let service = relay.table();
-    let service = service.as_ref().and_then(|table| table.service_of(&report.models));
+    let service = service
+        .as_ref()
+        .and_then(|table| table.service_of(&report.models));
     let same = service == Some(&backend.server.service);
     log::info!(
         server = &*backend.server.id, found = &*name, used = same;
         "another server answers at the address of a lost one"
     );
     if same {
-        relay.adopt(&backend.server, name, report.born_ms);
+        relay.adopt(&backend.server, &name, report.born_ms);
     }
     true
 }
--- /dev/null
+++ b/relay/src/state/beliefs.rs
@@ -0,0 +1,86 @@
+//! What this entry believes of configuration, servers and other entries.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use medlarfall_coordination::outage::Groups;
+use medlarfall_coordination::retry_budget::{Budget, Policy};
+use medlarfall_coordination::roster::Roster;
+use medlarfall_coordination::routing::Table;
+use medlarfall_coordination::shared_load;
+
+use crate::exchange::Found;
+
+use super::{Backend, Settings};
+
+/// What is believed of configuration and servers.
+#[derive(Debug, Default)]
+pub(super) struct Beliefs {
+    pub(super) table: Option<Arc<Table>>,
+    pub(super) roster: Roster,
+    pub(super) backends: HashMap<Arc<str>, Vec<Arc<Backend>>>,
+    pub(super) retries: HashMap<Arc<str>, Budget>,
+    pub(super) groups: Groups<Group>,
+    pub(super) peers: HashMap<Arc<str>, SocketAddr>,
+    pub(super) shared: shared_load::Table,
+    pub(super) to_search: Vec<Arc<Backend>>,
+    pub(super) found: Vec<Found>,
+    pub(super) lost: HashMap<Arc<str>, Duration>,
+}
+
+/// The servers of a service in one failure domain.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub(super) struct Group {
+    pub(super) service: Arc<str>,
+    pub(super) failure_domain: Arc<str>,
+}
+
+impl Beliefs {
+    pub(super) fn budget(&mut self, service: &Arc<str>, policy: Policy) -> &mut Budget {
+        let budget = self.retries.entry(Arc::clone(service));
+        budget.or_insert_with(|| Budget::new(policy))
+    }
+
+    /// Brings the backends in line with what the roster says of one server.
+    pub(super) fn refresh(&mut self, settings: &Settings, id: &Arc<str>) {
+        let known = self.roster.get(id).filter(|server| !server.leaving);
+        for backends in self.backends.values_mut() {
+            backends.retain(|backend| {
+                backend.server.id != *id || known.is_some_and(|known| *known == backend.server)
+            });
+        }
+        let Some(server) = known else {
+            return;
+        };
+        let backends = self
+            .backends
+            .entry(Arc::clone(&server.service))
+            .or_default();
+        if backends.iter().all(|backend| backend.server.id != *id) {
+            backends.push(Arc::new(Backend::new(Arc::clone(server), settings)));
+        }
+    }
+
+    /// Drops the backends that the roster no longer lists.
+    pub(super) fn forget_unlisted(&mut self) {
+        let roster = &self.roster;
+        for backends in self.backends.values_mut() {
+            backends.retain(|backend| roster.get(&backend.server.id).is_some());
+        }
+    }
+
+    /// Brings the backends in line with the whole roster.
+    pub(super) fn refresh_all(&mut self, settings: &Settings) {
+        self.forget_unlisted();
+        let ids: Vec<Arc<str>> = self
+            .roster
+            .iter()
+            .map(|server| Arc::clone(&server.id))
+            .collect();
+        for id in &ids {
+            self.refresh(settings, id);
+        }
+    }
+}
--- /dev/null
+++ b/relay/src/state/peers.rs
@@ -0,0 +1,122 @@
+//! What this entry tells the others, and what they tell it.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use medlarfall_coordination::shared_load::Count;
+
+use crate::dialect::Dialect;
+use crate::exchange::Found;
+
+use super::Relay;
+
+/// Time for which the other entries are told that a server could not be reached.
+const LOSS_TOLD: Duration = Duration::from_millis(1_500);
+
+impl<D: Dialect> Relay<D> {
+    /// Returns the servers that this entry itself could not reach lately.
+    #[must_use]
+    pub fn lately_lost(&self) -> Vec<Arc<str>> {
+        let now = self.clock.now();
+        self.beliefs(|beliefs| {
+            beliefs
+                .lost
+                .retain(|_, at| now.saturating_sub(*at) < LOSS_TOLD);
+            beliefs.lost.keys().cloned().collect()
+        })
+    }
+
+    /// Takes in the servers that another entry could not reach: one that this entry has not heard
+    /// of since either is put behind the others and looked for.
+    pub fn peer_lost(&self, lost: &[Arc<str>]) {
+        if lost.is_empty() {
+            return;
+        }
+        let now = self.clock.now();
+        self.beliefs(|beliefs| {
+            for backend in beliefs.backends.values().flatten() {
+                let silent = || backend.load(|load| load.told_unreachable(now));
+                if lost.contains(&backend.server.id) && silent() {
+                    beliefs.to_search.push(Arc::clone(backend));
+                }
+            }
+        });
+        self.search_wanted.notify_one();
+    }
+
+    /// Returns the servers that were found while the store is away.
+    #[must_use]
+    pub fn found(&self) -> Vec<Found> {
+        self.beliefs(|beliefs| {
+            if beliefs.roster.keeper_answers() {
+                beliefs.found.clear();
+            }
+            beliefs.found.clone()
+        })
+    }
+
+    /// Takes in the servers that another entry found.
+    pub fn peer_found(&self, found: &[Found]) {
+        if self.store_up() {
+            return;
+        }
+        for Found {
+            before,
+            now,
+            born_ms,
+        } in found
+        {
+            let before = self.beliefs(|beliefs| beliefs.roster.get(before).cloned());
+            if let Some(before) = before {
+                self.adopt(&before, now, *born_ms);
+            }
+        }
+    }
+
+    /// Takes in the address of another entry. One whose lease ended is kept while it tells
+    /// something: leases also end while the store is away.
+    pub fn peer(&self, name: &Arc<str>, address: Option<SocketAddr>) {
+        if *name == self.settings.entry {
+            return;
+        }
+        let Some(address) = address else {
+            return;
+        };
+        let before = self.beliefs(|beliefs| beliefs.peers.insert(Arc::clone(name), address));
+        if before != Some(address) {
+            log::info!(peer = &**name, address = address.to_string().as_str(); "entry known");
+        }
+    }
+
+    /// Returns the addresses of the other entries.
+    #[must_use]
+    pub fn peers(&self) -> Vec<SocketAddr> {
+        self.beliefs(|beliefs| beliefs.peers.values().copied().collect())
+    }
+
+    /// Takes in what another entry has at each server.
+    pub fn peer_told(&self, peer: Arc<str>, counts: HashMap<Arc<str>, Count>) {
+        let now = self.clock.now();
+        self.beliefs(|beliefs| beliefs.shared.told(peer, counts, now));
+    }
+
+    /// Returns the streams of this entry at each server: all, and those whose prompt is read.
+    #[must_use]
+    pub fn own_streams(&self) -> Vec<(Arc<str>, u32, u32)> {
+        let now = self.clock.now();
+        self.beliefs(|beliefs| {
+            beliefs.shared.expire(now);
+            let backends = beliefs.backends.values().flatten();
+            let counted = backends.filter_map(|backend| {
+                let count = backend.load(|load| load.streams());
+                let streams = backend.streams.load(Ordering::Relaxed);
+                let id = Arc::clone(&backend.server.id);
+                (streams > 0).then_some((id, count.runs, count.reading))
+            });
+            counted.collect()
+        })
+    }
+}
--- a/runtime/src/logging.rs
+++ b/runtime/src/logging.rs
@@ -19,6 +19,7 @@
 
 /// Starts logging as JSON lines at `level`; returns false, and changes nothing, if logging has been
 /// started before.
+#[must_use]
 pub fn start(level: LevelFilter, output: Output) -> bool {
     logforth::starter_log::builder()
         .dispatch(|dispatch| {
