feat(relay): two entries read the store for all

Change: an entry reads unless it hears two others before it that read with success; readers tell what changed.

--- a/coordination/src/lib.rs
+++ b/coordination/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod outage;
 pub mod placement;
 pub mod planned_stop;
+pub mod readers;
 pub mod resume_token;
 pub mod retry_budget;
 pub mod revision;
--- /dev/null
+++ b/coordination/src/readers.rs
@@ -0,0 +1,65 @@
+//! Which entries read the store for all of them.
+//!
+//! Each call to the store is paid for and its rates grow more slowly than the fleet, so that a few
+//! entries read and tell the others what changed. Nothing is agreed on: an entry reads unless it
+//! hears of enough others, before it in the order of names' hashes, that read with success. Where
+//! readers die, are cut off or are turned away by the store, the next ones begin by themselves.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::placement::name_hash;
+
+/// Entries that read. Two, so that what one misses, or is late with, the other tells.
+const READERS: usize = 2;
+
+/// Time after which a silent reader no longer counts. Readers tell at least every
+/// [`READER_TELLS`]; three messages in a row are lost only with their sender or the path. A server
+/// that leaves has to be known everywhere within 2 s.
+const FRESH: Duration = Duration::from_millis(1_250);
+
+/// Longest time between two messages of a reader.
+pub const READER_TELLS: Duration = Duration::from_millis(400);
+
+/// What this entry knows of the others' reading.
+#[derive(Clone, Debug)]
+pub struct Readers {
+    own: (u64, Arc<str>),
+    heard: HashMap<(u64, Arc<str>), Duration>,
+}
+
+fn rank(name: &Arc<str>) -> (u64, Arc<str>) {
+    (name_hash(name), Arc::clone(name))
+}
+
+impl Readers {
+    /// Returns what an entry knows at its start.
+    #[must_use]
+    pub fn new(own: &Arc<str>) -> Self {
+        Self {
+            own: rank(own),
+            heard: HashMap::new(),
+        }
+    }
+
+    /// Takes in whether another entry reads with success.
+    pub fn told(&mut self, entry: &Arc<str>, reads: bool, now: Duration) {
+        let rank = rank(entry);
+        if reads {
+            self.heard.insert(rank, now);
+        } else {
+            self.heard.remove(&rank);
+        }
+    }
+
+    /// Returns whether this entry has to read.
+    #[must_use]
+    pub fn must_read(&self, now: Duration) -> bool {
+        let before = self
+            .heard
+            .iter()
+            .filter(|(rank, heard)| **rank < self.own && now.saturating_sub(**heard) <= FRESH);
+        before.count() < READERS
+    }
+}
--- a/relay/src/exchange.rs
+++ b/relay/src/exchange.rs
@@ -7,15 +7,18 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use medlarfall_coordination::readers::READER_TELLS;
 use medlarfall_coordination::shared_load::Count;
-use medlarfall_runtime::store::{Error, Lease, Store};
+use medlarfall_runtime::store::{Change, Changes, Error, Lease, Store};
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
-use tokio::time::{MissedTickBehavior, interval, sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 use crate::dialect::Dialect;
+use crate::follow;
 use crate::mirror;
 use crate::state::Relay;
 
@@ -28,6 +31,9 @@
 /// Largest message.
 const MESSAGE_LIMIT: usize = 60_000;
 
+/// Most bytes of changes in a message; who misses more asks for them.
+const NEWS_LIMIT: usize = 30_000;
+
 /// Time after which the store forgets an entry that does not renew its lease.
 const LEASE_TIME: Duration = Duration::from_secs(20);
 
@@ -35,7 +41,7 @@
 const RENEWAL: Duration = Duration::from_secs(6);
 
 /// Pause after a call to the store that failed.
-const RETRY_PAUSE: Duration = Duration::from_millis(1_500);
+const RETRY_PAUSE: Duration = Duration::from_secs(3);
 
 /// Longest wait for the store.
 const ANSWER_TIME: Duration = Duration::from_secs(1);
@@ -44,6 +50,12 @@
 #[derive(Debug, Deserialize, Serialize)]
 struct Message {
     entry: Arc<str>,
+    failure_domain: Arc<str>,
+    /// Whether the entry reads the store with success.
+    reads: bool,
+    /// Changes that a reader read since its last message.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    news: Option<News>,
     /// How far the entry has read in the store.
     revision: u64,
     streams: Vec<(Arc<str>, u32, u32)>,
@@ -55,6 +67,13 @@
     found: Vec<Found>,
 }
 
+/// Changes in the store after a revision.
+#[derive(Debug, Deserialize, Serialize)]
+struct News {
+    after: u64,
+    changes: Changes,
+}
+
 /// A server that was found at the address of another.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Found {
@@ -95,6 +114,10 @@
         }
     };
     relay.peer(&message.entry, Some(from));
+    relay.peer_reads(&message.entry, &message.failure_domain, message.reads);
+    if let Some(News { after, changes }) = message.news {
+        follow::take_news(relay, after, &changes);
+    }
     let behind = message.revision > relay.mirror(|mirror| mirror.revision());
     if behind && !relay.begin_catching_up() {
         let relay = Arc::clone(relay);
@@ -113,18 +136,44 @@
     relay.peer_told(message.entry, counts);
 }
 
-/// Sends what this entry has at each change, and now and then without one.
+/// Returns what was read since `told`, if this entry reads and it is not too much for a message.
+fn news<D: Dialect>(relay: &Relay<D>, told: u64) -> Option<News> {
+    let changes = relay.mirror(|mirror| mirror.after(told));
+    let reads = relay.reads.load(Ordering::Relaxed);
+    let length = |change: &Change| change.key.len() + change.value.as_ref().map_or(0, String::len);
+    let bytes: usize = changes.changes.iter().map(length).sum();
+    let fits = told > 0 && changes.revision > told && bytes <= NEWS_LIMIT;
+    (reads && fits).then_some(News {
+        after: told,
+        changes,
+    })
+}
+
+/// Sends what this entry has: to those of its own failure domain at each change, to all now and
+/// then, and at once when it read something new in the store.
 async fn tell<D: Dialect>(relay: Arc<Relay<D>>, socket: Arc<UdpSocket>) {
-    let mut ticks = interval(LONGEST);
-    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut told_all = Instant::now();
+    let mut told = 0;
     loop {
+        let reads = relay.reads.load(Ordering::Relaxed);
+        let longest = if reads { READER_TELLS } else { LONGEST };
         tokio::select! {
             () = relay.streams_changed.notified() => {}
-            _ = ticks.tick() => {}
+            () = tokio::time::sleep_until(told_all + longest) => {}
+        }
+        let news = news(&relay, told);
+        let everywhere = news.is_some() || told_all.elapsed() >= longest;
+        let revision = relay.mirror(|mirror| mirror.revision());
+        if everywhere {
+            told_all = Instant::now();
+            told = revision;
         }
         let message = Message {
             entry: Arc::clone(&relay.settings.entry),
-            revision: relay.mirror(|mirror| mirror.revision()),
+            failure_domain: Arc::clone(&relay.settings.failure_domain),
+            reads,
+            news,
+            revision,
             streams: relay.own_streams(),
             lost: relay.lately_lost(),
             found: relay.found(),
@@ -136,7 +185,7 @@
                 continue;
             }
         };
-        for peer in relay.peers() {
+        for peer in relay.peers(everywhere) {
             if let Err(error) = send(&socket, &bytes, peer).await {
                 log::debug!(reason = error.to_string().as_str(); "message not sent");
             }
--- a/relay/src/follow.rs
+++ b/relay/src/follow.rs
@@ -6,6 +6,7 @@
 
 use std::collections::HashSet;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use rand::Rng;
@@ -29,36 +30,68 @@
 /// Pause after the first call that failed.
 const FIRST_PAUSE: Duration = Duration::from_millis(20);
 
+/// Time between two looks at whether this entry has to read.
+const READER_CHECK: Duration = Duration::from_millis(100);
+
+/// Pause after an answer, in which further changes gather: servers that fail together come back
+/// together, and each answer is paid for.
+const COALESCE: Duration = Duration::from_millis(30);
+
 /// Where the follower is.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Place {
-    /// Nothing is known, or the history is gone.
+    /// Nothing is known.
     Unknown,
+    /// The history of the changes after what is known is gone.
+    Behind,
     /// All changes up to this revision are known.
     At(u64),
 }
 
+impl Place {
+    /// Returns the later one of this place and a revision up to which all is known.
+    fn at_least(self, revision: u64) -> Self {
+        match self {
+            Self::At(place) => Self::At(place.max(revision)),
+            Self::Unknown if revision > 0 => Self::At(revision),
+            Self::Unknown | Self::Behind => self,
+        }
+    }
+}
+
 /// Follows the store for ever.
 pub async fn run<D: Dialect, S: Store>(relay: Arc<Relay<D>>, store: S) {
     let mut place = Place::Unknown;
     let mut up = None;
     let mut failures = 0_u32;
     loop {
+        if !relay.must_read() {
+            relay.reads.store(false, Ordering::Relaxed);
+            // Readers answer for the store.
+            relay.store_answers(true);
+            tokio::time::sleep(READER_CHECK).await;
+            continue;
+        }
+        // Others may have told of changes that this entry did not read itself.
+        place = place.at_least(relay.mirror(|mirror| mirror.revision()));
         relay.metrics.store_calls.inc();
         let (next, reason) = match step(&relay, &store, place).await {
             Ok(next) => (next, None),
-            Err(Error::HistoryGone) => (Place::Unknown, None),
+            Err(Error::HistoryGone) => (Place::Behind, None),
             Err(error) => (place, Some(error.to_string())),
         };
         place = next;
         let answers = reason.is_none();
         relay.store_answers(answers);
+        relay.reads.store(answers, Ordering::Relaxed);
         if up != Some(answers) {
             tell(&relay, answers, reason.as_deref().unwrap_or(""));
             up = Some(answers);
         }
         if answers {
             failures = 0;
+            relay.streams_changed.notify_one();
+            tokio::time::sleep(COALESCE).await;
         } else {
             let longest = (FIRST_PAUSE * 2_u32.pow(failures.min(6))).min(RETRY_PAUSE);
             failures = failures.saturating_add(1);
@@ -84,7 +117,7 @@
     place: Place,
 ) -> Result<Place, Error> {
     match place {
-        Place::Unknown => {
+        Place::Unknown | Place::Behind => {
             let listing = within(Duration::ZERO, store.list("")).await?;
             let mut listed = HashSet::new();
             for item in listing.items {
@@ -129,6 +162,20 @@
     })
 }
 
+/// Takes in the changes after a revision that another entry read.
+pub fn take_news<D: Dialect>(relay: &Relay<D>, after: u64, news: &Changes) {
+    let own = relay.mirror(|mirror| mirror.revision());
+    if own == 0 || news.revision <= own {
+        return;
+    }
+    for change in &news.changes {
+        take(relay, change);
+    }
+    if after <= own {
+        relay.mirror(|mirror| mirror.complete(news.revision));
+    }
+}
+
 /// Takes in one change.
 pub fn take<D: Dialect>(relay: &Relay<D>, change: &Change) {
     relay.mirror(|mirror| mirror.insert(change));
--- a/relay/src/state.rs
+++ b/relay/src/state.rs
@@ -73,6 +73,8 @@
     pub streams_changed: Notify,
     /// Wakes the task that looks for what has taken the place of lost servers.
     pub search_wanted: Notify,
+    /// Whether this entry reads the store, and it answers.
+    pub reads: AtomicBool,
     beliefs: Mutex<Beliefs>,
     mirror: Mutex<Mirror>,
     catching_up: AtomicBool,
@@ -94,6 +96,7 @@
             changed: watch::Sender::new(0),
             streams_changed: Notify::new(),
             search_wanted: Notify::new(),
+            reads: AtomicBool::new(false),
             beliefs: Mutex::default(),
             mirror: Mutex::default(),
             catching_up: AtomicBool::new(false),
--- a/relay/src/state/beliefs.rs
+++ b/relay/src/state/beliefs.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use medlarfall_coordination::outage::Groups;
+use medlarfall_coordination::readers::Readers;
 use medlarfall_coordination::retry_budget::{Budget, Policy};
 use medlarfall_coordination::roster::Roster;
 use medlarfall_coordination::routing::Table;
@@ -23,13 +24,23 @@
     pub(super) backends: HashMap<Arc<str>, Vec<Arc<Backend>>>,
     pub(super) retries: HashMap<Arc<str>, Budget>,
     pub(super) groups: Groups<Group>,
-    pub(super) peers: HashMap<Arc<str>, SocketAddr>,
+    pub(super) peers: HashMap<Arc<str>, Peer>,
+    pub(super) readers: Option<Readers>,
     pub(super) shared: shared_load::Table,
     pub(super) to_search: Vec<Arc<Backend>>,
     pub(super) found: Vec<Found>,
     pub(super) lost: HashMap<Arc<str>, Duration>,
 }
 
+/// Another entry.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(super) struct Peer {
+    /// Where it takes messages.
+    pub(super) address: SocketAddr,
+    /// Failure domain that it runs in, once it has told.
+    pub(super) failure_domain: Option<Arc<str>>,
+}
+
 /// The servers of a service in one failure domain.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
 pub(super) struct Group {
--- a/relay/src/state/peers.rs
+++ b/relay/src/state/peers.rs
@@ -6,12 +6,14 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use medlarfall_coordination::readers::Readers;
 use medlarfall_coordination::shared_load::Count;
 
 use crate::dialect::Dialect;
 use crate::exchange::Found;
 
 use super::Relay;
+use super::beliefs::Peer;
 
 /// Time for which the other entries are told that a server could not be reached.
 const LOSS_TOLD: Duration = Duration::from_millis(1_500);
@@ -85,16 +87,54 @@
         let Some(address) = address else {
             return;
         };
-        let before = self.beliefs(|beliefs| beliefs.peers.insert(Arc::clone(name), address));
-        if before != Some(address) {
+        let known = self.beliefs(|beliefs| {
+            let peer = beliefs.peers.entry(Arc::clone(name)).or_insert(Peer {
+                address,
+                failure_domain: None,
+            });
+            std::mem::replace(&mut peer.address, address) == address
+                && peer.failure_domain.is_some()
+        });
+        if !known {
             log::info!(peer = &**name, address = address.to_string().as_str(); "entry known");
         }
     }
 
-    /// Returns the addresses of the other entries.
+    /// Takes in where another entry runs and whether it reads the store with success.
+    pub fn peer_reads(&self, name: &Arc<str>, failure_domain: &Arc<str>, reads: bool) {
+        let now = self.clock.now();
+        self.beliefs(|beliefs| {
+            if let Some(peer) = beliefs.peers.get_mut(name) {
+                peer.failure_domain = Some(Arc::clone(failure_domain));
+            }
+            let own = &self.settings.entry;
+            let readers = beliefs.readers.get_or_insert_with(|| Readers::new(own));
+            readers.told(name, reads, now);
+        });
+    }
+
+    /// Returns whether this entry has to read the store, for itself and for others.
     #[must_use]
-    pub fn peers(&self) -> Vec<SocketAddr> {
-        self.beliefs(|beliefs| beliefs.peers.values().copied().collect())
+    pub fn must_read(&self) -> bool {
+        let now = self.clock.now();
+        self.beliefs(|beliefs| {
+            let readers = beliefs.readers.as_ref();
+            readers.is_none_or(|readers| readers.must_read(now))
+        })
+    }
+
+    /// Returns the addresses of the other entries; of those known to run elsewhere only if
+    /// `everywhere`.
+    #[must_use]
+    pub fn peers(&self, everywhere: bool) -> Vec<SocketAddr> {
+        let own = Some(&self.settings.failure_domain);
+        self.beliefs(|beliefs| {
+            let peers = beliefs.peers.values();
+            let told = peers.filter(|peer| {
+                everywhere || peer.failure_domain.is_none() || peer.failure_domain.as_ref() == own
+            });
+            told.map(|peer| peer.address).collect()
+        })
     }
 
     /// Takes in what another entry has at each server.
--- a/relay/src/stream/passing.rs
+++ b/relay/src/stream/passing.rs
@@ -110,11 +110,7 @@
     }
 
     /// Hands on events until the stream ends, going on at other servers as needed.
-    async fn pump(
-        &mut self,
-        mut source: Source<D>,
-        sender: &mpsc::Sender<Part>,
-    ) -> Left {
+    async fn pump(&mut self, mut source: Source<D>, sender: &mpsc::Sender<Part>) -> Left {
         loop {
             let cause = match self.hand_on(&mut source, sender).await {
                 Left::Lost(cause) => cause,
@@ -177,11 +173,7 @@
     }
 
     /// Hands on the events of one run.
-    async fn hand_on(
-        &mut self,
-        source: &mut Source<D>,
-        sender: &mpsc::Sender<Part>,
-    ) -> Left {
+    async fn hand_on(&mut self, source: &mut Source<D>, sender: &mpsc::Sender<Part>) -> Left {
         let deadline = self.relay.clock.instant(self.job.deadline);
         let mut splitter = Splitter::default();
         let mut changed = self.relay.changed.subscribe();
