--- a/coordination/src/roster.rs
+++ b/coordination/src/roster.rs
@@ -93,7 +93,8 @@
         let known = self.records.get(&server.id);
         let seen = known.map_or(0, |record| record.revision);
         let removed = self.removed.get(&server.id).copied().unwrap_or(0);
-        if revision < seen.max(removed) || (revision == seen && known.is_some_and(|r| !r.lapsed)) {
+        let told = known.is_some_and(|record| !record.lapsed);
+        if revision <= removed || revision < seen || (revision == seen && told) {
             return Effect::Stale;
         }
         if self.superseded(&server, revision) {
@@ -155,7 +156,8 @@
     pub fn remove(&mut self, id: &str, revision: u64, now: Duration) -> Effect {
         let trusted = !self.away && now >= self.trusted_from;
         let Some(record) = self.records.get_mut(id) else {
-            self.removed.insert(Arc::from(id), revision);
+            let removed = self.removed.entry(Arc::from(id)).or_default();
+            *removed = revision.max(*removed);
             return Effect::Stale;
         };
         if revision < record.revision {
--- /dev/null
+++ b/coordination/tests/balance.rs
@@ -0,0 +1,194 @@
+//! Which server gets a request: single choices, and what a load of streams meets.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use medlarfall_coordination::balance::{Candidate, Load, choose};
+use medlarfall_coordination::placement::{Proximity, name_hash};
+use medlarfall_coordination::readers::Readers;
+use medlarfall_coordination::shared_load::{Count, FRESH, Table};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+fn candidate(name: &str) -> Candidate {
+    Candidate {
+        hash: name_hash(name),
+        proximity: Proximity::FailureDomain,
+        requests: 0.0,
+        slots: 8,
+        faults: 0.0,
+        suspect: false,
+    }
+}
+
+#[test]
+fn a_suspect_server_is_the_last_choice_but_still_one() {
+    let suspect = Candidate {
+        suspect: true,
+        ..candidate("a")
+    };
+    let loaded = Candidate {
+        requests: 7.0,
+        ..candidate("b")
+    };
+    assert_eq!(choose(&[suspect, loaded], 1.0, 1), Some(1));
+    assert_eq!(choose(&[suspect], 1.0, 1), Some(0));
+    assert_eq!(choose(&[], 1.0, 1), None);
+}
+
+#[test]
+fn a_far_server_is_chosen_once_the_near_ones_are_loaded_beyond_the_distance() {
+    let far = Candidate {
+        proximity: Proximity::Region,
+        ..candidate("far")
+    };
+    let near = |requests| Candidate {
+        requests,
+        ..candidate("near")
+    };
+    assert_eq!(choose(&[far, near(0.5)], 1.0, 1), Some(1));
+    assert_eq!(choose(&[far, near(2.0)], 1.0, 1), Some(0));
+}
+
+#[test]
+fn a_server_that_fails_more_than_the_others_gets_less() {
+    let grey = Candidate {
+        faults: 0.4,
+        ..candidate("grey")
+    };
+    let busy = Candidate {
+        requests: 5.0,
+        ..candidate("busy")
+    };
+    assert_eq!(choose(&[grey, busy], 1.0, 1), Some(1));
+}
+
+/// A fault that all servers share (requests that fail everywhere) drives nobody away.
+#[test]
+fn failures_that_all_share_count_for_nothing() {
+    let failing = |name, requests| Candidate {
+        faults: 0.3,
+        requests,
+        ..candidate(name)
+    };
+    let choice = choose(&[failing("a", 3.0), failing("b", 0.0)], 1.0, 1);
+    assert_eq!(choice, Some(1));
+}
+
+#[test]
+fn what_others_say_counts_only_without_evidence_of_one_s_own() {
+    let now = Duration::from_secs(5);
+    let mut load = Load::default();
+    load.outcome(false, now);
+    assert!(!load.told_unreachable(now + Duration::from_millis(100)));
+    assert!(load.told_unreachable(now + Duration::from_secs(1)));
+    assert!(load.suspect(now + Duration::from_millis(1_100)));
+}
+
+#[test]
+fn what_a_silent_peer_told_is_forgotten() {
+    let mut table = Table::default();
+    let count = Count {
+        runs: 2,
+        reading: 1,
+    };
+    let told = HashMap::from([(Arc::from("s1"), count)]);
+    table.told(Arc::from("entry-1"), told.clone(), Duration::ZERO);
+    table.told(Arc::from("entry-1"), told, Duration::ZERO);
+    assert_eq!(table.at("s1"), count, "a repeated message counted twice");
+    table.expire(FRESH + Duration::from_millis(1));
+    assert_eq!(table.at("s1"), Count::default());
+}
+
+/// Plays streams that six entries place on 24 servers and returns the most prompts that were read
+/// at one server at once. A prompt takes a second; 6.2 streams come each second.
+fn most_prompts_at_once(tell: bool, seed: u64) -> u32 {
+    let names: Vec<Arc<str>> = (0..24).map(|n| Arc::from(format!("s{n}"))).collect();
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut loads = vec![vec![Load::default(); names.len()]; 6];
+    let mut tables: Vec<Table> = (0..6).map(|_| Table::default()).collect();
+    let mut reading: Vec<(Duration, usize, usize)> = Vec::new();
+    let mut most = 0;
+    let mut now = Duration::ZERO;
+    while now < Duration::from_mins(2) {
+        now += Duration::from_secs_f64(-rng.random::<f64>().max(1e-9).ln() / 6.2);
+        reading.retain(|(end, entry, server)| {
+            if *end <= now {
+                loads[*entry][*server].reading_ended();
+                loads[*entry][*server].ended();
+            }
+            *end > now
+        });
+        let entry = rng.random_range(0..6);
+        let candidates: Vec<Candidate> = names
+            .iter()
+            .zip(&loads[entry])
+            .map(|(name, load)| Candidate {
+                requests: load.stream_load(tables[entry].at(name)),
+                ..candidate(name)
+            })
+            .collect();
+        let server = choose(&candidates, 1.0, rng.random()).expect("servers");
+        loads[entry][server].started();
+        loads[entry][server].reading_started();
+        reading.push((now + Duration::from_secs(1), entry, server));
+        let at = reading.iter().filter(|(_, _, other)| *other == server);
+        most = most.max(u32::try_from(at.count()).expect("few"));
+        for (teller, load) in loads.iter().enumerate().filter(|_| tell) {
+            let told: HashMap<Arc<str>, Count> = names
+                .iter()
+                .zip(load)
+                .map(|(name, load)| (Arc::clone(name), load.streams()))
+                .collect();
+            for (hearer, table) in tables.iter_mut().enumerate() {
+                if hearer != teller {
+                    table.told(Arc::from(format!("e{teller}")), told.clone(), now);
+                }
+            }
+        }
+    }
+    most
+}
+
+/// The load that the exchange of streams answers: without it prompts queue behind one another
+/// while other servers are free.
+#[test]
+fn entries_that_tell_one_another_do_not_stack_prompts() {
+    for seed in 0..5 {
+        let told = most_prompts_at_once(true, seed);
+        let untold = most_prompts_at_once(false, seed);
+        assert!(told <= 2, "seed {seed}: {told} prompts at one server");
+        assert!(untold > told, "seed {seed}: {untold} without messages");
+    }
+}
+
+#[test]
+fn two_entries_read_and_the_next_ones_step_in() {
+    let names: Vec<Arc<str>> = (0..9).map(|n| Arc::from(format!("entry-{n}"))).collect();
+    let reads = |silent: &[usize]| -> Vec<usize> {
+        let now = Duration::from_secs(9);
+        let reading = |own: &usize| {
+            let mut readers = Readers::new(&names[*own]);
+            for (other, name) in names.iter().enumerate() {
+                let heard = if silent.contains(&other) { 5 } else { 9 };
+                readers.told(name, true, Duration::from_secs(heard));
+            }
+            readers.must_read(now)
+        };
+        (0..names.len()).filter(reading).collect()
+    };
+    let first = reads(&[]);
+    assert_eq!(first.len(), 2);
+    let next: Vec<usize> = reads(&first)
+        .into_iter()
+        .filter(|reader| !first.contains(reader))
+        .collect();
+    assert_eq!(next.len(), 2, "nobody reads in place of {first:?}");
+}
+
+#[test]
+fn an_entry_that_hears_of_nobody_reads() {
+    let readers = Readers::new(&Arc::from("entry-0"));
+    assert!(readers.must_read(Duration::from_secs(1)));
+}
--- /dev/null
+++ b/coordination/tests/outage.rs
@@ -0,0 +1,90 @@
+//! Groups of servers that can't be reached, and detectors of single servers.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use medlarfall_coordination::liveness::{Bounds, Detector, Step};
+use medlarfall_coordination::outage::Groups;
+
+const fn at(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn name(name: &str) -> Arc<str> {
+    Arc::from(name)
+}
+
+#[test]
+fn one_server_that_fails_says_nothing_of_its_group() {
+    let mut groups = Groups::default();
+    for step in 0..5 {
+        assert!(!groups.failed("cage-a", &name("s1"), at(100 * step)));
+    }
+    assert!(!groups.suspect(&"cage-a", at(450)));
+}
+
+#[test]
+fn two_servers_that_fail_in_short_order_put_the_group_behind() {
+    let mut groups = Groups::default();
+    groups.failed("cage-a", &name("s1"), at(0));
+    assert!(groups.failed("cage-a", &name("s2"), at(150)));
+    assert!(groups.suspect(&"cage-a", at(200)));
+    assert!(!groups.suspect(&"cage-b", at(200)));
+    assert!(
+        !groups.suspect(&"cage-a", at(1_200)),
+        "the suspicion never ends"
+    );
+}
+
+#[test]
+fn a_further_failure_renews_the_suspicion_and_an_answer_ends_it() {
+    let mut groups = Groups::default();
+    groups.failed("cage-a", &name("s1"), at(0));
+    groups.failed("cage-a", &name("s2"), at(150));
+    assert!(groups.failed("cage-a", &name("s2"), at(1_300)));
+    assert!(groups.suspect(&"cage-a", at(1_400)));
+    groups.answered(&"cage-a");
+    assert!(!groups.suspect(&"cage-a", at(1_400)));
+    assert!(!groups.failed("cage-a", &name("s2"), at(1_500)));
+}
+
+#[test]
+fn failures_far_apart_say_nothing() {
+    let mut groups = Groups::default();
+    groups.failed("cage-a", &name("s1"), at(0));
+    assert!(!groups.failed("cage-a", &name("s2"), at(2_000)));
+}
+
+#[test]
+fn a_server_is_lost_only_after_unanswered_questions() {
+    let bounds = Bounds::default();
+    let mut detector = Detector::new(bounds, at(0));
+    assert_eq!(detector.next(at(50)), Step::Wait(bounds.quiet));
+    assert_eq!(detector.next(bounds.quiet), Step::Ask);
+    detector.unanswered(bounds.quiet);
+    assert_eq!(detector.next(at(180)), Step::Ask);
+    detector.unanswered(at(180));
+    assert_eq!(detector.next(at(260)), Step::Lost);
+}
+
+#[test]
+fn an_answer_or_an_event_between_keeps_a_server() {
+    let bounds = Bounds::default();
+    let mut detector = Detector::new(bounds, at(0));
+    detector.unanswered(at(100));
+    detector.heard(at(150));
+    detector.unanswered(at(140));
+    assert_eq!(
+        detector.next(at(200)),
+        Step::Wait(at(150) + bounds.quiet),
+        "a question asked before the last event counts"
+    );
+}
+
+/// A loss is found in less than half of the pause that makes a stream late.
+#[test]
+fn a_silent_server_is_found_in_time_to_go_on() {
+    let bounds = Bounds::default();
+    let found = bounds.quiet + bounds.answer * bounds.questions;
+    assert!(found * 2 <= at(700), "{found:?}");
+}
