--- a/programs/src/commands.rs
+++ b/programs/src/commands.rs
@@ -15,6 +15,7 @@
 use crate::caller::{Answer, Completion};
 use crate::operator::Operator;
 
+pub mod explain;
 pub mod moves;
 pub mod stops;
 
--- a/programs/src/main.rs
+++ b/programs/src/main.rs
@@ -37,6 +37,13 @@
                 /// Settings file, in TOML.
                 required file: PathBuf
             }
+            /// Merges the logs of several entries into the timeline of one request.
+            cmd explain {
+                /// Identifier of the request.
+                required request: String
+                /// Log files, one JSON line each event.
+                repeated logs: PathBuf
+            }
             /// Declares the service in a TOML file.
             cmd apply {
                 /// Operators' address of an entry.
@@ -173,6 +180,7 @@
             bench::run(&flags.scenario, flags.seed.unwrap_or(1), json).await
         }
         flags::MedlarfallCmd::Check(flags) => commands::check(&flags.file, json),
+        flags::MedlarfallCmd::Explain(flags) => commands::explain::run(&flags.request, &flags.logs),
         flags::MedlarfallCmd::Apply(flags) => {
             commands::apply(flags.entry, &key()?, &flags.file, flags.wait, json).await
         }
