feat(relay): a version that a move is ordered to gets nothing untried, and operators are told

Moves by evidence over several entries are not built here yet; until then the order is taken back at once. Also: servers that only read prompts are asked less often.

--- a/coordination/src/balance.rs
+++ b/coordination/src/balance.rs
@@ -85,6 +85,12 @@
         }
     }
 
+    /// Returns whether none of this entry's streams at the server has made an event.
+    #[must_use]
+    pub fn only_reads(&self) -> bool {
+        self.reading >= self.own
+    }
+
     /// Returns the load of streams, counted in prompts that are read: a stream that is past its
     /// prompt delays others by a fraction of what a prompt does.
     #[must_use]
--- a/coordination/src/liveness.rs
+++ b/coordination/src/liveness.rs
@@ -10,8 +10,10 @@
 /// Times of the detector.
 #[derive(Clone, Copy, Debug)]
 pub struct Bounds {
-    /// Silence after which a server is asked.
+    /// Silence after which a server is asked that makes events.
     pub quiet: Duration,
+    /// Silence after which a server is asked that only reads prompts.
+    pub reading: Duration,
     /// Longest wait for an answer.
     pub answer: Duration,
     /// Unanswered questions after which the server is lost.
@@ -22,10 +24,12 @@
 
 impl Default for Bounds {
     /// A pause of 700 ms makes a stream late, of which finding the loss may take about half:
-    /// 100 ms of silence and two questions of 80 ms each.
+    /// 100 ms of silence and two questions of 80 ms each. A stream whose prompt is read has seconds
+    /// until it is late.
     fn default() -> Self {
         Self {
             quiet: Duration::from_millis(100),
+            reading: Duration::from_millis(250),
             answer: Duration::from_millis(80),
             questions: 2,
             stream: Duration::from_millis(420),
@@ -76,10 +80,15 @@
         }
     }
 
-    /// Returns what to do next.
+    /// Returns what to do next; `reading` says that no stream of the server has made an event.
     #[must_use]
-    pub fn next(&self, now: Duration) -> Step {
-        let due = self.heard_at + self.bounds.quiet;
+    pub fn next(&self, now: Duration, reading: bool) -> Step {
+        let quiet = if reading {
+            self.bounds.reading
+        } else {
+            self.bounds.quiet
+        };
+        let due = self.heard_at + quiet;
         match self.unanswered {
             unanswered if unanswered >= self.bounds.questions => Step::Lost,
             0 if now < due => Step::Wait(due),
--- a/coordination/tests/outage.rs
+++ b/coordination/tests/outage.rs
@@ -59,12 +59,12 @@
 fn a_server_is_lost_only_after_unanswered_questions() {
     let bounds = Bounds::default();
     let mut detector = Detector::new(bounds, at(0));
-    assert_eq!(detector.next(at(50)), Step::Wait(bounds.quiet));
-    assert_eq!(detector.next(bounds.quiet), Step::Ask);
+    assert_eq!(detector.next(at(50), false), Step::Wait(bounds.quiet));
+    assert_eq!(detector.next(bounds.quiet, false), Step::Ask);
     detector.unanswered(bounds.quiet);
-    assert_eq!(detector.next(at(180)), Step::Ask);
+    assert_eq!(detector.next(at(180), false), Step::Ask);
     detector.unanswered(at(180));
-    assert_eq!(detector.next(at(260)), Step::Lost);
+    assert_eq!(detector.next(at(260), false), Step::Lost);
 }
 
 #[test]
@@ -75,7 +75,7 @@
     detector.heard(at(150));
     detector.unanswered(at(140));
     assert_eq!(
-        detector.next(at(200)),
+        detector.next(at(200), false),
         Step::Wait(at(150) + bounds.quiet),
         "a question asked before the last event counts"
     );
--- a/relay/src/dialect.rs
+++ b/relay/src/dialect.rs
@@ -118,6 +118,13 @@
         /// Where it takes messages; nothing if its lease ended.
         address: Option<SocketAddr>,
     },
+    /// The operators' order to move a service to another version, or its end.
+    Move {
+        /// The service.
+        service: Arc<str>,
+        /// The version; nothing if the order is withdrawn.
+        version: Option<Arc<str>>,
+    },
     /// Nothing that the relay uses.
     Other,
 }
@@ -186,6 +193,9 @@
     /// Returns what is wrong with a configuration.
     fn entry(&self, change: &Change) -> Result<Entry, Invalid>;
 
+    /// Returns the key and value that tell the operators that a move has been taken back.
+    fn taken_back(&self, service: &str, version: &str) -> (String, String);
+
     /// Returns the key under which an entry makes its address known.
     fn entry_key(&self, entry: &str) -> String;
 
--- a/relay/src/follow.rs
+++ b/relay/src/follow.rs
@@ -90,6 +90,7 @@
         }
         if answers {
             failures = 0;
+            tell_moves(&relay, &store).await;
             relay.streams_changed.notify_one();
             tokio::time::sleep(COALESCE).await;
         } else {
@@ -101,6 +102,35 @@
     }
 }
 
+/// Tells the operators that the moves they ordered have been taken back.
+async fn tell_moves<D: Dialect, S: Store>(relay: &Relay<D>, store: &S) {
+    for (service, version) in relay.take_untold() {
+        let (key, value) = relay.dialect.taken_back(&service, &version);
+        relay.metrics.store_calls.inc();
+        let told = within(Duration::ZERO, store.put(&key, value.clone(), 0, None)).await;
+        let told = match told {
+            Err(Error::Conflict {
+                current: Some(current),
+            }) if current.value != value => {
+                let written = store.put(&key, value, current.revision, None);
+                within(Duration::ZERO, written).await
+            }
+            told => told,
+        };
+        match told {
+            Ok(_) | Err(Error::Conflict { .. }) => log::info!(
+                service = &*service, version = &*version;
+                "operators told that a move has been taken back"
+            ),
+            Err(error) => {
+                let reason = error.to_string();
+                log::warn!(service = &*service, reason = reason.as_str(); "operators not told yet");
+                relay.not_told(service, version);
+            }
+        }
+    }
+}
+
 fn tell<D: Dialect>(relay: &Relay<D>, answers: bool, reason: &str) {
     relay.metrics.store_up.set(i64::from(answers));
     if answers {
@@ -188,6 +218,7 @@
             }
             relay.remove(&id, change.revision);
         }
+        Ok(Entry::Move { service, version }) => relay.hold(&service, version),
         Ok(Entry::Peer { name, address }) => relay.peer(&name, address),
         Ok(Entry::Other) => {}
         Err(invalid) => {
--- a/relay/src/monitor.rs
+++ b/relay/src/monitor.rs
@@ -68,14 +68,14 @@
     }
 
     /// Returns the next step; ends the watch when no stream is left.
-    fn step(&self, now: Duration) -> Option<Step> {
+    fn step(&self, now: Duration, reading: bool) -> Option<Step> {
         self.with(|slot| {
             let watched = slot.as_ref()?;
             if watched.streams == 0 {
                 *slot = None;
                 return None;
             }
-            let step = watched.detector.next(now);
+            let step = watched.detector.next(now, reading);
             if step == Step::Lost {
                 watched.lost.send_replace(true);
                 *slot = None;
@@ -118,7 +118,11 @@
 
 /// Drives the detector of one server until its last stream has left or it is lost.
 async fn run<D: Dialect>(relay: Arc<Relay<D>>, backend: Arc<Backend>) {
-    while let Some(step) = backend.monitor.step(relay.clock.now()) {
+    let step = || {
+        let reading = backend.load(|load| load.only_reads());
+        backend.monitor.step(relay.clock.now(), reading)
+    };
+    while let Some(step) = step() {
         match step {
             Step::Wait(until) => tokio::time::sleep_until(relay.clock.instant(until)).await,
             Step::Ask => ask(&relay, &backend).await,
--- a/relay/src/state/beliefs.rs
+++ b/relay/src/state/beliefs.rs
@@ -23,6 +23,10 @@
     pub(super) roster: Roster,
     pub(super) backends: HashMap<Arc<str>, Vec<Arc<Backend>>>,
     pub(super) retries: HashMap<Arc<str>, Budget>,
+    /// Version of a service that gets nothing: a move to it is ordered.
+    pub(super) held: HashMap<Arc<str>, Arc<str>>,
+    /// Moves whose end the operators have not been told.
+    pub(super) untold: Vec<(Arc<str>, Arc<str>)>,
     pub(super) groups: Groups<Group>,
     pub(super) peers: HashMap<Arc<str>, Peer>,
     pub(super) readers: Option<Readers>,
--- a/relay/src/state/placing.rs
+++ b/relay/src/state/placing.rs
@@ -100,7 +100,10 @@
         let now = self.clock.now();
         self.beliefs(|beliefs| {
             let backends = beliefs.backends.get(wanted.service)?;
-            let fits = |backend: &&Arc<Backend>| !wanted.not.contains(&backend.server.id);
+            let held = beliefs.held.get(wanted.service);
+            let fits = |backend: &&Arc<Backend>| {
+                !wanted.not.contains(&backend.server.id) && held != Some(&backend.server.version)
+            };
             let outside = |backend: &&Arc<Backend>| {
                 !wanted.outside.contains(&backend.server.failure_domain)
                     && !backend.load(|load| load.suspect(now))
