--- a/coordination/src/shared_load.rs
+++ b/coordination/src/shared_load.rs
@@ -10,8 +10,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Time after which what a silent peer told is forgotten; peers tell once a second at least.
-pub const FRESH: Duration = Duration::from_millis(2_500);
+/// Time after which what a silent peer told is forgotten; peers tell every two seconds at least.
+pub const FRESH: Duration = Duration::from_millis(4_500);
 
 /// Streams at one server.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
--- a/relay/src/exchange.rs
+++ b/relay/src/exchange.rs
@@ -25,8 +25,9 @@
 /// Shortest time between two messages: several changes go into one.
 const SHORTEST: Duration = Duration::from_millis(10);
 
-/// Longest time between two messages, so that a lost one does no lasting harm.
-const LONGEST: Duration = Duration::from_secs(1);
+/// Longest time between two messages to all, so that a lost one does no lasting harm. Most of a
+/// large fleet's traffic between failure domains is these.
+const LONGEST: Duration = Duration::from_secs(2);
 
 /// Largest message.
 const MESSAGE_LIMIT: usize = 60_000;
@@ -154,6 +155,8 @@
 async fn tell<D: Dialect>(relay: Arc<Relay<D>>, socket: Arc<UdpSocket>) {
     let mut told_all = Instant::now();
     let mut told = 0;
+    let mut told_lost = Vec::new();
+    let mut told_found = 0;
     loop {
         let reads = relay.reads.load(Ordering::Relaxed);
         let longest = if reads { READER_TELLS } else { LONGEST };
@@ -162,11 +165,16 @@
             () = tokio::time::sleep_until(told_all + longest) => {}
         }
         let news = news(&relay, told);
-        let everywhere = news.is_some() || told_all.elapsed() >= longest;
+        let lost = relay.lately_lost();
+        let found = relay.found();
+        let trouble = lost.iter().any(|id| !told_lost.contains(id)) || found.len() > told_found;
+        let everywhere = news.is_some() || trouble || told_all.elapsed() >= longest;
         let revision = relay.mirror(|mirror| mirror.revision());
         if everywhere {
             told_all = Instant::now();
             told = revision;
+            told_lost.clone_from(&lost);
+            told_found = found.len();
         }
         let message = Message {
             entry: Arc::clone(&relay.settings.entry),
@@ -175,8 +183,8 @@
             news,
             revision,
             streams: relay.own_streams(),
-            lost: relay.lately_lost(),
-            found: relay.found(),
+            lost,
+            found,
         };
         let bytes = match serde_json::to_vec(&message) {
             Ok(bytes) => bytes,
