--- a/relay/src/exchange.rs
+++ b/relay/src/exchange.rs
@@ -164,8 +164,6 @@
 async fn tell<D: Dialect>(relay: Arc<Relay<D>>, socket: Arc<UdpSocket>) {
     let mut told_all = Instant::now();
     let mut told = 0;
-    let mut told_lost = Vec::new();
-    let mut told_found = 0;
     loop {
         let reads = relay.reads.load(Ordering::Relaxed);
         let longest = if reads { READER_TELLS } else { LONGEST };
@@ -174,16 +172,11 @@
             () = tokio::time::sleep_until(told_all + longest) => {}
         }
         let news = news(&relay, told);
-        let lost = relay.lately_lost();
-        let found = relay.found();
-        let trouble = lost.iter().any(|id| !told_lost.contains(id)) || found.len() > told_found;
-        let everywhere = news.is_some() || trouble || told_all.elapsed() >= longest;
+        let everywhere = news.is_some() || told_all.elapsed() >= longest;
         let revision = relay.mirror(|mirror| mirror.revision());
         if everywhere {
             told_all = Instant::now();
             told = revision;
-            told_lost.clone_from(&lost);
-            told_found = found.len();
         }
         let message = Message {
             entry: Arc::clone(&relay.settings.entry),
@@ -193,8 +186,8 @@
             news,
             revision,
             streams: relay.own_streams(),
-            lost,
-            found,
+            lost: relay.lately_lost(),
+            found: relay.found(),
         };
         let bytes = match serde_json::to_vec(&message) {
             Ok(bytes) => bytes,
