--- a/coordination/src/readers.rs
+++ b/coordination/src/readers.rs
@@ -58,6 +58,13 @@
         }
     }
 
+    /// Returns whether any other entry reads with success, whatever its place.
+    #[must_use]
+    pub fn others_read(&self, now: Duration) -> bool {
+        let mut heard = self.heard.values();
+        heard.any(|(_, heard)| now.saturating_sub(*heard) <= FRESH)
+    }
+
     /// Returns whether this entry has to read.
     #[must_use]
     pub fn must_read(&self, now: Duration) -> bool {
--- a/coordination/tests/balance.rs
+++ b/coordination/tests/balance.rs
@@ -200,6 +200,16 @@
     assert!(wide.must_read(Duration::ZERO));
 }
 
+#[test]
+fn an_entry_that_the_store_turns_away_knows_that_others_read() {
+    let mut first = Readers::new("a", 200);
+    assert!(!first.others_read(Duration::ZERO));
+    first.told(&Arc::from("b"), 10, true, Duration::ZERO);
+    assert!(first.must_read(Duration::ZERO));
+    assert!(first.others_read(Duration::from_secs(1)));
+    assert!(!first.others_read(Duration::from_secs(2)));
+}
+
 #[test]
 fn an_entry_that_hears_of_nobody_reads() {
     let readers = Readers::new("entry-0", 100);
--- a/relay/src/follow.rs
+++ b/relay/src/follow.rs
@@ -30,6 +30,9 @@
 /// Pause after the first call that failed.
 const FIRST_PAUSE: Duration = Duration::from_millis(20);
 
+/// Pause after a call that failed while other entries read: what they tell serves this one too.
+const TURNED_AWAY_PAUSE: Duration = Duration::from_secs(2);
+
 /// Time between two looks at whether this entry has to read.
 const READER_CHECK: Duration = Duration::from_millis(100);
 
@@ -82,7 +85,9 @@
         };
         place = next;
         let answers = reason.is_none();
-        relay.store_answers(answers);
+        // Where the store turns only this entry away, others answer for it.
+        let others_read = relay.others_read();
+        relay.store_answers(answers || others_read);
         relay.reads.store(answers, Ordering::Relaxed);
         if up != Some(answers) {
             tell(&relay, answers, reason.as_deref().unwrap_or(""));
@@ -93,6 +98,8 @@
             tell_moves(&relay, &store).await;
             relay.streams_changed.notify_one();
             tokio::time::sleep(COALESCE).await;
+        } else if others_read {
+            tokio::time::sleep(TURNED_AWAY_PAUSE).await;
         } else {
             let longest = (FIRST_PAUSE * 2_u32.pow(failures.min(6))).min(RETRY_PAUSE);
             failures = failures.saturating_add(1);
--- a/relay/src/state/peers.rs
+++ b/relay/src/state/peers.rs
@@ -120,6 +120,16 @@
         });
     }
 
+    /// Returns whether another entry reads the store with success.
+    #[must_use]
+    pub fn others_read(&self) -> bool {
+        let now = self.clock.now();
+        self.beliefs(|beliefs| {
+            let readers = beliefs.readers.as_ref();
+            readers.is_some_and(|readers| readers.others_read(now))
+        })
+    }
+
     /// Returns whether this entry has to read the store, for itself and for others.
     #[must_use]
     pub fn must_read(&self) -> bool {
--- a/relay/src/state/placing.rs
+++ b/relay/src/state/placing.rs
@@ -9,6 +9,10 @@
 
 use super::{Backend, Relay};
 
+/// Most servers of a group that one entry looks for at once; entries tell one another of finds, and
+/// thousands of questions a second would fill the links of a large fleet.
+const SEARCHED: usize = 8;
+
 /// How a server's load is counted.
 #[derive(Clone, Copy, Debug)]
 pub enum Measure {
@@ -52,7 +56,8 @@
             beliefs.lost.insert(Arc::clone(id), now);
             if suspect {
                 let all = beliefs.backends.get(&group.service).into_iter().flatten();
-                let members = all.filter(|other| other.group() == group).cloned();
+                let members = all.filter(|other| other.group() == group);
+                let members = members.take(SEARCHED).cloned();
                 beliefs.to_search.extend(members);
             }
             suspect
