perf(coordination): entries step in for readers one after the other

Ruled out: losses told at once, searches for restarted servers. Change: an entry waits 30 ms for each one before it; a test plays fleets of 6, 9 and 81.

--- a/coordination/src/readers.rs
+++ b/coordination/src/readers.rs
@@ -24,11 +24,26 @@
 /// Longest time between two messages of a reader.
 pub const READER_TELLS: Duration = Duration::from_millis(400);
 
+/// Time that each further entry waits before it steps in, so that those before it are heard first.
+/// A fleet that stepped in at once would fill the narrow links with what each has to tell.
+const STEP: Duration = Duration::from_millis(30);
+
+/// Longest time that an entry waits on top of [`FRESH`].
+const LONGEST_WAIT: Duration = Duration::from_millis(1_500);
+
 /// What this entry knows of the others' reading.
 #[derive(Clone, Debug)]
 pub struct Readers {
     own: Rank,
-    heard: HashMap<Arc<str>, (Rank, Duration)>,
+    known: HashMap<Arc<str>, Known>,
+}
+
+/// Another entry.
+#[derive(Clone, Copy, Debug)]
+struct Known {
+    rank: Rank,
+    /// When it told last that it reads with success.
+    read_at: Option<Duration>,
 }
 
 /// An entry's place in the order: the fastest link first, then by a hash of the name.
@@ -44,34 +59,47 @@
     pub fn new(own: &str, link_mbps: u32) -> Self {
         Self {
             own: rank(own, link_mbps),
-            heard: HashMap::new(),
+            known: HashMap::new(),
         }
     }
 
     /// Takes in whether another entry, with a link of `link_mbps`, reads with success.
     pub fn told(&mut self, entry: &Arc<str>, link_mbps: u32, reads: bool, now: Duration) {
-        if reads {
-            let heard = (rank(entry, link_mbps), now);
-            self.heard.insert(Arc::clone(entry), heard);
-        } else {
-            self.heard.remove(entry);
+        let known = self.known.entry(Arc::clone(entry)).or_insert(Known {
+            rank: rank(entry, link_mbps),
+            read_at: None,
+        });
+        known.rank = rank(entry, link_mbps);
+        match (reads, known.read_at) {
+            (true, _) => known.read_at = Some(now),
+            // It has just stopped: the wait of those behind it begins now.
+            (false, Some(at)) if now.saturating_sub(at) <= FRESH => {
+                known.read_at = Some(now.saturating_sub(FRESH));
+            }
+            (false, _) => {}
         }
     }
 
     /// Returns whether any other entry reads with success, whatever its place.
     #[must_use]
     pub fn others_read(&self, now: Duration) -> bool {
-        let mut heard = self.heard.values();
-        heard.any(|(_, heard)| now.saturating_sub(*heard) <= FRESH)
+        self.reading(FRESH, now).next().is_some()
     }
 
     /// Returns whether this entry has to read.
     #[must_use]
     pub fn must_read(&self, now: Duration) -> bool {
-        let before = self
-            .heard
-            .values()
-            .filter(|(rank, heard)| *rank < self.own && now.saturating_sub(*heard) <= FRESH);
-        before.count() < READERS
+        let before = self.known.values().filter(|known| known.rank < self.own);
+        let place = u32::try_from(before.count()).unwrap_or(u32::MAX);
+        let wait = STEP.saturating_mul(place).min(LONGEST_WAIT);
+        let reading = self.reading(FRESH + wait, now);
+        reading.filter(|known| known.rank < self.own).count() < READERS
+    }
+
+    /// Returns the entries that read within the time `fresh` before now.
+    fn reading(&self, fresh: Duration, now: Duration) -> impl Iterator<Item = &Known> {
+        let recent = move |at: Duration| now.saturating_sub(at) <= fresh;
+        let known = self.known.values();
+        known.filter(move |known| known.read_at.is_some_and(recent))
     }
 }
--- a/coordination/tests/balance.rs
+++ b/coordination/tests/balance.rs
@@ -163,28 +163,51 @@
     }
 }
 
-#[test]
-fn two_entries_read_and_the_next_ones_step_in() {
-    let names: Vec<Arc<str>> = (0..9).map(|n| Arc::from(format!("entry-{n}"))).collect();
-    let reads = |silent: &[usize]| -> Vec<usize> {
-        let now = Duration::from_secs(9);
-        let reading = |own: &usize| {
-            let mut readers = Readers::new(&names[*own], 100);
-            for (other, name) in names.iter().enumerate() {
-                let heard = if silent.contains(&other) { 5 } else { 9 };
-                readers.told(name, 100, true, Duration::from_secs(heard));
-            }
-            readers.must_read(now)
-        };
-        (0..names.len()).filter(reading).collect()
-    };
-    let first = reads(&[]);
-    assert_eq!(first.len(), 2);
-    let next: Vec<usize> = reads(&first)
-        .into_iter()
-        .filter(|reader| !first.contains(reader))
+/// Plays a fleet whose first readers fall silent, and returns how many entries read at most at once
+/// afterwards, and after how long there were two again.
+fn step_in(entries: usize) -> (usize, Duration) {
+    let names: Vec<Arc<str>> = (0..entries)
+        .map(|n| Arc::from(format!("entry-{n}")))
         .collect();
-    assert_eq!(next.len(), 2, "nobody reads in place of {first:?}");
+    let mut fleet: Vec<Readers> = names.iter().map(|name| Readers::new(name, 100)).collect();
+    let mut silent: Vec<usize> = Vec::new();
+    let (mut most, mut back) = (0, None);
+    for tick in 0..60_u64 {
+        let now = Duration::from_millis(100 * tick);
+        let reads: Vec<bool> = (0..entries)
+            .map(|entry| !silent.contains(&entry) && fleet[entry].must_read(now))
+            .collect();
+        let reading: Vec<usize> = (0..entries).filter(|entry| reads[*entry]).collect();
+        if tick == 20 {
+            assert_eq!(reading.len(), 2, "the fleet has not settled");
+            silent.clone_from(&reading);
+        }
+        if tick > 20 {
+            most = most.max(reading.len());
+            if reading.len() >= 2 && back.is_none() {
+                back = Some(now.saturating_sub(Duration::from_secs(2)));
+            }
+        }
+        for (hearer, readers) in fleet.iter_mut().enumerate() {
+            let heard = (0..entries).filter(|e| *e != hearer && !silent.contains(e));
+            for entry in heard {
+                readers.told(&names[entry], 100, reads[entry], now);
+            }
+        }
+    }
+    (most, back.expect("nobody stepped in"))
+}
+
+/// The load that the order of stepping in answers: a fleet that reads all at once tells itself
+/// megabytes.
+#[test]
+fn a_few_entries_step_in_for_readers_that_fall_silent() {
+    for entries in [6, 9, 81] {
+        let (most, back) = step_in(entries);
+        assert!(most <= 6, "{entries} entries: {most} read at once");
+        // A server that leaves has to be known within 2 s.
+        assert!(back < Duration::from_secs(2), "{entries} entries: {back:?}");
+    }
 }
 
 /// The load that answers: a reader tells a large fleet of each change, which fills a narrow link.
