--- a/relay/src/state.rs
+++ b/relay/src/state.rs
@@ -38,7 +38,8 @@
     pub regions: HashMap<Arc<str>, Arc<str>>,
     /// Memory for bodies that are held, in bytes.
     pub held_bytes: usize,
-    /// Repeats that a service allows this entry.
+    /// Repeats that a service allows: a share of an entry's requests, and a reserve that all entries
+    /// divide.
     pub retries: Policy,
     /// Bounds on the silence of servers.
     pub liveness: liveness::Bounds,
--- a/relay/src/state/beliefs.rs
+++ b/relay/src/state/beliefs.rs
@@ -16,6 +16,13 @@
 
 use super::{Backend, Settings};
 
+/// Entries among which a reserve of repeats is divided at least: one that has just started may not
+/// know the others yet.
+const FEWEST_ENTRIES: u32 = 5;
+
+/// Least reserve of repeats of one entry, so that one loss is always made good.
+const LEAST_RESERVE: f64 = 3.0;
+
 /// What is believed of configuration and servers.
 #[derive(Debug, Default)]
 pub(super) struct Beliefs {
@@ -53,9 +60,19 @@
 }
 
 impl Beliefs {
+    /// Returns the budget of repeats of a service. Its reserve is this entry's part when the service
+    /// is first used, by when the others are known.
     pub(super) fn budget(&mut self, service: &Arc<str>, policy: Policy) -> &mut Budget {
+        let entries = u32::try_from(self.peers.len() + 1).unwrap_or(u32::MAX);
+        let part = policy.reserve / f64::from(entries.max(FEWEST_ENTRIES));
+        let reserve = part.max(LEAST_RESERVE);
+        let own = Policy {
+            reserve,
+            ceiling: reserve,
+            ..policy
+        };
         let budget = self.retries.entry(Arc::clone(service));
-        budget.or_insert_with(|| Budget::new(policy))
+        budget.or_insert_with(|| Budget::new(own))
     }
 
     /// Brings the backends in line with what the roster says of one server.
--- a/relay/src/stream/passing.rs
+++ b/relay/src/stream/passing.rs
@@ -130,8 +130,16 @@
                 () = sender.closed() => return Left::Caller,
                 () = tokio::time::sleep_until(deadline) => return Left::Deadline,
             };
-            let Ok(opened) = opened else {
-                return Left::Lost(cause);
+            let opened = match opened {
+                Ok(opened) => opened,
+                Err(refusal) => {
+                    log::info!(
+                        request = &*self.job.original.request_id, cause,
+                        reason = refusal.reason.name();
+                        "stream not resumed"
+                    );
+                    return Left::Lost(cause);
+                }
             };
             let (parts, body) = opened.answer.response.into_parts();
             if !parts.status.is_success() {
