fix(relay): a stream whose server may have run it is answered 504 at its deadline, not 503

Cause: found on reading: the outcome of a send in flight was not counted, so that a deadline before the first answer was told as not run.

--- a/relay/src/stream.rs
+++ b/relay/src/stream.rs
@@ -58,6 +58,8 @@
     backup: Option<Arc<Backend>>,
     keeper: Option<Keeper>,
     begun: bool,
+    /// Whether a server may be at work on a send whose outcome is not known.
+    offered: bool,
     paid: bool,
     arrivals: u32,
     ran: u32,
@@ -80,10 +82,12 @@
     let mut stream = Stream::new(Arc::clone(relay), job);
     let opened = tokio::time::timeout_at(deadline, stream.open()).await;
     let opened = opened.unwrap_or_else(|_| {
-        Err(Refusal::new(match stream.ran {
-            0 => Reason::TooLate,
-            _ => Reason::TimedOut,
-        }))
+        let reason = if stream.ran > 0 || stream.offered {
+            Reason::TimedOut
+        } else {
+            Reason::TooLate
+        };
+        Err(Refusal::new(reason))
     });
     match opened {
         Ok(opened) => stream.respond(opened).await,
@@ -103,6 +107,7 @@
             backup: None,
             keeper: None,
             begun: false,
+            offered: false,
             paid: false,
             arrivals: 0,
             ran: 0,
@@ -201,6 +206,7 @@
     /// Notes a send that failed.
     fn note(&mut self, backend: &Arc<Backend>, failure: &Failure) {
         self.lost.push(Arc::clone(&backend.server.id));
+        self.offered = false;
         match failure {
             Failure::NotSent { .. } => {}
             Failure::NotRun { .. } => self.arrived(),
@@ -328,6 +334,7 @@
         let mut subscription = monitor::subscribe(&self.relay, backend);
         let relay = Arc::clone(&self.relay);
         let silent = Instant::now() + FIRST_EVENT;
+        self.offered = true;
         let answer = tokio::select! {
             answer = attempt::send(&relay, backend, &self.job.original, &send) => answer,
             () = subscription.lost() => lost("the server was lost"),
