--- a/relay/src/follow.rs
+++ b/relay/src/follow.rs
@@ -98,17 +98,23 @@
             tell_moves(&relay, &store).await;
             relay.streams_changed.notify_one();
             tokio::time::sleep(COALESCE).await;
-        } else if others_read {
-            tokio::time::sleep(TURNED_AWAY_PAUSE).await;
         } else {
-            let longest = (FIRST_PAUSE * 2_u32.pow(failures.min(6))).min(RETRY_PAUSE);
             failures = failures.saturating_add(1);
-            let pause = longest.mul_f64(rand::rng().random_range(0.5..=1.0));
-            tokio::time::sleep(pause).await;
+            tokio::time::sleep(pause(failures, others_read)).await;
         }
     }
 }
 
+/// Returns the pause after a number of failures in a row.
+fn pause(failures: u32, others_read: bool) -> Duration {
+    if others_read {
+        return TURNED_AWAY_PAUSE;
+    }
+    let doubled = FIRST_PAUSE * 2_u32.pow(failures.saturating_sub(1).min(6));
+    let longest = doubled.min(RETRY_PAUSE);
+    longest.mul_f64(rand::rng().random_range(0.5..=1.0))
+}
+
 /// Tells the operators that the moves they ordered have been taken back.
 async fn tell_moves<D: Dialect, S: Store>(relay: &Relay<D>, store: &S) {
     for (service, version) in relay.take_untold() {
--- a/relay/src/stream/passing.rs
+++ b/relay/src/stream/passing.rs
@@ -225,8 +225,12 @@
                 }
                 self.last_event = event.id.or(self.last_event);
                 self.event_passed(now);
-                if sender.send(Part::Data(event.bytes)).await.is_err() {
-                    return Left::Caller;
+                // A caller that no longer reads holds the run until the deadline at most.
+                let sending = sender.send(Part::Data(event.bytes));
+                match tokio::time::timeout_at(deadline, sending).await {
+                    Ok(Ok(())) => {}
+                    Ok(Err(_)) => return Left::Caller,
+                    Err(_) => return Left::Deadline,
                 }
             }
             if splitter.overflows() {
