fix(relay): messages between entries leave narrow links to requests; repeats by span

Further, an entry's budget of repeats held three at most, and was empty when a failure domain's servers crashed: streams ended with 502 though the fleet used a third of what it may repeat. Ruled out: the servers themselves (others reached them at the same moment); the route's number of attempts (5). Change: what is new is told at once and again for 1.5 s, hearsay only where all is told; messages are deflated, and spaced so that they take a tenth of the narrowest link; repeats are counted against the requests of the same 10 s.

--- a/coordination/src/lib.rs
+++ b/coordination/src/lib.rs
@@ -29,3 +29,4 @@
 pub mod schedule;
 pub mod shared_load;
 pub mod spread;
+pub mod tidings;
--- a/coordination/src/retry_budget.rs
+++ b/coordination/src/retry_budget.rs
@@ -21,6 +21,7 @@
 //! assert!(pause.is_none_or(|pause| pause < Duration::from_millis(50)));
 //! ```
 
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use rand::Rng;
@@ -81,6 +82,96 @@
     }
 }
 
+/// How much of a service's load may be repeats, over any span of time.
+#[derive(Clone, Copy, Debug)]
+pub struct Bounds {
+    /// Repeats for each request of the span.
+    pub share: f64,
+    /// Repeats of the span on top of that, over all entries.
+    pub reserve: f64,
+    /// Length of the span.
+    pub span: Duration,
+}
+
+/// Parts of a span that are counted by themselves: what is forgotten too late is a tenth at most.
+const PARTS: u32 = 10;
+
+/// Requests and repeats of one part of the span.
+#[derive(Clone, Copy, Debug)]
+struct Part {
+    began: Duration,
+    requests: u32,
+    repeats: u32,
+}
+
+/// Repeats of one entry for one service, bounded by its requests of the same span.
+///
+/// The load that this answers: a failure domain's servers crash together, and all streams on them
+/// are repeated within half a second. An entry of a large fleet has a request every other second,
+/// so that a budget which saves up only a few repeats is empty when it is needed, while hardly any
+/// of what the fleet may repeat is used.
+#[derive(Clone, Debug)]
+pub struct Window {
+    bounds: Bounds,
+    parts: VecDeque<Part>,
+}
+
+impl Window {
+    /// Returns a window without requests.
+    #[must_use]
+    pub fn new(bounds: Bounds) -> Self {
+        Self {
+            bounds,
+            parts: VecDeque::new(),
+        }
+    }
+
+    /// Counts a request.
+    pub fn request(&mut self, now: Duration) {
+        self.part(now).requests += 1;
+    }
+
+    /// Takes a repeat and returns whether there was one; `reserve` is this entry's part of what may
+    /// be repeated on top of the share.
+    pub fn withdraw(&mut self, reserve: f64, now: Duration) -> bool {
+        self.forget(now);
+        let requests: u32 = self.parts.iter().map(|part| part.requests).sum();
+        let repeats: u32 = self.parts.iter().map(|part| part.repeats).sum();
+        let most = reserve + f64::from(requests) * self.bounds.share;
+        if f64::from(repeats) + 1.0 > most + ROUNDING {
+            return false;
+        }
+        self.part(now).repeats += 1;
+        true
+    }
+
+    /// Forgets the parts before the span.
+    fn forget(&mut self, now: Duration) {
+        let span = self.bounds.span;
+        while let Some(part) = self.parts.front()
+            && now.saturating_sub(part.began) >= span
+        {
+            self.parts.pop_front();
+        }
+    }
+
+    /// Returns the part that holds now.
+    fn part(&mut self, now: Duration) -> &mut Part {
+        self.forget(now);
+        let length = self.bounds.span / PARTS;
+        let open = self.parts.back();
+        if open.is_none_or(|part| now.saturating_sub(part.began) >= length) {
+            self.parts.push_back(Part {
+                began: now,
+                requests: 0,
+                repeats: 0,
+            });
+        }
+        let last = self.parts.len() - 1;
+        &mut self.parts[last]
+    }
+}
+
 /// Pauses between attempts.
 #[derive(Clone, Copy, Debug)]
 pub struct Backoff {
--- a/relay/src/exchange.rs
+++ b/relay/src/exchange.rs
@@ -12,6 +12,7 @@
 
 use medlarfall_coordination::readers::READER_TELLS;
 use medlarfall_coordination::shared_load::Count;
+use medlarfall_coordination::tidings;
 use medlarfall_runtime::store::{Change, Changes, Error, Lease, Store};
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
@@ -20,6 +21,7 @@
 use crate::dialect::Dialect;
 use crate::follow;
 use crate::mirror;
+use crate::packing;
 use crate::state::Relay;
 
 /// Shortest time between two messages: several changes go into one.
@@ -106,7 +108,7 @@
 
 /// Takes in a message.
 fn hear<D: Dialect>(relay: &Arc<Relay<D>>, bytes: &[u8], from: SocketAddr) {
-    let message: Message = match serde_json::from_slice(bytes) {
+    let message: Message = match packing::unpack(bytes) {
         Ok(message) => message,
         Err(error) => {
             log::warn!(
@@ -148,12 +150,14 @@
 
 /// Returns what was read since `told`, if this entry reads and it is not too much for a message.
 fn news<D: Dialect>(relay: &Relay<D>, told: u64) -> Option<News> {
+    if told == 0 || !relay.reads.load(Ordering::Relaxed) {
+        return None;
+    }
     let changes = relay.mirror(|mirror| mirror.after(told));
-    let reads = relay.reads.load(Ordering::Relaxed);
     let length = |change: &Change| change.key.len() + change.value.as_ref().map_or(0, String::len);
     let bytes: usize = changes.changes.iter().map(length).sum();
-    let fits = told > 0 && changes.revision > told && bytes <= NEWS_LIMIT;
-    (reads && fits).then_some(News {
+    let fits = changes.revision > told && bytes <= NEWS_LIMIT;
+    fits.then_some(News {
         after: told,
         changes,
     })
@@ -172,9 +176,9 @@
             () = tokio::time::sleep_until(told_all + longest) => {}
         }
         let news = news(&relay, told);
-        let everywhere = news.is_some() || told_all.elapsed() >= longest;
+        let everyone = news.is_some() || relay.has_found() || told_all.elapsed() >= longest;
         let revision = relay.mirror(|mirror| mirror.revision());
-        if everywhere {
+        if everyone {
             told_all = Instant::now();
             told = revision;
         }
@@ -186,22 +190,24 @@
             news,
             revision,
             streams: relay.own_streams(),
-            lost: relay.lately_lost(),
-            found: relay.found(),
+            lost: relay.lost_to_tell(everyone),
+            found: relay.found_to_tell(everyone),
         };
-        let bytes = match serde_json::to_vec(&message) {
+        let bytes = match packing::pack(&message) {
             Ok(bytes) => bytes,
             Err(error) => {
                 log::error!(reason = error.to_string().as_str(); "message can't be written");
                 continue;
             }
         };
-        for peer in relay.peers(everywhere) {
-            if let Err(error) = send(&socket, &bytes, peer).await {
+        let audience = relay.audience(everyone);
+        for peer in &audience.addresses {
+            if let Err(error) = send(&socket, &bytes, *peer).await {
                 log::debug!(reason = error.to_string().as_str(); "message not sent");
             }
         }
-        sleep(SHORTEST).await;
+        let pause = tidings::pause(bytes.len(), audience.addresses.len(), audience.link_mbps);
+        sleep(pause.max(SHORTEST)).await;
     }
 }
 
--- a/relay/src/mirror.rs
+++ b/relay/src/mirror.rs
@@ -25,6 +25,7 @@
 use crate::attempt;
 use crate::dialect::{Dialect, Order};
 use crate::follow;
+use crate::packing;
 use crate::state::Relay;
 
 /// Time that an entry waits for its own watch before it asks a peer that is ahead.
@@ -129,10 +130,14 @@
     let after = request.uri().path().strip_prefix(PATH);
     let after = after.and_then(|after| after.parse().ok());
     let changes = after.map(|after| relay.mirror(|mirror| mirror.after(after)));
-    let body = changes.and_then(|changes| serde_json::to_vec(&changes).ok());
+    let body = changes.map(|changes| packing::pack(&changes));
     let mut response = Response::new(Full::from(Bytes::new()));
     match body {
-        Some(body) => *response.body_mut() = Full::from(body),
+        Some(Ok(body)) => *response.body_mut() = Full::from(body),
+        Some(Err(error)) => {
+            log::error!(reason = error.to_string().as_str(); "changes can't be written for a peer");
+            *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
+        }
         None => *response.status_mut() = StatusCode::NOT_FOUND,
     }
     response
@@ -156,7 +161,7 @@
     };
     let asked = timeout(ANSWER_TIME, attempt::exchange(peer, order)).await;
     let changes = match asked {
-        Ok(Ok((_, body))) => serde_json::from_slice::<Changes>(&body).map_err(|e| e.to_string()),
+        Ok(Ok((_, body))) => packing::unpack::<Changes>(&body).map_err(|e| e.to_string()),
         Ok(Err(error)) => Err(error),
         Err(_) => Err("no answer in time".to_owned()),
     };
--- a/relay/src/rediscover.rs
+++ b/relay/src/rediscover.rs
@@ -80,7 +80,7 @@
         "another server answers at the address of a lost one"
     );
     if same {
-        relay.adopt(&backend.server, &name, report.born_ms);
+        relay.adopt(&backend.server, &name, report.born_ms, false);
     }
     true
 }
--- a/relay/src/state.rs
+++ b/relay/src/state.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use medlarfall_coordination::liveness;
-use medlarfall_coordination::retry_budget::Policy;
+use medlarfall_coordination::retry_budget::Bounds;
 use medlarfall_coordination::routing::Table;
 use medlarfall_runtime::budget;
 use medlarfall_runtime::clock::Clock;
@@ -40,7 +40,7 @@
     pub held_bytes: usize,
     /// Repeats that a service allows: a share of an entry's requests, and a reserve that all entries
     /// divide.
-    pub retries: Policy,
+    pub retries: Bounds,
     /// Bounds on the silence of servers.
     pub liveness: liveness::Bounds,
     /// Speed of the machine's link, in Mbit/s.
--- a/relay/src/state/beliefs.rs
+++ b/relay/src/state/beliefs.rs
@@ -1,16 +1,15 @@
 //! What this entry believes of configuration, servers and other entries.
 
-use std::collections::HashMap;
-use std::net::SocketAddr;
-use std::sync::Arc;
-use std::time::Duration;
-
 use medlarfall_coordination::outage::Groups;
 use medlarfall_coordination::readers::Readers;
-use medlarfall_coordination::retry_budget::{Budget, Policy};
+use medlarfall_coordination::retry_budget::{Bounds, Window};
 use medlarfall_coordination::roster::Roster;
 use medlarfall_coordination::routing::Table;
 use medlarfall_coordination::shared_load;
+use medlarfall_coordination::tidings::Tidings;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
 
 use crate::exchange::Found;
 
@@ -29,7 +28,7 @@
     pub(super) table: Option<Arc<Table>>,
     pub(super) roster: Roster,
     pub(super) backends: HashMap<Arc<str>, Vec<Arc<Backend>>>,
-    pub(super) retries: HashMap<Arc<str>, Budget>,
+    pub(super) retries: HashMap<Arc<str>, Window>,
     /// Version of a service that gets nothing: a move to it is ordered.
     pub(super) held: HashMap<Arc<str>, Arc<str>>,
     /// Moves whose end the operators have not been told.
@@ -39,8 +38,10 @@
     pub(super) readers: Option<Readers>,
     pub(super) shared: shared_load::Table,
     pub(super) to_search: Vec<Arc<Backend>>,
-    pub(super) found: Vec<Found>,
-    pub(super) lost: HashMap<Arc<str>, Duration>,
+    /// Servers that were found in place of others while the store is away.
+    pub(super) found: Tidings<Found>,
+    /// Servers that this entry could not reach lately.
+    pub(super) lost: Tidings<Arc<str>>,
 }
 
 /// Another entry.
@@ -50,6 +51,8 @@
     pub(super) address: SocketAddr,
     /// Failure domain that it runs in, once it has told.
     pub(super) failure_domain: Option<Arc<str>>,
+    /// Speed of its machine's link, in Mbit/s; nothing until it has told.
+    pub(super) link_mbps: Option<u32>,
 }
 
 /// The servers of a service in one failure domain.
@@ -60,19 +63,17 @@
 }
 
 impl Beliefs {
-    /// Returns the budget of repeats of a service. Its reserve is this entry's part when the service
-    /// is first used, by when the others are known.
-    pub(super) fn budget(&mut self, service: &Arc<str>, policy: Policy) -> &mut Budget {
+    /// Returns the repeats of a service.
+    pub(super) fn repeats(&mut self, service: &Arc<str>, bounds: Bounds) -> &mut Window {
+        let window = self.retries.entry(Arc::clone(service));
+        window.or_insert_with(|| Window::new(bounds))
+    }
+
+    /// Returns this entry's part of a reserve of repeats.
+    pub(super) fn reserve(&self, bounds: Bounds) -> f64 {
         let entries = u32::try_from(self.peers.len() + 1).unwrap_or(u32::MAX);
-        let part = policy.reserve / f64::from(entries.max(FEWEST_ENTRIES));
-        let reserve = part.max(LEAST_RESERVE);
-        let own = Policy {
-            reserve,
-            ceiling: reserve,
-            ..policy
-        };
-        let budget = self.retries.entry(Arc::clone(service));
-        budget.or_insert_with(|| Budget::new(own))
+        let part = bounds.reserve / f64::from(entries.max(FEWEST_ENTRIES));
+        part.max(LEAST_RESERVE)
     }
 
     /// Brings the backends in line with what the roster says of one server.
--- a/relay/src/state/peers.rs
+++ b/relay/src/state/peers.rs
@@ -4,7 +4,6 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use std::time::Duration;
 
 use medlarfall_coordination::readers::Readers;
 use medlarfall_coordination::shared_load::Count;
@@ -15,19 +14,24 @@
 use super::Relay;
 use super::beliefs::Peer;
 
-/// Time for which the other entries are told that a server could not be reached.
-const LOSS_TOLD: Duration = Duration::from_millis(1_500);
+/// Entries to tell.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Audience {
+    /// Where they take messages.
+    pub addresses: Vec<SocketAddr>,
+    /// Speed of the narrowest link among theirs and this entry's, in Mbit/s.
+    pub link_mbps: u32,
+}
 
 impl<D: Dialect> Relay<D> {
-    /// Returns the servers that this entry itself could not reach lately.
+    /// Returns the servers that this entry itself could not reach lately, as far as they are to be
+    /// told to `everyone` or to those nearby.
     #[must_use]
-    pub fn lately_lost(&self) -> Vec<Arc<str>> {
+    pub fn lost_to_tell(&self, everyone: bool) -> Vec<Arc<str>> {
         let now = self.clock.now();
         self.beliefs(|beliefs| {
-            beliefs
-                .lost
-                .retain(|_, at| now.saturating_sub(*at) < LOSS_TOLD);
-            beliefs.lost.keys().cloned().collect()
+            beliefs.lost.forget_old(now);
+            beliefs.lost.tell(everyone, now)
         })
     }
 
@@ -49,14 +53,22 @@
         self.search_wanted.notify_one();
     }
 
-    /// Returns the servers that were found while the store is away.
+    /// Returns whether this entry has found servers that it has not told of.
+    #[must_use]
+    pub fn has_found(&self) -> bool {
+        self.beliefs(|beliefs| beliefs.found.untold())
+    }
+
+    /// Returns the servers that were found while the store is away, as far as they are to be told
+    /// to `everyone` or to those nearby.
     #[must_use]
-    pub fn found(&self) -> Vec<Found> {
+    pub fn found_to_tell(&self, everyone: bool) -> Vec<Found> {
+        let now = self.clock.now();
         self.beliefs(|beliefs| {
             if beliefs.roster.keeper_answers() {
                 beliefs.found.clear();
             }
-            beliefs.found.clone()
+            beliefs.found.tell(everyone, now)
         })
     }
 
@@ -73,7 +85,7 @@
         {
             let before = self.beliefs(|beliefs| beliefs.roster.get(before).cloned());
             if let Some(before) = before {
-                self.adopt(&before, now, *born_ms);
+                self.adopt(&before, now, *born_ms, true);
             }
         }
     }
@@ -91,6 +103,7 @@
             let peer = beliefs.peers.entry(Arc::clone(name)).or_insert(Peer {
                 address,
                 failure_domain: None,
+                link_mbps: None,
             });
             std::mem::replace(&mut peer.address, address) == address
                 && peer.failure_domain.is_some()
@@ -112,6 +125,7 @@
         self.beliefs(|beliefs| {
             if let Some(peer) = beliefs.peers.get_mut(name) {
                 peer.failure_domain = Some(Arc::clone(failure_domain));
+                peer.link_mbps = Some(link_mbps);
             }
             let own = &self.settings;
             let unheard = || Readers::new(&own.entry, own.link_mbps);
@@ -140,17 +154,21 @@
         })
     }
 
-    /// Returns the addresses of the other entries; of those known to run elsewhere only if
-    /// `everywhere`.
+    /// Returns the entries to tell: `everyone`, or those not known to run elsewhere.
     #[must_use]
-    pub fn peers(&self, everywhere: bool) -> Vec<SocketAddr> {
+    pub fn audience(&self, everyone: bool) -> Audience {
         let own = Some(&self.settings.failure_domain);
         self.beliefs(|beliefs| {
             let peers = beliefs.peers.values();
             let told = peers.filter(|peer| {
-                everywhere || peer.failure_domain.is_none() || peer.failure_domain.as_ref() == own
+                everyone || peer.failure_domain.is_none() || peer.failure_domain.as_ref() == own
             });
-            told.map(|peer| peer.address).collect()
+            let told: Vec<&Peer> = told.collect();
+            let links = told.iter().filter_map(|peer| peer.link_mbps);
+            Audience {
+                addresses: told.iter().map(|peer| peer.address).collect(),
+                link_mbps: links.fold(self.settings.link_mbps, u32::min),
+            }
         })
     }
 
--- a/relay/src/state/placing.rs
+++ b/relay/src/state/placing.rs
@@ -140,14 +140,20 @@
 
     /// Counts a request for a service, which adds to its budget of repeats.
     pub fn count_request(&self, service: &Arc<str>) {
-        self.beliefs(|beliefs| beliefs.budget(service, self.settings.retries).succeeded());
+        let now = self.clock.now();
+        let bounds = self.settings.retries;
+        self.beliefs(|beliefs| beliefs.repeats(service, bounds).request(now));
     }
 
     /// Takes a repeat from the budget of a service and returns whether there was one.
     #[must_use]
     pub fn take_retry(&self, service: &Arc<str>) -> bool {
-        let taken =
-            self.beliefs(|beliefs| beliefs.budget(service, self.settings.retries).withdraw());
+        let now = self.clock.now();
+        let bounds = self.settings.retries;
+        let taken = self.beliefs(|beliefs| {
+            let reserve = beliefs.reserve(bounds);
+            beliefs.repeats(service, bounds).withdraw(reserve, now)
+        });
         let counter = if taken {
             &self.metrics.retries
         } else {
--- a/relay/src/state/servers.rs
+++ b/relay/src/state/servers.rs
@@ -111,8 +111,10 @@
         self.changed.send_modify(|count| *count += 1);
     }
 
-    /// Takes in a server that was found in place of `gone`, while the store does not answer.
-    pub fn adopt(&self, gone: &Server, id: &Arc<str>, born_ms: Option<u64>) {
+    /// Takes in a server that was found in place of `gone`, while the store does not answer; `heard`
+    /// from another entry, or by this one.
+    pub fn adopt(&self, gone: &Server, id: &Arc<str>, born_ms: Option<u64>, heard: bool) {
+        let now = self.clock.now();
         let server = Server {
             id: Arc::clone(id),
             leaving: false,
@@ -121,17 +123,23 @@
         };
         let effect = self.beliefs(|beliefs| {
             let effect = beliefs.roster.adopt(server);
-            if effect != Effect::Stale {
-                beliefs.found.push(Found {
-                    before: Arc::clone(&gone.id),
-                    now: Arc::clone(id),
-                    born_ms,
-                });
+            let found = Found {
+                before: Arc::clone(&gone.id),
+                now: Arc::clone(id),
+                born_ms,
+            };
+            match effect {
+                Effect::Stale => {}
+                _ if heard => beliefs.found.insert_heard(found),
+                _ => beliefs.found.insert(found, now),
             }
             beliefs.forget_unlisted();
             beliefs.refresh(&self.settings, id);
             effect
         });
+        if !heard {
+            self.streams_changed.notify_one();
+        }
         self.believed(effect, id, 0);
     }
 
