fix(coordination): the median counts only beside an old version; likely holders of a prompt are asked

Change: without an old version beside it only the slowest tenth counts. Prompt cache. Change: those are asked that the stream's lot favours, most in its own failure domain.

--- a/coordination/src/balance.rs
+++ b/coordination/src/balance.rs
@@ -203,3 +203,27 @@
         })
         .map(|(index, _)| index)
 }
+
+/// Part of the servers asked that are in the caller's own failure domain, where most streams run.
+const NEAR_PART: (usize, usize) = (5, 8);
+
+/// Returns the indices of the servers to which [`choose`] probably sent a request with the lot `lot`
+/// before, at most `count`: among servers as loaded it sends to the one that the lot favours.
+///
+/// The load that answers: after all entries stopped at once, callers go on with their streams at
+/// entries that know nothing of them; asking all servers of a large fleet would take longer than
+/// reading the prompts anew.
+#[must_use]
+pub fn likely(servers: &[(u64, Proximity)], lot: u64, count: usize) -> Vec<usize> {
+    let mut order: Vec<usize> = (0..servers.len()).collect();
+    order.sort_by_key(|index| Reverse(mix(servers[*index].0 ^ lot)));
+    let (mut near, mut far): (Vec<usize>, Vec<usize>) = order
+        .into_iter()
+        .partition(|index| servers[*index].1 == Proximity::FailureDomain);
+    let part = count * NEAR_PART.0 / NEAR_PART.1;
+    let others = far.len().min(count - part);
+    near.truncate(count - others);
+    far.truncate(count - near.len());
+    near.append(&mut far);
+    near
+}
--- a/coordination/src/evidence.rs
+++ b/coordination/src/evidence.rs
@@ -237,9 +237,15 @@
     }
 
     /// Returns how much of what is needed speaks against the new version: 1 is enough.
+    ///
+    /// Without an old version beside it only the first quantile counts: noise that comes up later
+    /// lifts half of all times above what the median was.
     fn value(&self, threshold: f64, alone: bool) -> f64 {
-        let values = self.tests.iter().map(|test| test.value(threshold, alone));
-        values.fold(0.0, f64::max)
+        let counted = if alone { 1 } else { self.tests.len() };
+        let values = self.tests[..counted].iter();
+        values
+            .map(|test| test.value(threshold, alone))
+            .fold(0.0, f64::max)
     }
 }
 
--- a/coordination/tests/balance.rs
+++ b/coordination/tests/balance.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use medlarfall_coordination::balance::{Candidate, Load, choose};
+use medlarfall_coordination::balance::{Candidate, Load, choose, likely};
 use medlarfall_coordination::placement::{Proximity, name_hash};
 use medlarfall_coordination::readers::Readers;
 use medlarfall_coordination::shared_load::{Count, FRESH, Table};
@@ -238,3 +238,58 @@
     let readers = Readers::new("entry-0", 100);
     assert!(readers.must_read(Duration::from_secs(1)));
 }
+
+/// Plays streams that 4 failure domains of 45 servers take, and returns how many of those that run
+/// when all entries stop are found again by asking 32 servers.
+#[test]
+fn the_server_that_ran_a_stream_is_among_those_that_are_asked() {
+    let servers: Vec<(u64, Proximity)> = (0..180)
+        .map(|index| {
+            let near = if index % 4 == 0 {
+                Proximity::FailureDomain
+            } else {
+                Proximity::Region
+            };
+            (name_hash(&format!("server-{index}")), near)
+        })
+        .collect();
+    let mut random = ChaCha8Rng::seed_from_u64(3);
+    let mut runs = vec![0_u32; servers.len()];
+    let (mut found, mut all) = (0, 0);
+    for stream in 0..2_000_u64 {
+        let lot = random.random();
+        let candidates: Vec<Candidate> = servers
+            .iter()
+            .zip(&runs)
+            .map(|((hash, proximity), runs)| Candidate {
+                hash: *hash,
+                proximity: *proximity,
+                requests: f64::from(*runs) * 0.2,
+                ..candidate("")
+            })
+            .collect();
+        let chosen = choose(&candidates, 1.0, lot).expect("a server");
+        runs[chosen] += 1;
+        // Streams of this and of other failure domains end at the same rate.
+        if stream % 2 == 0 {
+            runs[random.random_range(0..servers.len())] += 1;
+        }
+        if stream >= 80 {
+            for _ in 0..2 {
+                let ending = random.random_range(0..servers.len());
+                runs[ending] = runs[ending].saturating_sub(1);
+            }
+        }
+        all += 1;
+        found += u32::from(likely(&servers, lot, 32).contains(&chosen));
+    }
+    assert!(found * 10 >= all * 8, "{found} of {all} found");
+}
+
+#[test]
+fn no_more_servers_are_asked_than_there_are() {
+    let servers = [(1, Proximity::FailureDomain), (2, Proximity::Region)];
+    assert_eq!(likely(&servers, 5, 32).len(), 2);
+    assert_eq!(likely(&servers, 5, 1).len(), 1);
+    assert!(likely(&[], 5, 8).is_empty());
+}
--- a/coordination/tests/evidence.rs
+++ b/coordination/tests/evidence.rs
@@ -134,9 +134,14 @@
 }
 
 /// Draws a time between tokens on a busy machine: what the engine takes, and a wait for the
-/// processor that hits both versions alike.
-fn draw_busy(random: &mut ChaCha8Rng, side: Side, engine_ms: f64) -> Observation {
-    let wait_ms = -20.0 * f64::ln(random.random_range(f64::MIN_POSITIVE..1.0));
+/// processor, `mean_wait_ms` in the mean, that hits both versions alike.
+fn draw_busy(
+    random: &mut ChaCha8Rng,
+    side: Side,
+    engine_ms: f64,
+    mean_wait_ms: f64,
+) -> Observation {
+    let wait_ms = -mean_wait_ms * f64::ln(random.random_range(f64::MIN_POSITIVE..1.0));
     Observation {
         gap: Some(Duration::from_secs_f64((engine_ms + wait_ms) / 1_000.0)),
         ..Observation::failure(side, "", false)
@@ -150,9 +155,9 @@
     let mut evidence = Evidence::new(Tolerance::default(), 3);
     (1..=most).find(|_| {
         for _ in 0..19 {
-            evidence.observe(&draw_busy(&mut random, Side::Old, 4.0));
+            evidence.observe(&draw_busy(&mut random, Side::Old, 4.0, 20.0));
         }
-        evidence.observe(&draw_busy(&mut random, Side::New, engine_ms));
+        evidence.observe(&draw_busy(&mut random, Side::New, engine_ms, 20.0));
         evidence.against().is_some()
     })
 }
@@ -172,6 +177,24 @@
     assert!(alarms <= 2, "{alarms} of 100 taken back");
 }
 
+#[test]
+fn a_version_that_serves_alone_bears_noise_that_comes_up() {
+    let alarms = (0..100).filter(|seed| {
+        let mut random = ChaCha8Rng::seed_from_u64(*seed);
+        let mut evidence = Evidence::new(Tolerance::default(), 3);
+        for _ in 0..200 {
+            evidence.observe(&draw_busy(&mut random, Side::Old, 4.0, 10.0));
+        }
+        evidence.begin_stage(true);
+        (0..300).any(|_| {
+            evidence.observe(&draw_busy(&mut random, Side::New, 4.0, 20.0));
+            evidence.against().is_some()
+        })
+    });
+    let alarms = alarms.count();
+    assert!(alarms <= 2, "{alarms} of 100 taken back");
+}
+
 #[test]
 fn a_fault_of_one_route_is_found_and_named() {
     let mut random = ChaCha8Rng::seed_from_u64(7);
--- a/relay/src/prompt_cache.rs
+++ b/relay/src/prompt_cache.rs
@@ -17,21 +17,22 @@
 /// Longest wait for the servers' answers: a tenth of what reading a usual prompt takes.
 const ANSWER_TIME: Duration = Duration::from_millis(100);
 
-/// Most servers that are asked. The nearest come first; a caller comes back in its own region.
+/// Most servers that are asked, those that probably ran the stream first.
 const ASKED: usize = 32;
 
 /// Load, in prompts that are read, from which another server is sooner than the one with the
 /// prompt in its cache.
 const BUSY: f64 = 2.0;
 
-/// Returns the server of `service` that keeps most of `part`, the last part of a prompt.
+/// Returns the server of `service` that keeps most of `part`, the last part of a prompt whose
+/// streams are placed by `lot`.
 pub async fn holder<D: Dialect>(
     relay: &Relay<D>,
     service: &str,
     part: &str,
+    lot: u64,
 ) -> Option<Arc<Backend>> {
-    let mut backends = relay.usable(service);
-    backends.truncate(ASKED);
+    let backends = relay.likely(service, lot, ASKED);
     let asked = backends.iter().map(|backend| kept(relay, backend, part));
     let kept = join_all(asked).await;
     let best = kept
--- a/relay/src/state/backend.rs
+++ b/relay/src/state/backend.rs
@@ -67,6 +67,11 @@
         }
     }
 
+    /// Returns the hash of the server's name, and how near it is.
+    pub(super) fn place(&self) -> (u64, Proximity) {
+        (self.hash, self.proximity)
+    }
+
     pub(super) fn group(&self) -> Group {
         Group {
             service: Arc::clone(&self.server.service),
--- a/relay/src/state/placing.rs
+++ b/relay/src/state/placing.rs
@@ -86,17 +86,20 @@
         self.beliefs(|beliefs| beliefs.groups.answered(&group));
     }
 
-    /// Returns the servers of a service that are not suspect, the nearest first.
+    /// Returns the servers of a service that are not suspect and probably took a request with the
+    /// lot `lot` before, at most `count`.
     #[must_use]
-    pub fn usable(&self, service: &str) -> Vec<Arc<Backend>> {
+    pub fn likely(&self, service: &str, lot: u64, count: usize) -> Vec<Arc<Backend>> {
         let now = self.clock.now();
-        let mut usable: Vec<Arc<Backend>> = self.beliefs(|beliefs| {
+        let usable: Vec<Arc<Backend>> = self.beliefs(|beliefs| {
             let backends = beliefs.backends.get(service).into_iter().flatten();
             let usable = backends.filter(|backend| !backend.load(|load| load.suspect(now)));
             usable.cloned().collect()
         });
-        usable.sort_by_key(|backend| backend.proximity);
-        usable
+        let places = usable.iter().map(|backend| backend.place());
+        let likely = balance::likely(&places.collect::<Vec<_>>(), lot, count);
+        let likely = likely.into_iter().map(|index| Arc::clone(&usable[index]));
+        likely.collect()
     }
 
     /// Chooses a server.
--- a/relay/src/stream.rs
+++ b/relay/src/stream.rs
@@ -177,7 +177,7 @@
         let first = self.arrivals == 0 && self.resumable();
         let resumed = self.job.caller.last_event.filter(|_| first);
         let part = resumed.and(self.job.caller.last_part.as_deref())?;
-        prompt_cache::holder(&self.relay, &self.job.service, part).await
+        prompt_cache::holder(&self.relay, &self.job.service, part, self.job.lot()).await
     }
 
     /// Takes a repeat from the budget for each arrival at a server after the first.
