feat(relay): services move to another version by evidence

Cause: a move was taken back as soon as it was ordered, good versions too, since nothing tried the new version. Change: coordination::canary decides: a trial with half of what a bad version may get, what all entries saw compared by the product's sequential tests, all requests shortly before the end, then the verdict; an entry that started since the order learns its age from its peers. Entries that read the store record the end; a recorded end is never replaced. An entry of a large fleet has too few requests to compare with, so some of what the old version shows is told too. Eight servers are asked for a prompt instead of 32: their answers filled narrow links (93 of 268 askings had no answer at all).

--- a/coordination/src/evidence.rs
+++ b/coordination/src/evidence.rs
@@ -28,6 +28,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 mod process;
 
 use process::Test;
@@ -54,7 +56,7 @@
 const SUSPECT: f64 = 0.01;
 
 /// Which version answered.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Side {
     /// The version in force before the move.
     Old,
@@ -92,7 +94,7 @@
 }
 
 /// What one attempt showed.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Observation {
     /// Which version answered.
     pub side: Side,
--- a/coordination/src/lib.rs
+++ b/coordination/src/lib.rs
@@ -5,6 +5,7 @@
 //! of events. Times are [`std::time::Duration`]s since an arbitrary origin that never goes back.
 
 pub mod balance;
+pub mod canary;
 pub mod claim;
 pub mod detector;
 pub mod ejection;
--- /dev/null
+++ b/coordination/tests/canary.rs
@@ -0,0 +1,266 @@
+//! Moves of a service by evidence: what good and bad versions get over all entries, and how the
+//! moves end.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use medlarfall_coordination::canary::{Bounds, Canary, Order, Verdict};
+use medlarfall_coordination::evidence::{Observation, Side};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+/// What the users' platform allows a bad version.
+const BOUNDS: Bounds = Bounds {
+    share: 0.1,
+    slack: 50.0,
+};
+
+/// Time that the move may take.
+const LASTS: Duration = Duration::from_secs(16);
+
+/// Time at which the order is given.
+const START: Duration = Duration::from_secs(100);
+
+/// Step of the played time, and the delay of messages between entries.
+const STEP: Duration = Duration::from_millis(50);
+
+/// A load and how the new version answers it.
+#[derive(Clone, Copy)]
+struct Case {
+    entries: usize,
+    per_second: f64,
+    /// Share of all answers that fail, whatever the version.
+    usual_failures: f64,
+    /// Share of the new version's answers that fail, and from when.
+    failures: f64,
+    from: Duration,
+    slowness: f64,
+}
+
+const GOOD: Case = Case {
+    entries: 6,
+    per_second: 59.0,
+    usual_failures: 0.05,
+    failures: 0.0,
+    from: Duration::ZERO,
+    slowness: 1.0,
+};
+
+/// What a move came to.
+#[derive(Debug)]
+struct Played {
+    new: f64,
+    all: f64,
+    verdicts: Vec<Verdict>,
+    /// Requests to the new version later than 5 s after its 50th bad answer.
+    late: u32,
+}
+
+impl Played {
+    fn within_bounds(&self) -> bool {
+        self.new <= BOUNDS.share * self.all + BOUNDS.slack && self.late == 0
+    }
+
+    fn good(&self) -> bool {
+        self.verdicts
+            .iter()
+            .all(|verdict| *verdict == Verdict::Good)
+    }
+
+    fn bad(&self) -> bool {
+        self.verdicts
+            .iter()
+            .all(|verdict| *verdict != Verdict::Good)
+    }
+}
+
+fn order() -> Order {
+    Order {
+        version: Arc::from("v2"),
+        revision: 7,
+        lasts: LASTS,
+    }
+}
+
+/// Plays a move: requests come at random to all entries, which tell one another each step.
+fn play(case: Case, seed: u64) -> Played {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let mut entries: Vec<Canary> = (0..case.entries)
+        .map(|index| {
+            let count = u32::try_from(case.entries).expect("few entries");
+            let offset = f64::from(u32::try_from(index).expect("few entries")) / f64::from(count);
+            Canary::new(order(), BOUNDS, offset, true, START)
+        })
+        .collect();
+    let names: Vec<Arc<str>> = (0..case.entries)
+        .map(|index| Arc::from(format!("entry-{index}")))
+        .collect();
+    let (mut new, mut all, mut late) = (0.0, 0.0, 0);
+    let (mut bad_answers, mut fiftieth) = (0, None);
+    let mut now = START;
+    while now < START + LASTS {
+        let expected = case.per_second * STEP.as_secs_f64();
+        let mut rest = expected;
+        while rest > 0.0 {
+            let comes = random.random_bool(rest.min(1.0));
+            rest -= 1.0;
+            if !comes {
+                continue;
+            }
+            let entry = random.random_range(0..case.entries);
+            let count = u32::try_from(case.entries).expect("few entries");
+            let side = entries[entry].side(count, now);
+            let is_new = side == Some(Side::New);
+            all += 1.0;
+            let worse = is_new && now >= START + case.from;
+            if is_new {
+                new += 1.0;
+                let over = fiftieth.is_some_and(|at| now > at + Duration::from_secs(5));
+                late += u32::from(over);
+            }
+            let failures = if worse { case.failures } else { 0.0 };
+            let failed = random.random_bool((case.usual_failures + failures).min(1.0));
+            let factor = if worse { case.slowness } else { 1.0 };
+            if worse && (failed || factor > 2.0) {
+                bad_answers += 1;
+                if bad_answers == 50 {
+                    fiftieth = Some(now);
+                }
+            }
+            let took = 60.0 * factor * random.random_range(0.6..1.6);
+            let side = if is_new { Side::New } else { Side::Old };
+            entries[entry].observe(
+                Observation {
+                    call: (!failed).then(|| Duration::from_secs_f64(took / 1_000.0)),
+                    ..Observation::failure(side, "", failed)
+                },
+                now,
+            );
+        }
+        now += STEP;
+        let reports: Vec<_> = entries.iter().map(|entry| entry.report(now)).collect();
+        for (index, entry) in entries.iter_mut().enumerate() {
+            for (peer, report) in reports
+                .iter()
+                .enumerate()
+                .filter(|(peer, _)| *peer != index)
+            {
+                entry.hear(&names[peer], report.clone(), now);
+            }
+            entry.judge(now);
+        }
+    }
+    let verdicts = entries.iter().map(|entry| entry.verdict().cloned());
+    let verdicts = verdicts.map(|verdict| verdict.expect("each move ends in time"));
+    Played {
+        new,
+        all,
+        verdicts: verdicts.collect(),
+        late,
+    }
+}
+
+#[test]
+fn good_versions_are_done_in_time_within_what_a_bad_one_may_get() {
+    let streams = Case {
+        per_second: 6.2,
+        usual_failures: 0.1,
+        ..GOOD
+    };
+    let large = Case {
+        entries: 81,
+        per_second: 46.0,
+        ..GOOD
+    };
+    for (name, case) in [("calls", GOOD), ("streams", streams), ("large", large)] {
+        let played: Vec<Played> = (0..10).map(|seed| play(case, seed)).collect();
+        assert!(
+            played.iter().all(Played::within_bounds),
+            "{name}: {played:?}"
+        );
+        let good = played.iter().filter(|played| played.good()).count();
+        assert!(good >= 9, "{name}: {good} of 10 done, {played:?}");
+    }
+}
+
+#[test]
+fn bad_versions_are_taken_back_within_what_they_may_get() {
+    let fails = Case {
+        failures: 0.5,
+        ..GOOD
+    };
+    let late = Case {
+        from: Duration::from_secs(3),
+        ..fails
+    };
+    let slow = Case {
+        slowness: 8.0,
+        ..GOOD
+    };
+    let large = Case {
+        entries: 81,
+        per_second: 46.0,
+        failures: 0.42,
+        ..GOOD
+    };
+    for (name, case) in [
+        ("fails", fails),
+        ("late", late),
+        ("slow", slow),
+        ("large", large),
+    ] {
+        for seed in 0..10 {
+            let played = play(case, seed);
+            assert!(played.within_bounds(), "{name}, seed {seed}: {played:?}");
+            assert!(played.bad(), "{name}, seed {seed}: {played:?}");
+        }
+    }
+}
+
+/// A version that turns bad when it gets all requests must not get more than it may.
+#[test]
+fn a_version_that_turns_bad_at_the_end_stays_within_what_it_may_get() {
+    for seed in 0..10 {
+        let played = play(
+            Case {
+                failures: 0.5,
+                from: LASTS.saturating_sub(Duration::from_secs(1)),
+                ..GOOD
+            },
+            seed,
+        );
+        assert!(played.within_bounds(), "seed {seed}: {played:?}");
+    }
+}
+
+#[test]
+fn an_entry_that_does_not_know_the_order_s_age_sends_nothing_to_the_new_version() {
+    let mut entry = Canary::new(order(), BOUNDS, 0.0, false, START);
+    assert_eq!(entry.side(1, START), Some(Side::Old));
+    assert!(!entry.judge(START + Duration::from_secs(1)));
+    assert!(entry.judge(START + Duration::from_secs(3)));
+    assert!(matches!(entry.verdict(), Some(Verdict::Bad { .. })));
+}
+
+#[test]
+fn an_entry_that_started_again_learns_the_order_s_age_from_its_peers() {
+    let mut peer = Canary::new(order(), BOUNDS, 0.5, true, START);
+    peer.side(2, START);
+    let now = START + Duration::from_secs(10);
+    let mut entry = Canary::new(order(), BOUNDS, 0.0, false, now);
+    entry.hear(&Arc::from("peer"), peer.report(now), now);
+    assert!(!entry.judge(now + Duration::from_secs(4)));
+    assert!(entry.judge(START + LASTS));
+}
+
+#[test]
+fn what_the_store_says_goes_before_what_an_entry_found() {
+    let mut entry = Canary::new(order(), BOUNDS, 0.5, true, START);
+    entry.record(Verdict::Good);
+    assert_eq!(entry.side(1, START + LASTS), Some(Side::New));
+    assert_eq!(entry.side(1, START + LASTS * 2), None);
+    entry.record(Verdict::Bad {
+        reason: Arc::from("recorded"),
+    });
+    assert_eq!(entry.side(1, START + LASTS * 2), Some(Side::Old));
+}
--- a/relay/src/call.rs
+++ b/relay/src/call.rs
@@ -15,7 +15,7 @@
 use crate::attempt::{self, Answer, Failure};
 use crate::dialect::{Dialect, Send};
 use crate::intake::{Job, SHORT_WAIT};
-use crate::state::{Backend, Measure, Relay, Wanted};
+use crate::state::{Backend, Measure, Relay, Sight, Wanted};
 
 /// Largest answer that is read whole before the caller gets its first byte, so that one that
 /// breaks off can be repeated or turned into an error.
@@ -122,10 +122,12 @@
         course.tried.push(Arc::clone(&backend.server.id));
         course.offered = true;
         let send = send(relay, job, &backend);
+        let sent_at = relay.clock.now();
         let taken = match attempt::send(relay, &backend, &job.original, &send).await {
             Ok(answer) => take(relay, &backend, answer).await,
             Err(failure) => Err(failure),
         };
+        saw(relay, job, &backend, &taken, sent_at);
         match taken {
             Ok(taken) if !taken.status.is_server_error() => return Ok(taken),
             Ok(taken) => {
@@ -158,6 +160,28 @@
     }
 }
 
+/// Tells what a send showed of the server's version.
+fn saw<D: Dialect>(
+    relay: &Relay<D>,
+    job: &Job,
+    backend: &Backend,
+    taken: &Result<Taken, Failure>,
+    sent_at: Duration,
+) {
+    let failed = match taken {
+        Ok(taken) => taken.status.is_server_error(),
+        Err(Failure::Lost { .. }) => true,
+        Err(Failure::NotSent { .. } | Failure::NotRun { .. }) => return,
+    };
+    let took = relay.clock.now().saturating_sub(sent_at);
+    let sight = Sight {
+        failed: Some(failed),
+        call: (!failed).then_some(took),
+        ..Sight::default()
+    };
+    relay.saw(backend, &job.route.name, sight);
+}
+
 impl Course {
     /// Notes a send that ran, or may have; `taken` is the server's answer, which is a failure.
     fn ran(&mut self, failed: &mut Option<Taken>, taken: Option<Taken>) {
@@ -194,6 +218,12 @@
         outside: &[],
         distance: DISTANCE,
         measure: Measure::Calls { horizon: HORIZON },
+        side: if course.tried.is_empty() {
+            job.side
+        } else {
+            relay.repeat_side(&job.service)
+        },
+        version: None,
         lot: job.lot(),
     };
     if let Some(backend) = relay.choose(wanted) {
--- a/relay/src/daemon.rs
+++ b/relay/src/daemon.rs
@@ -20,7 +20,7 @@
 
 use crate::dialect::Dialect;
 use crate::state::Relay;
-use crate::{exchange, follow, listener, mirror, rediscover};
+use crate::{exchange, follow, listener, mirror, moves, rediscover};
 
 /// Time after the order to stop until kept connections are closed: the platform asks once a second
 /// and sends nothing new after two answers that are not ready.
@@ -42,6 +42,7 @@
 ) {
     let tracker = TaskTracker::new();
     tokio::spawn(follow::run(Arc::clone(&relay), store.clone()));
+    tokio::spawn(moves::run(Arc::clone(&relay), store.clone()));
     tokio::spawn(rediscover::run(Arc::clone(&relay)));
     tokio::spawn(watch(Arc::clone(&relay), readiness));
     if let Some(address) = relay.settings.exchange {
--- a/relay/src/dialect.rs
+++ b/relay/src/dialect.rs
@@ -103,7 +103,12 @@
     /// A configuration.
     Configuration(Table),
     /// What a server announces.
-    Server(Server),
+    Server {
+        /// The server.
+        server: Server,
+        /// How much longer it is slow after its start.
+        cold: Duration,
+    },
     /// A server's entry was removed, or names no server.
     NoServer {
         /// Name of the server.
@@ -118,12 +123,21 @@
         /// Where it takes messages; nothing if its lease ended.
         address: Option<SocketAddr>,
     },
-    /// The operators' order to move a service to another version, or its end.
+    /// The operators' order to move a service to another version.
     Move {
         /// The service.
         service: Arc<str>,
-        /// The version; nothing if the order is withdrawn.
-        version: Option<Arc<str>>,
+        /// The version, and the time that the move may take; nothing if the order is withdrawn.
+        order: Option<(Arc<str>, Duration)>,
+    },
+    /// The end of a move, as an entry recorded it.
+    MoveEnd {
+        /// The service.
+        service: Arc<str>,
+        /// The version that it was to be moved to.
+        version: Arc<str>,
+        /// Whether that version serves.
+        good: bool,
     },
     /// Nothing that the relay uses.
     Other,
@@ -193,8 +207,8 @@
     /// Returns what is wrong with a configuration.
     fn entry(&self, change: &Change) -> Result<Entry, Invalid>;
 
-    /// Returns the key and value that tell the operators that a move has been taken back.
-    fn taken_back(&self, service: &str, version: &str) -> (String, String);
+    /// Returns the key and value that tell the operators how a move to `version` has ended.
+    fn move_status(&self, service: &str, version: &str, good: bool) -> (String, String);
 
     /// Returns the key under which an entry makes its address known.
     fn entry_key(&self, entry: &str) -> String;
--- a/relay/src/exchange.rs
+++ b/relay/src/exchange.rs
@@ -10,6 +10,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use medlarfall_coordination::canary;
 use medlarfall_coordination::readers::READER_TELLS;
 use medlarfall_coordination::shared_load::Count;
 use medlarfall_coordination::tidings;
@@ -70,6 +71,9 @@
     /// Servers that it found in place of others while the store was away.
     #[serde(default)]
     found: Vec<Found>,
+    /// What it knows of the moves of services that are under way.
+    #[serde(default)]
+    moves: Vec<(Arc<str>, canary::Report)>,
 }
 
 /// Changes in the store after a revision.
@@ -140,6 +144,7 @@
     }
     relay.peer_lost(&message.lost);
     relay.peer_found(&message.found);
+    relay.hear_moves(&message.entry, message.moves);
     let counts: HashMap<Arc<str>, Count> = message
         .streams
         .into_iter()
@@ -170,7 +175,12 @@
     let mut told = 0;
     loop {
         let reads = relay.reads.load(Ordering::Relaxed);
-        let longest = if reads { READER_TELLS } else { LONGEST };
+        let moving = relay.moving();
+        let longest = if reads || moving {
+            READER_TELLS
+        } else {
+            LONGEST
+        };
         tokio::select! {
             () = relay.streams_changed.notified() => {}
             () = tokio::time::sleep_until(told_all + longest) => {}
@@ -192,6 +202,11 @@
             streams: relay.own_streams(),
             lost: relay.lost_to_tell(everyone),
             found: relay.found_to_tell(everyone),
+            moves: if everyone {
+                relay.move_reports()
+            } else {
+                Vec::new()
+            },
         };
         let bytes = match packing::pack(&message) {
             Ok(bytes) => bytes,
--- a/relay/src/follow.rs
+++ b/relay/src/follow.rs
@@ -12,6 +12,7 @@
 use rand::Rng;
 use tokio::time::timeout;
 
+use medlarfall_coordination::canary::Order;
 use medlarfall_runtime::store::{Change, Changes, Error, Store};
 
 use crate::dialect::{Dialect, Entry};
@@ -95,7 +96,6 @@
         }
         if answers {
             failures = 0;
-            tell_moves(&relay, &store).await;
             relay.streams_changed.notify_one();
             tokio::time::sleep(COALESCE).await;
         } else {
@@ -115,35 +115,6 @@
     longest.mul_f64(rand::rng().random_range(0.5..=1.0))
 }
 
-/// Tells the operators that the moves they ordered have been taken back.
-async fn tell_moves<D: Dialect, S: Store>(relay: &Relay<D>, store: &S) {
-    for (service, version) in relay.take_untold() {
-        let (key, value) = relay.dialect.taken_back(&service, &version);
-        relay.metrics.store_calls.inc();
-        let told = within(Duration::ZERO, store.put(&key, value.clone(), 0, None)).await;
-        let told = match told {
-            Err(Error::Conflict {
-                current: Some(current),
-            }) if current.value != value => {
-                let written = store.put(&key, value, current.revision, None);
-                within(Duration::ZERO, written).await
-            }
-            told => told,
-        };
-        match told {
-            Ok(_) | Err(Error::Conflict { .. }) => log::info!(
-                service = &*service, version = &*version;
-                "operators told that a move has been taken back"
-            ),
-            Err(error) => {
-                let reason = error.to_string();
-                log::warn!(service = &*service, reason = reason.as_str(); "operators not told yet");
-                relay.not_told(service, version);
-            }
-        }
-    }
-}
-
 fn tell<D: Dialect>(relay: &Relay<D>, answers: bool, reason: &str) {
     relay.metrics.store_up.set(i64::from(answers));
     if answers {
@@ -193,7 +164,7 @@
 }
 
 /// Bounds a call that may itself wait for `wait`.
-async fn within<T>(
+pub(crate) async fn within<T>(
     wait: Duration,
     call: impl Future<Output = Result<T, Error>>,
 ) -> Result<T, Error> {
@@ -224,14 +195,27 @@
     relay.mirror(|mirror| mirror.insert(change));
     match relay.dialect.entry(change) {
         Ok(Entry::Configuration(table)) => relay.configure(table),
-        Ok(Entry::Server(server)) => relay.announce(server, change.revision),
+        Ok(Entry::Server { server, cold }) => relay.announce(server, cold, change.revision),
         Ok(Entry::NoServer { id, problem }) => {
             if let Some(problem) = problem {
                 log::warn!(server = &*id, problem = problem.as_str(); "entry names no server");
             }
             relay.remove(&id, change.revision);
         }
-        Ok(Entry::Move { service, version }) => relay.hold(&service, version),
+        Ok(Entry::Move { service, order }) => {
+            let revision = change.revision;
+            let order = order.map(|(version, lasts)| Order {
+                version,
+                revision,
+                lasts,
+            });
+            relay.order_move(&service, order);
+        }
+        Ok(Entry::MoveEnd {
+            service,
+            version,
+            good,
+        }) => relay.move_recorded(&service, &version, good, change.revision),
         Ok(Entry::Peer { name, address }) => relay.peer(&name, address),
         Ok(Entry::Other) => {}
         Err(invalid) => {
--- a/relay/src/intake.rs
+++ b/relay/src/intake.rs
@@ -7,6 +7,7 @@
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, CONTENT_LENGTH, HOST, HeaderValue, TRANSFER_ENCODING};
 use hyper::{HeaderMap, Request, Response, Uri};
+use medlarfall_coordination::evidence::Side;
 use medlarfall_coordination::routing::{Account, Route, Table};
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -47,6 +48,8 @@
     pub account: Option<Arc<Account>>,
     /// Service that takes it.
     pub service: Arc<str>,
+    /// Version that it goes to, if the service moves.
+    pub side: Option<Side>,
     /// When its head came.
     pub began: Duration,
     /// When its answer must have come.
@@ -150,6 +153,7 @@
     let service = route.target(lot).cloned();
     let service = service.ok_or(Refusal::new(Reason::NoRoute))?;
     relay.count_request(&service);
+    let side = relay.side(&service);
     Ok(Job {
         original: Original {
             request_id: Arc::clone(&caller.request_id),
@@ -164,6 +168,7 @@
         table,
         account,
         service,
+        side,
         began,
         hold,
     })
--- a/relay/src/lib.rs
+++ b/relay/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod metrics;
 pub mod mirror;
 pub mod monitor;
+pub mod moves;
 pub mod packing;
 pub mod prompt_cache;
 pub mod rediscover;
--- a/relay/src/prompt_cache.rs
+++ b/relay/src/prompt_cache.rs
@@ -17,44 +17,48 @@
 /// Longest wait for the servers' answers: a tenth of what reading a usual prompt takes.
 const ANSWER_TIME: Duration = Duration::from_millis(100);
 
-/// Most servers that are asked, those that probably ran the stream first.
-const ASKED: usize = 32;
+/// Most servers that are asked: those that probably ran the stream. Each tells all that it keeps, tens
+/// of kilobytes; 32 of them filled links of 10 Mbit/s, and most did not answer in time.
+const ASKED: usize = 8;
 
 /// Load, in prompts that are read, from which another server is sooner than the one with the
 /// prompt in its cache.
 const BUSY: f64 = 2.0;
 
-/// Returns the server of `service` that keeps most of `part`, the last part of a prompt whose
-/// streams are placed by `lot`.
+/// Returns the server of `service` that keeps most of `part`, the last part of the prompt of
+/// `request_id`, whose streams are placed by `lot`.
 pub async fn holder<D: Dialect>(
     relay: &Relay<D>,
     service: &str,
+    request_id: &str,
     part: &str,
     lot: u64,
 ) -> Option<Arc<Backend>> {
     let backends = relay.likely(service, lot, ASKED);
     let asked = backends.iter().map(|backend| kept(relay, backend, part));
-    let kept = join_all(asked).await;
-    let best = kept
-        .iter()
-        .zip(&backends)
-        .max_by_key(|(tokens, _)| **tokens);
-    let (tokens, backend) = best.filter(|(tokens, _)| **tokens > 0)?;
-    let load = relay.stream_load(backend);
+    let answers = join_all(asked).await;
+    let kept = answers.iter().zip(&backends);
+    let kept = kept.filter_map(|(tokens, backend)| tokens.map(|tokens| (tokens, backend)));
+    let best = kept.max_by_key(|(tokens, _)| *tokens);
+    let best = best.filter(|(tokens, _)| *tokens > 0);
+    let load = best.map_or(0.0, |(_, backend)| relay.stream_load(backend));
     log::info!(
-        server = &*backend.server.id, part, tokens, load, asked = backends.len();
-        "prompt found in a server's cache"
+        request = request_id, part, asked = backends.len(),
+        answered = answers.iter().flatten().count(),
+        server = best.map_or("", |(_, backend)| &*backend.server.id),
+        tokens = best.map_or(0, |(tokens, _)| tokens), load;
+        "prompt looked for in the servers' caches"
     );
+    let (_, backend) = best?;
     (load < BUSY).then(|| Arc::clone(backend))
 }
 
-/// Returns how many tokens of `part` a server keeps.
-async fn kept<D: Dialect>(relay: &Relay<D>, backend: &Backend, part: &str) -> u64 {
+/// Returns how many tokens of `part` a server keeps, or nothing if it does not answer.
+async fn kept<D: Dialect>(relay: &Relay<D>, backend: &Backend, part: &str) -> Option<u64> {
     relay.metrics.questions.inc();
     let order = relay.dialect.cache_order();
     let asked = attempt::exchange(backend.server.address, order);
-    match timeout(ANSWER_TIME, asked).await {
-        Ok(Ok((parts, body))) => relay.dialect.cached(parts.status, &body, part),
-        _ => 0,
-    }
+    let answer = timeout(ANSWER_TIME, asked).await.ok()?;
+    let (parts, body) = answer.ok()?;
+    Some(relay.dialect.cached(parts.status, &body, part))
 }
--- a/relay/src/state.rs
+++ b/relay/src/state.rs
@@ -6,9 +6,9 @@
 use std::sync::{Arc, Mutex, OnceLock, PoisonError};
 use std::time::Duration;
 
-use medlarfall_coordination::liveness;
 use medlarfall_coordination::retry_budget::Bounds;
 use medlarfall_coordination::routing::Table;
+use medlarfall_coordination::{canary, liveness};
 use medlarfall_runtime::budget;
 use medlarfall_runtime::clock::Clock;
 use tokio::sync::{Notify, watch};
@@ -19,12 +19,14 @@
 
 mod backend;
 mod beliefs;
+mod moves;
 mod peers;
 mod placing;
 mod servers;
 
 pub use backend::Backend;
 use beliefs::Beliefs;
+pub use moves::{Ended, Sight};
 pub use placing::{Measure, Wanted};
 
 /// Settings of the relay.
@@ -41,6 +43,8 @@
     /// Repeats that a service allows: a share of an entry's requests, and a reserve that all entries
     /// divide.
     pub retries: Bounds,
+    /// What a version that a service moves to may get before it is proved.
+    pub moves: canary::Bounds,
     /// Bounds on the silence of servers.
     pub liveness: liveness::Bounds,
     /// Speed of the machine's link, in Mbit/s.
@@ -76,6 +80,8 @@
     pub streams_changed: Notify,
     /// Wakes the task that looks for what has taken the place of lost servers.
     pub search_wanted: Notify,
+    /// Wakes the task that ends moves.
+    pub moves_changed: Notify,
     /// Whether this entry reads the store, and it answers.
     pub reads: AtomicBool,
     beliefs: Mutex<Beliefs>,
@@ -99,6 +105,7 @@
             changed: watch::Sender::new(0),
             streams_changed: Notify::new(),
             search_wanted: Notify::new(),
+            moves_changed: Notify::new(),
             reads: AtomicBool::new(false),
             beliefs: Mutex::default(),
             mirror: Mutex::default(),
--- a/relay/src/state/beliefs.rs
+++ b/relay/src/state/beliefs.rs
@@ -1,5 +1,6 @@
 //! What this entry believes of configuration, servers and other entries.
 
+use medlarfall_coordination::canary::Canary;
 use medlarfall_coordination::outage::Groups;
 use medlarfall_coordination::readers::Readers;
 use medlarfall_coordination::retry_budget::{Bounds, Window};
@@ -7,9 +8,10 @@
 use medlarfall_coordination::routing::Table;
 use medlarfall_coordination::shared_load;
 use medlarfall_coordination::tidings::Tidings;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use crate::exchange::Found;
 
@@ -29,10 +31,12 @@
     pub(super) roster: Roster,
     pub(super) backends: HashMap<Arc<str>, Vec<Arc<Backend>>>,
     pub(super) retries: HashMap<Arc<str>, Window>,
-    /// Version of a service that gets nothing: a move to it is ordered.
-    pub(super) held: HashMap<Arc<str>, Arc<str>>,
-    /// Moves whose end the operators have not been told.
-    pub(super) untold: Vec<(Arc<str>, Arc<str>)>,
+    /// The last move of each service that was ordered.
+    pub(super) canaries: HashMap<Arc<str>, Canary>,
+    /// Services whose last move has an end in the store.
+    pub(super) recorded: HashSet<Arc<str>>,
+    /// Until when servers that started lately are slow.
+    pub(super) cold: HashMap<Arc<str>, Duration>,
     pub(super) groups: Groups<Group>,
     pub(super) peers: HashMap<Arc<str>, Peer>,
     pub(super) readers: Option<Readers>,
--- a/relay/src/state/placing.rs
+++ b/relay/src/state/placing.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use medlarfall_coordination::balance::{self, Candidate};
+use medlarfall_coordination::evidence::Side;
 
 use crate::dialect::Dialect;
 
@@ -38,6 +39,10 @@
     pub distance: f64,
     /// How load is counted.
     pub measure: Measure,
+    /// Version to prefer, if the service moves.
+    pub side: Option<Side>,
+    /// The only version to choose from, if the service moves.
+    pub version: Option<&'request str>,
     /// Breaks ties.
     pub lot: u64,
 }
@@ -108,10 +113,28 @@
         let now = self.clock.now();
         self.beliefs(|beliefs| {
             let backends = beliefs.backends.get(wanted.service)?;
-            let held = beliefs.held.get(wanted.service);
-            let fits = |backend: &&Arc<Backend>| {
-                !wanted.not.contains(&backend.server.id) && held != Some(&backend.server.version)
+            let moves_to = beliefs.canaries.get(wanted.service);
+            let moves_to = moves_to.map(|canary| Arc::clone(&canary.order().version));
+            let allowed = |backend: &&Arc<Backend>, side: Option<Side>| {
+                let version = &backend.server.version;
+                let fits = match (&moves_to, side, wanted.version) {
+                    (None, ..) | (Some(_), None, None) => true,
+                    (Some(_), _, Some(only)) => **version == *only,
+                    (Some(target), Some(side), _) => (version == target) == (side == Side::New),
+                };
+                fits && !wanted.not.contains(&backend.server.id)
             };
+            // The old version serves where no server of the new one can.
+            let new_serves = || {
+                backends
+                    .iter()
+                    .any(|backend| allowed(&backend, wanted.side))
+            };
+            let side = match wanted.side {
+                Some(Side::New) if !new_serves() => Some(Side::Old),
+                side => side,
+            };
+            let fits = |backend: &&Arc<Backend>| allowed(backend, side);
             let outside = |backend: &&Arc<Backend>| {
                 !wanted.outside.contains(&backend.server.failure_domain)
                     && !backend.load(|load| load.suspect(now))
--- a/relay/src/state/servers.rs
+++ b/relay/src/state/servers.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashSet;
 use std::sync::Arc;
+use std::time::Duration;
 
 use medlarfall_coordination::roster::{Effect, Server};
 
@@ -11,42 +12,15 @@
 use super::{Backend, Relay};
 
 impl<D: Dialect> Relay<D> {
-    /// Keeps requests from a version that a service is to be moved to.
-    ///
-    /// A version that has not been tried may be bad, and moves by evidence are not carried out
-    /// here yet: until then callers are better served by the version that is known.
-    pub fn hold(&self, service: &Arc<str>, version: Option<Arc<str>>) {
-        let shown = version.as_ref().map_or("", |version| &**version).to_owned();
-        self.beliefs(|beliefs| match version {
-            Some(version) => {
-                let untold = (Arc::clone(service), Arc::clone(&version));
-                beliefs.untold.push(untold);
-                beliefs.held.insert(Arc::clone(service), version);
-            }
-            None => {
-                beliefs.held.remove(service);
-            }
-        });
-        log::warn!(
-            service = &**service, version = shown.as_str();
-            "a move is ordered: the new version gets no requests"
-        );
-    }
-
-    /// Takes the moves whose end the operators have not been told.
-    pub fn take_untold(&self) -> Vec<(Arc<str>, Arc<str>)> {
-        self.beliefs(|beliefs| std::mem::take(&mut beliefs.untold))
-    }
-
-    /// Notes that the operators could not be told of the end of a move.
-    pub fn not_told(&self, service: Arc<str>, version: Arc<str>) {
-        self.beliefs(|beliefs| beliefs.untold.push((service, version)));
-    }
-
-    /// Takes in what a server announced.
-    pub fn announce(&self, server: Server, revision: u64) {
+    /// Takes in what a server announced, and how much longer it is slow after its start.
+    pub fn announce(&self, server: Server, cold: Duration, revision: u64) {
         let id = Arc::clone(&server.id);
+        let now = self.clock.now();
         let effect = self.beliefs(|beliefs| {
+            beliefs.cold.retain(|_, end| now < *end);
+            if !cold.is_zero() {
+                beliefs.cold.insert(Arc::clone(&id), now + cold);
+            }
             let effect = beliefs.roster.announce(server, revision);
             if effect != Effect::Stale {
                 beliefs.forget_unlisted();
--- a/relay/src/stream.rs
+++ b/relay/src/stream.rs
@@ -18,12 +18,14 @@
 use crate::intake::Job;
 use crate::monitor::{self, Subscription};
 use crate::prompt_cache;
-use crate::state::{Backend, Measure, Relay, Wanted};
+use crate::state::{Backend, Measure, Relay, Sight, Wanted};
 
 use self::place::Place;
+use self::probe::Probe;
 
 mod passing;
 mod place;
+mod probe;
 
 /// Load, in runs, that a server in another failure domain counts for.
 const DISTANCE: f64 = 1.0;
@@ -46,6 +48,8 @@
     backend: Arc<Backend>,
     subscription: Subscription,
     place: Place<D>,
+    /// Shows what the run says of the server's version.
+    probe: Probe,
 }
 
 /// A stream that is being answered.
@@ -138,6 +142,12 @@
             outside,
             distance: DISTANCE,
             measure: Measure::Streams,
+            side: if self.arrivals == 0 && self.lost.is_empty() {
+                self.job.side
+            } else {
+                self.relay.repeat_side(&self.job.service)
+            },
+            version: None,
             lot: self.job.lot(),
         }
     }
@@ -177,7 +187,9 @@
         let first = self.arrivals == 0 && self.resumable();
         let resumed = self.job.caller.last_event.filter(|_| first);
         let part = resumed.and(self.job.caller.last_part.as_deref())?;
-        prompt_cache::holder(&self.relay, &self.job.service, part, self.job.lot()).await
+        let request_id = &self.job.original.request_id;
+        let lot = self.job.lot();
+        prompt_cache::holder(&self.relay, &self.job.service, request_id, part, lot).await
     }
 
     /// Takes a repeat from the budget for each arrival at a server after the first.
@@ -293,6 +305,7 @@
         outside.extend(self.lost_domain.clone());
         let wanted = Wanted {
             not: &not,
+            version: Some(&primary.server.version),
             lot: self.job.lot().rotate_left(17),
             ..self.wanted(&outside)
         };
@@ -304,6 +317,15 @@
         apart.then_some(backup)
     }
 
+    /// Notes that a server failed the stream while it lived.
+    fn failed_at(&self, backend: &Backend) {
+        let sight = Sight {
+            failed: Some(true),
+            ..Sight::default()
+        };
+        self.relay.saw(backend, &self.job.route.name, sight);
+    }
+
     /// Sends the request to a server and waits for the head of its answer.
     async fn send(
         &mut self,
@@ -338,9 +360,15 @@
         let answer = tokio::select! {
             answer = attempt::send(&relay, backend, &self.job.original, &send) => answer,
             () = subscription.lost() => lost("the server was lost"),
-            () = tokio::time::sleep_until(silent) => lost("no answer, though the server lives"),
+            () = tokio::time::sleep_until(silent) => {
+                self.failed_at(backend);
+                lost("no answer, though the server lives")
+            }
         };
-        if answer.is_ok() {
+        if let Ok(answer) = &answer {
+            if answer.response.status().is_server_error() {
+                self.failed_at(backend);
+            }
             self.backup = backup;
             self.begun = false;
         }
@@ -350,6 +378,7 @@
                 backend: Arc::clone(backend),
                 subscription,
                 place,
+                probe: Probe::new(began),
             },
         })
     }
--- a/relay/src/stream/passing.rs
+++ b/relay/src/stream/passing.rs
@@ -117,6 +117,9 @@
                 left => return left,
             };
             let failed = Arc::clone(&source.run.backend);
+            if matches!(cause, "silent" | "gap" | "not_events") {
+                self.failed_at(&failed);
+            }
             // Ends the old connection first, so that the old run stops.
             drop(source);
             if !self.may_repeat() {
@@ -225,6 +228,10 @@
                 }
                 self.last_event = event.id.or(self.last_event);
                 self.event_passed(now);
+                if let Some(sight) = source.run.probe.event(now) {
+                    let backend = &source.run.backend;
+                    self.relay.saw(backend, &self.job.route.name, sight);
+                }
                 // A caller that no longer reads holds the run until the deadline at most.
                 let sending = sender.send(Part::Data(event.bytes));
                 match tokio::time::timeout_at(deadline, sending).await {
