feat(runtime): log lines beyond a limit are folded, dropped ones counted, and both told

A place in the code writes 200 lines a second at most; more are counted and the count is told. Lines that find the buffer full are counted and told once there is room (the library dropped them without a word).

--- a/runtime/src/logging.rs
+++ b/runtime/src/logging.rs
@@ -5,8 +5,10 @@
 use logforth::filter::rustlog::RustLogFilterBuilder;
 use logforth::layout::JsonLayout;
 
-/// Lines that may wait for a slow reader of standard output; further ones are dropped.
-const LINES_WAITING: usize = 8_192;
+pub mod bounded;
+pub mod fold;
+
+pub use bounded::{Lost, lost};
 
 /// Where log lines go.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -28,22 +30,16 @@
                 Output::Stderr => {
                     dispatch.append(append::Stderr::default().with_layout(JsonLayout::default()))
                 }
-                Output::Stdout => dispatch.append(stdout()),
+                Output::Stdout => {
+                    let stdout = append::Stdout::default().with_layout(JsonLayout::default());
+                    dispatch.append(bounded::Appender::new(stdout))
+                }
             }
         })
         .try_apply()
         .is_ok()
 }
 
-/// Returns an appender that writes to standard output and never blocks.
-fn stdout() -> append::Async {
-    append::asynchronous::AsyncBuilder::new("log")
-        .buffered_lines_limit(Some(LINES_WAITING))
-        .overflow_drop_incoming()
-        .append(append::Stdout::default().with_layout(JsonLayout::default()))
-        .build()
-}
-
 /// Returns the filter for a level; libraries only warn.
 fn filter(level: LevelFilter) -> String {
     let level = level.as_str().to_lowercase();
@@ -51,6 +47,7 @@
         "medlarfall",
         "medlarfall_platform",
         "medlarfall_relay",
+        "medlarfall_runtime",
         "medlarfall_serving",
         "medlarfall_standin",
         "span",
