--- a/relay/src/daemon.rs
+++ b/relay/src/daemon.rs
@@ -44,6 +44,7 @@
     tokio::spawn(follow::run(Arc::clone(&relay), store.clone()));
     tokio::spawn(moves::run(Arc::clone(&relay), store.clone()));
     tokio::spawn(rediscover::run(Arc::clone(&relay)));
+    let readiness_address = bound(&readiness);
     tokio::spawn(watch(Arc::clone(&relay), readiness));
     if let Some(address) = relay.settings.exchange {
         match messages(address).await {
@@ -63,9 +64,14 @@
             }
         }
     }
+    log::info!(
+        entry = &*relay.settings.entry, failure_domain = &*relay.settings.failure_domain,
+        callers = bound(&callers).as_str(), readiness = readiness_address.as_str(),
+        version = env!("CARGO_PKG_VERSION");
+        "start"
+    );
     let accepting = listener::serve(Arc::clone(&relay), callers, tracker.clone());
     let accepting = tokio::spawn(accepting);
-    log::info!(entry = &*relay.settings.entry, failure_domain = &*relay.settings.failure_domain; "start");
     stop.await;
     let open = tracker.len();
     log::info!(connections = open; "stop ordered: no longer ready");
@@ -81,6 +87,12 @@
     log::info!(connections = tracker.len(), whole = ended.is_ok(); "stop");
 }
 
+/// Returns the address that a listener is bound to.
+fn bound(listener: &TcpListener) -> String {
+    let address = listener.local_addr();
+    address.map_or_else(|error| error.to_string(), |address| address.to_string())
+}
+
 /// Opens the port for messages of other entries.
 async fn messages(address: SocketAddr) -> io::Result<(UdpSocket, TcpListener)> {
     let socket = UdpSocket::bind(address).await?;
