fix(relay): a stream whose prompt the server has does not count as a prompt that is read

Cause: after all entries stopped, streams that went on at the server with their prompt were counted there as prompts to be read; 12 of 42 were then sent elsewhere, where the prompt was read anew, since the holder seemed busy. The same held for streams that go on from a copy.

--- a/relay/src/stream.rs
+++ b/relay/src/stream.rs
@@ -162,6 +162,7 @@
         let mut holder = self.prompt_holder().await;
         loop {
             let found = holder.take().map(|backend| (backend, None));
+            let cached = found.is_some();
             let next = match found {
                 Some(found) => Some(found),
                 None => self.next().await,
@@ -173,7 +174,7 @@
                     _ => Refusal::new(Reason::Lost),
                 });
             }
-            match self.send(&backend, copy).await {
+            match self.send(&backend, copy, cached).await {
                 Ok(opened) => return Ok(opened),
                 Err(failure) => {
                     self.note(&backend, &failure);
@@ -330,11 +331,13 @@
         self.relay.saw(backend, &self.job.route.name, sight);
     }
 
-    /// Sends the request to a server and waits for the head of its answer.
+    /// Sends the request to a server, which may have its prompt in its cache, and waits for the head
+    /// of its answer.
     async fn send(
         &mut self,
         backend: &Arc<Backend>,
         copy: Option<Copy>,
+        cached: bool,
     ) -> Result<Opened<D>, Failure> {
         let began = self.relay.clock.now();
         let backup = self.choose_backup(backend);
@@ -356,7 +359,8 @@
             last_event = self.last_event.unwrap_or(0);
             "stream sent"
         );
-        let place = Place::take(&self.relay, backend);
+        let reading = !cached && send.copy.is_none();
+        let place = Place::take(&self.relay, backend, reading);
         let mut subscription = monitor::subscribe(&self.relay, backend);
         let relay = Arc::clone(&self.relay);
         let silent = Instant::now() + FIRST_EVENT;
--- a/relay/src/stream/place.rs
+++ b/relay/src/stream/place.rs
@@ -16,15 +16,17 @@
 }
 
 impl<D: Dialect> Place<D> {
-    /// Counts a stream whose prompt is to be read at `backend`.
-    pub fn take(relay: &Arc<Relay<D>>, backend: &Arc<Backend>) -> Self {
-        backend.load(Load::reading_started);
+    /// Counts a stream at `backend`, whose prompt is to be read there unless the server has it.
+    pub fn take(relay: &Arc<Relay<D>>, backend: &Arc<Backend>, reading: bool) -> Self {
+        if reading {
+            backend.load(Load::reading_started);
+        }
         backend.streams.fetch_add(1, Ordering::Relaxed);
         relay.streams_changed.notify_one();
         Self {
             relay: Arc::clone(relay),
             backend: Arc::clone(backend),
-            reading: true,
+            reading,
         }
     }
 
