feat(relay): a server in doubt is asked for its name before a stream is sent in an outage

Change: while the store is away, a server that was lost, or whose group was, is asked for its name; what has taken its place gets the stream.

--- a/relay/src/rediscover.rs
+++ b/relay/src/rediscover.rs
@@ -46,7 +46,7 @@
             true => {}
             false => {
                 questions += 1;
-                if look(&relay, &backend).await {
+                if look(&relay, &backend).await != Found::Nothing {
                     break;
                 }
             }
@@ -56,8 +56,42 @@
     backend.search_ended();
 }
 
-/// Asks once and returns whether the search has ended.
-async fn look<D: Dialect>(relay: &Relay<D>, backend: &Backend) -> bool {
+/// What answers at the address of a server.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Found {
+    /// Nothing answers.
+    Nothing,
+    /// The server itself.
+    Same,
+    /// Another server.
+    Other,
+}
+
+/// Returns the server to send a stream to that was meant for `backend`: itself, or what has taken
+/// its place while the store is away, or nothing.
+///
+/// The load that this answers: a failure domain's servers that crashed during an outage of the store
+/// have other names when the next one crashes and its streams move there. A send under the old name
+/// is refused, and each refusal takes a repeat from the service's budget; a question does not.
+pub async fn confirm<D: Dialect>(relay: &Relay<D>, backend: &Arc<Backend>) -> Option<Arc<Backend>> {
+    if relay.store_up() || !backend.doubted() {
+        return Some(Arc::clone(backend));
+    }
+    match look(relay, backend).await {
+        Found::Same => {
+            relay.answered(backend);
+            Some(Arc::clone(backend))
+        }
+        Found::Other => relay.successor(backend),
+        Found::Nothing => {
+            relay.unreachable(backend);
+            None
+        }
+    }
+}
+
+/// Asks once what answers at the address of a server.
+async fn look<D: Dialect>(relay: &Relay<D>, backend: &Backend) -> Found {
     let address = backend.server.address;
     let asked = async {
         let name = attempt::name(relay, address).await?;
@@ -65,10 +99,10 @@
         Ok::<_, String>((name, report))
     };
     let Ok(Ok((name, report))) = tokio::time::timeout(ANSWER_TIME, asked).await else {
-        return false;
+        return Found::Nothing;
     };
     if name == backend.server.id {
-        return true;
+        return Found::Same;
     }
     let service = relay.table();
     let service = service
@@ -82,5 +116,5 @@
     if same {
         relay.adopt(&backend.server, &name, report.born_ms, false);
     }
-    true
+    Found::Other
 }
--- a/relay/src/state/backend.rs
+++ b/relay/src/state/backend.rs
@@ -26,6 +26,7 @@
     pub(super) proximity: Proximity,
     load: Mutex<Load>,
     searched: AtomicBool,
+    doubted: AtomicBool,
     /// Streams of this entry that are at the server.
     pub streams: AtomicUsize,
 }
@@ -41,6 +42,17 @@
         self.searched.store(false, Ordering::Relaxed);
     }
 
+    /// Returns whether the server, or its group, was lost and has not answered since.
+    #[must_use]
+    pub fn doubted(&self) -> bool {
+        self.doubted.load(Ordering::Relaxed)
+    }
+
+    /// Notes that the server may have gone, or that it answered.
+    pub(super) fn set_doubted(&self, doubted: bool) {
+        self.doubted.store(doubted, Ordering::Relaxed);
+    }
+
     /// Reads or changes the server's load.
     pub fn load<T>(&self, act: impl FnOnce(&mut Load) -> T) -> T {
         act(&mut self.load.lock().unwrap_or_else(PoisonError::into_inner))
@@ -63,6 +75,7 @@
             monitor: Monitor::default(),
             load: Mutex::default(),
             searched: AtomicBool::new(false),
+            doubted: AtomicBool::new(false),
             streams: AtomicUsize::new(0),
         }
     }
--- a/relay/src/state/peers.rs
+++ b/relay/src/state/peers.rs
@@ -46,6 +46,7 @@
             for backend in beliefs.backends.values().flatten() {
                 let silent = || backend.load(|load| load.told_unreachable(now));
                 if lost.contains(&backend.server.id) && silent() {
+                    backend.set_doubted(true);
                     beliefs.to_search.push(Arc::clone(backend));
                 }
             }
--- a/relay/src/state/placing.rs
+++ b/relay/src/state/placing.rs
@@ -53,6 +53,7 @@
     pub fn unreachable(&self, backend: &Arc<Backend>) {
         let now = self.clock.now();
         backend.load(|load| load.unreachable(now));
+        backend.set_doubted(true);
         let id = &backend.server.id;
         let group = backend.group();
         let suspect = self.beliefs(|beliefs| {
@@ -62,8 +63,9 @@
             if suspect {
                 let all = beliefs.backends.get(&group.service).into_iter().flatten();
                 let members = all.filter(|other| other.group() == group);
-                let members = members.take(SEARCHED).cloned();
-                beliefs.to_search.extend(members);
+                let members = members.inspect(|other| other.set_doubted(true));
+                let members: Vec<Arc<Backend>> = members.cloned().collect();
+                beliefs.to_search.extend(members.into_iter().take(SEARCHED));
             }
             suspect
         });
@@ -87,6 +89,7 @@
     pub fn answered(&self, backend: &Backend) {
         let now = self.clock.now();
         backend.monitor.heard(now);
+        backend.set_doubted(false);
         let group = backend.group();
         self.beliefs(|beliefs| beliefs.groups.answered(&group));
     }
--- a/relay/src/state/servers.rs
+++ b/relay/src/state/servers.rs
@@ -117,6 +117,18 @@
         self.believed(effect, id, 0);
     }
 
+    /// Returns the server that has taken the place of `gone`.
+    #[must_use]
+    pub fn successor(&self, gone: &Backend) -> Option<Arc<Backend>> {
+        let server = &gone.server;
+        self.beliefs(|beliefs| {
+            let backends = beliefs.backends.get(&server.service)?;
+            let mut there = backends.iter();
+            let there = there.find(|other| other.server.address == server.address)?;
+            (there.server.id != server.id).then(|| Arc::clone(there))
+        })
+    }
+
     /// Returns whether the store answers.
     #[must_use]
     pub fn store_up(&self) -> bool {
--- a/relay/src/stream.rs
+++ b/relay/src/stream.rs
@@ -13,17 +13,19 @@
 
 use crate::answer::{Content, Reason, Refusal};
 use crate::attempt::{self, Answer, Failure};
-use crate::copy::{self, Keeper};
+use crate::copy::Keeper;
 use crate::dialect::{Copy, Dialect, Send};
 use crate::intake::Job;
 use crate::metrics::Open;
 use crate::monitor::{self, Subscription};
 use crate::prompt_cache;
+use crate::rediscover;
 use crate::state::{Backend, Measure, Relay, Sight, Wanted};
 
 use self::place::Place;
 use self::probe::Probe;
 
+mod copies;
 mod passing;
 mod place;
 mod probe;
@@ -167,7 +169,21 @@
                 Some(found) => Some(found),
                 None => self.next().await,
             };
-            let (backend, copy) = next.ok_or_else(|| self.refusal())?;
+            let (chosen, copy) = next.ok_or_else(|| self.refusal())?;
+            let confirmed = rediscover::confirm(&self.relay, &chosen).await;
+            let gone = confirmed
+                .as_ref()
+                .is_none_or(|now| now.server.id != chosen.server.id);
+            if gone && (copy.is_some() || confirmed.is_none()) {
+                // Its copy has gone with it.
+                self.lost.push(Arc::clone(&chosen.server.id));
+                refusals += 1;
+                if refusals >= REFUSALS {
+                    return Err(self.refusal());
+                }
+                continue;
+            }
+            let backend = confirmed.unwrap_or(chosen);
             if !self.pay() {
                 return Err(match self.ran {
                     0 => Refusal::come_back(Reason::RetryBudget, NO_SERVER_PAUSE),
@@ -261,67 +277,6 @@
         Some((self.relay.choose(wanted)?, None))
     }
 
-    /// Takes the run's copy, if there is one and its holder still has it. A run that has made no
-    /// event has none.
-    fn take_copy(&mut self) -> Option<(Arc<Backend>, Option<Copy>)> {
-        let keeper = self.keeper.take();
-        let backup = self.backup.take();
-        if !self.begun {
-            return None;
-        }
-        if let Some(keeper) = keeper.filter(|keeper| self.relay.listed(&keeper.holder)) {
-            let copy = keeper.copy();
-            let holder = Arc::clone(&keeper.holder);
-            return copy.map(|copy| (holder, Some(copy)));
-        }
-        let backup = backup.filter(|backup| self.relay.listed(backup))?;
-        let copy = Copy {
-            holder: backup.server.address,
-            handle: Arc::clone(&self.job.original.request_id),
-        };
-        Some((backup, Some(copy)))
-    }
-
-    /// Has the run's memory copied elsewhere if the server that held the copy has gone.
-    fn keep_copy(&mut self, source: &Arc<Backend>) {
-        let holder = match (&self.keeper, &self.backup) {
-            (Some(keeper), _) => &keeper.holder,
-            (None, Some(backup)) => backup,
-            (None, None) => return,
-        };
-        if self.relay.current(holder) || !self.relay.current(source) {
-            return;
-        }
-        self.backup = None;
-        self.keeper = self.choose_backup(source).map(|holder| {
-            let request_id = &self.job.original.request_id;
-            copy::keep(&self.relay, request_id, source, holder)
-        });
-    }
-
-    /// Chooses a server in another failure domain to keep a backup copy.
-    fn choose_backup(&self, primary: &Backend) -> Option<Arc<Backend>> {
-        if !self.backups() {
-            return None;
-        }
-        let mut not = self.lost.clone();
-        not.push(Arc::clone(&primary.server.id));
-        let mut outside = vec![Arc::clone(&primary.server.failure_domain)];
-        outside.extend(self.lost_domain.clone());
-        let wanted = Wanted {
-            not: &not,
-            version: Some(&primary.server.version),
-            lot: self.job.lot().rotate_left(17),
-            ..self.wanted(&outside)
-        };
-        let backup = self.relay.choose(Wanted {
-            distance: 0.0,
-            ..wanted
-        })?;
-        let apart = backup.server.failure_domain != primary.server.failure_domain;
-        apart.then_some(backup)
-    }
-
     /// Notes that a server failed the stream while it lived.
     fn failed_at(&self, backend: &Backend) {
         let sight = Sight {
