feat(coordination): entries lend one another the repeats that they leave

Change: entries tell one another what they repeated, within 250 ms of a repeat. An entry takes up to three quarters of what all may repeat, whatever its own part, and nothing once all is used.

--- a/coordination/src/retry_budget.rs
+++ b/coordination/src/retry_budget.rs
@@ -21,10 +21,12 @@
 //! assert!(pause.is_none_or(|pause| pause < Duration::from_millis(50)));
 //! ```
 
-use std::collections::VecDeque;
+use std::collections::{HashMap, VecDeque};
+use std::sync::Arc;
 use std::time::Duration;
 
 use rand::Rng;
+use serde::{Deserialize, Serialize};
 
 /// Slack for sums of fractions that should make a whole token.
 const ROUNDING: f64 = 1e-9;
@@ -96,6 +98,53 @@
 /// Parts of a span that are counted by themselves: what is forgotten too late is a tenth at most.
 const PARTS: u32 = 10;
 
+/// Part of what all entries may repeat up to which an entry also takes what the others leave. The
+/// rest is for entries that need their own part.
+const LENT: f64 = 0.75;
+
+/// Time after which what a silent peer told no longer counts; peers tell every two seconds at least.
+const FRESH: Duration = Duration::from_millis(4_500);
+
+/// Requests and repeats of one entry, or of several, over a span.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Usage {
+    /// Requests of callers.
+    pub requests: u32,
+    /// Repeats.
+    pub repeats: u32,
+}
+
+impl Usage {
+    fn plus(self, other: Self) -> Self {
+        Self {
+            requests: self.requests.saturating_add(other.requests),
+            repeats: self.repeats.saturating_add(other.repeats),
+        }
+    }
+}
+
+/// What the other entries used, as they told.
+#[derive(Clone, Debug, Default)]
+pub struct Others {
+    told: HashMap<Arc<str>, (Duration, Usage)>,
+}
+
+impl Others {
+    /// Replaces what `peer` told before.
+    pub fn told(&mut self, peer: &Arc<str>, usage: Usage, now: Duration) {
+        self.told.insert(Arc::clone(peer), (now, usage));
+    }
+
+    /// Returns how many entries told lately, and what they used together.
+    fn total(&self, now: Duration) -> (u32, Usage) {
+        let fresh = self.told.values();
+        let fresh = fresh.filter(|(at, _)| now.saturating_sub(*at) < FRESH);
+        fresh.fold((0, Usage::default()), |(entries, total), (_, usage)| {
+            (entries + 1, total.plus(*usage))
+        })
+    }
+}
+
 /// Requests and repeats of one part of the span.
 #[derive(Clone, Copy, Debug)]
 struct Part {
@@ -108,8 +157,8 @@
 ///
 /// The load that this answers: a failure domain's servers crash together, and all streams on them
 /// are repeated within half a second. An entry of a large fleet has a request every other second,
-/// so that a budget which saves up only a few repeats is empty when it is needed, while hardly any
-/// of what the fleet may repeat is used.
+/// so that a budget of its own is empty when it is needed, while hardly any of what the fleet may
+/// repeat is used. Entries tell one another what they used, and take what the others leave.
 #[derive(Clone, Debug)]
 pub struct Window {
     bounds: Bounds,
@@ -131,18 +180,33 @@
         self.part(now).requests += 1;
     }
 
-    /// Takes a repeat and returns whether there was one; `reserve` is this entry's part of what may
-    /// be repeated on top of the share.
-    pub fn withdraw(&mut self, reserve: f64, now: Duration) -> bool {
+    /// Returns what this entry used over the span.
+    pub fn usage(&mut self, now: Duration) -> Usage {
         self.forget(now);
-        let requests: u32 = self.parts.iter().map(|part| part.requests).sum();
-        let repeats: u32 = self.parts.iter().map(|part| part.repeats).sum();
-        let most = reserve + f64::from(requests) * self.bounds.share;
-        if f64::from(repeats) + 1.0 > most + ROUNDING {
-            return false;
+        let parts = self.parts.iter().map(|part| Usage {
+            requests: part.requests,
+            repeats: part.repeats,
+        });
+        parts.fold(Usage::default(), Usage::plus)
+    }
+
+    /// Takes a repeat and returns whether there was one. `part` is this entry's part of the reserve,
+    /// and `entries` the number of others that are known.
+    pub fn withdraw(&mut self, part: f64, others: &Others, entries: u32, now: Duration) -> bool {
+        let own = self.usage(now);
+        let (heard, used) = others.total(now);
+        let all = own.plus(used);
+        let share = |usage: Usage| f64::from(usage.requests) * self.bounds.share;
+        let fits = |repeats: u32, most: f64| f64::from(repeats) + 1.0 <= most + ROUNDING;
+        let most_of_all = share(all) + self.bounds.reserve;
+        let own_part = fits(own.repeats, share(own) + part);
+        // What the others leave is known only if most of them told.
+        let lent = entries > 0 && heard * 2 >= entries && fits(all.repeats, most_of_all * LENT);
+        let taken = fits(all.repeats, most_of_all) && (own_part || lent);
+        if taken {
+            self.part(now).repeats += 1;
         }
-        self.part(now).repeats += 1;
-        true
+        taken
     }
 
     /// Forgets the parts before the span.
--- a/relay/src/exchange.rs
+++ b/relay/src/exchange.rs
@@ -12,6 +12,7 @@
 
 use medlarfall_coordination::canary;
 use medlarfall_coordination::readers::READER_TELLS;
+use medlarfall_coordination::retry_budget::Usage;
 use medlarfall_coordination::shared_load::Count;
 use medlarfall_coordination::tidings;
 use medlarfall_runtime::store::{Change, Changes, Error, Lease, Store};
@@ -32,6 +33,9 @@
 /// large fleet's traffic between failure domains is these.
 const LONGEST: Duration = Duration::from_secs(2);
 
+/// Longest time until all know of a repeat: a service's repeats are bounded over all entries.
+const REPEATS_TOLD: Duration = Duration::from_millis(250);
+
 /// Largest message.
 const MESSAGE_LIMIT: usize = 60_000;
 
@@ -71,6 +75,9 @@
     /// Servers that it found in place of others while the store was away.
     #[serde(default)]
     found: Vec<Found>,
+    /// Requests and repeats over the last span, by service.
+    #[serde(default)]
+    repeats: Vec<(Arc<str>, Usage)>,
     /// What it knows of the moves of services that are under way.
     #[serde(default)]
     moves: Vec<(Arc<str>, canary::Report)>,
@@ -147,6 +154,7 @@
     }
     relay.peer_lost(&message.lost);
     relay.peer_found(&message.found);
+    relay.peer_repeated(&message.entry, &message.repeats);
     relay.hear_moves(&message.entry, message.moves);
     let counts: HashMap<Arc<str>, Count> = message
         .streams
@@ -179,10 +187,10 @@
     loop {
         let reads = relay.reads.load(Ordering::Relaxed);
         let moving = relay.moving();
-        let longest = if reads || moving {
-            READER_TELLS
-        } else {
-            LONGEST
+        let longest = match (relay.has_repeated(), reads || moving) {
+            (true, _) => REPEATS_TOLD,
+            (false, true) => READER_TELLS,
+            (false, false) => LONGEST,
         };
         tokio::select! {
             () = relay.streams_changed.notified() => {}
@@ -205,6 +213,11 @@
             streams: relay.own_streams(),
             lost: relay.lost_to_tell(everyone),
             found: relay.found_to_tell(everyone),
+            repeats: if everyone {
+                relay.repeats_to_tell()
+            } else {
+                Vec::new()
+            },
             moves: if everyone {
                 relay.move_reports()
             } else {
--- a/relay/src/state/beliefs.rs
+++ b/relay/src/state/beliefs.rs
@@ -3,7 +3,7 @@
 use medlarfall_coordination::canary::Canary;
 use medlarfall_coordination::outage::Groups;
 use medlarfall_coordination::readers::Readers;
-use medlarfall_coordination::retry_budget::{Bounds, Window};
+use medlarfall_coordination::retry_budget::{Bounds, Others, Window};
 use medlarfall_coordination::roster::Roster;
 use medlarfall_coordination::routing::Table;
 use medlarfall_coordination::shared_load;
@@ -35,6 +35,10 @@
     pub(super) roster: Roster,
     pub(super) backends: HashMap<Arc<str>, Vec<Arc<Backend>>>,
     pub(super) retries: HashMap<Arc<str>, Window>,
+    /// What the other entries repeated, by service.
+    pub(super) others_retries: HashMap<Arc<str>, Others>,
+    /// Whether this entry repeated something that it has not told.
+    pub(super) retries_untold: bool,
     /// The last move of each service that was ordered.
     pub(super) canaries: HashMap<Arc<str>, Canary>,
     /// Services whose last move has an end in the store.
--- a/relay/src/state/peers.rs
+++ b/relay/src/state/peers.rs
@@ -6,6 +6,7 @@
 use std::sync::atomic::Ordering;
 
 use medlarfall_coordination::readers::Readers;
+use medlarfall_coordination::retry_budget::Usage;
 use medlarfall_coordination::shared_load::Count;
 
 use crate::dialect::Dialect;
@@ -54,6 +55,35 @@
         self.search_wanted.notify_one();
     }
 
+    /// Returns whether this entry repeated something that it has not told.
+    #[must_use]
+    pub fn has_repeated(&self) -> bool {
+        self.beliefs(|beliefs| beliefs.retries_untold)
+    }
+
+    /// Returns what this entry repeated over the last span, by service, to be told.
+    #[must_use]
+    pub fn repeats_to_tell(&self) -> Vec<(Arc<str>, Usage)> {
+        let now = self.clock.now();
+        self.beliefs(|beliefs| {
+            beliefs.retries_untold = false;
+            let windows = beliefs.retries.iter_mut();
+            let used = windows.map(|(service, window)| (Arc::clone(service), window.usage(now)));
+            used.collect()
+        })
+    }
+
+    /// Takes in what another entry repeated.
+    pub fn peer_repeated(&self, peer: &Arc<str>, used: &[(Arc<str>, Usage)]) {
+        let now = self.clock.now();
+        self.beliefs(|beliefs| {
+            for (service, usage) in used {
+                let others = beliefs.others_retries.entry(Arc::clone(service));
+                others.or_default().told(peer, *usage, now);
+            }
+        });
+    }
+
     /// Returns whether this entry has found servers that it has not told of.
     #[must_use]
     pub fn has_found(&self) -> bool {
--- a/relay/src/state/placing.rs
+++ b/relay/src/state/placing.rs
@@ -180,9 +180,18 @@
         let now = self.clock.now();
         let bounds = self.settings.retries;
         let taken = self.beliefs(|beliefs| {
-            let reserve = beliefs.reserve(bounds);
-            beliefs.repeats(service, bounds).withdraw(reserve, now)
+            let part = beliefs.reserve(bounds);
+            let entries = u32::try_from(beliefs.peers.len()).unwrap_or(u32::MAX);
+            let others = beliefs.others_retries.remove(service).unwrap_or_default();
+            let window = beliefs.repeats(service, bounds);
+            let taken = window.withdraw(part, &others, entries, now);
+            beliefs.others_retries.insert(Arc::clone(service), others);
+            beliefs.retries_untold |= taken;
+            taken
         });
+        if taken {
+            self.streams_changed.notify_one();
+        }
         let counter = if taken {
             &self.metrics.retries
         } else {
