refactor(relay): one server of small questions; prompts beyond an engine's memory are refused at once

What was decoded and not used is used or gone: a prompt larger than the engines' memory is refused without a time to come back; late answers are counted and marked in the log by the route's own aims; the header time is no longer read. A copy that is replaced is freed. Two accept loops became one.

--- a/coordination/src/routing.rs
+++ b/coordination/src/routing.rs
@@ -116,8 +116,6 @@
     pub header_bytes: usize,
     /// Largest body, in bytes.
     pub body_bytes: usize,
-    /// Longest time that a request's head may take.
-    pub header_time: Duration,
     /// Longest time that a connection may be idle.
     pub idle_time: Duration,
 }
@@ -128,7 +126,6 @@
         Self {
             header_bytes: 16 << 10,
             body_bytes: 4 << 20,
-            header_time: Duration::from_secs(3),
             idle_time: Duration::from_secs(15),
         }
     }
--- a/relay/src/answer.rs
+++ b/relay/src/answer.rs
@@ -107,6 +107,8 @@
     NoServer,
     /// Every server is full.
     Full,
+    /// The prompt is larger than the memory of the service's engines.
+    PromptTooLarge,
     /// The service has used up its budget of repeats.
     RetryBudget,
     /// A server that may have run the request was lost.
@@ -133,6 +135,7 @@
             Self::NoConfiguration
             | Self::NoServer
             | Self::Full
+            | Self::PromptTooLarge
             | Self::RetryBudget
             | Self::TooLate
             | Self::Memory
@@ -154,6 +157,7 @@
             Self::NoConfiguration => "no_configuration",
             Self::NoServer => "no_server",
             Self::Full => "full",
+            Self::PromptTooLarge => "prompt_too_large",
             Self::RetryBudget => "retry_budget",
             Self::Lost => "lost",
             Self::TimedOut => "timed_out",
--- a/relay/src/call.rs
+++ b/relay/src/call.rs
@@ -74,8 +74,12 @@
     let took = relay.clock.now().saturating_sub(job.began);
     relay.metrics.end(route, status.as_u16(), reason);
     relay.metrics.answered(route, &job.service, took);
+    let late = outcome.is_ok() && took > job.route.target_latency;
+    if late {
+        relay.metrics.late(route);
+    }
     log::info!(
-        request = &*job.original.request_id, route, status = status.as_u16(), reason,
+        request = &*job.original.request_id, route, status = status.as_u16(), reason, late,
         account = job.account.as_ref().map_or("", |account| &*account.name),
         configuration = job.table.version, ms = took.as_millis(),
         servers = course.tried.join(",").as_str(), ran = course.ran;
--- a/relay/src/daemon.rs
+++ b/relay/src/daemon.rs
@@ -1,6 +1,5 @@
 //! Runs the relay of one entry from its start to its orderly stop.
 
-use std::convert::Infallible;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -9,10 +8,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
-use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, UdpSocket};
 use tokio_util::task::TaskTracker;
 
@@ -20,7 +16,7 @@
 
 use crate::dialect::Dialect;
 use crate::state::Relay;
-use crate::{exchange, follow, listener, mirror, moves, rediscover};
+use crate::{exchange, follow, inner, listener, mirror, moves, rediscover};
 
 /// Time after the order to stop until kept connections are closed: the platform asks once a second
 /// and sends nothing new after two answers that are not ready.
@@ -101,24 +97,7 @@
 
 /// Answers whether the entry is ready, and serves its metrics.
 pub async fn watch<D: Dialect>(relay: Arc<Relay<D>>, listener: TcpListener) {
-    loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(error) => {
-                log::warn!(reason = error.to_string().as_str(); "question of readiness not accepted");
-                tokio::time::sleep(Duration::from_millis(20)).await;
-                continue;
-            }
-        };
-        let relay = Arc::clone(&relay);
-        let service = service_fn(move |request| {
-            std::future::ready(Ok::<_, Infallible>(reply(&relay, &request)))
-        });
-        let connection = http1::Builder::new()
-            .timer(TokioTimer::new())
-            .serve_connection(TokioIo::new(stream), service);
-        tokio::spawn(connection);
-    }
+    inner::serve(listener, move |request| reply(&relay, request)).await;
 }
 
 fn reply<D: Dialect>(relay: &Relay<D>, request: &Request<Incoming>) -> Response<Full<Bytes>> {
--- a/relay/src/dialect.rs
+++ b/relay/src/dialect.rs
@@ -28,8 +28,8 @@
     pub prompt_hash: Option<u64>,
     /// Identifier of the prompt's last part, which is the request's own.
     pub last_part: Option<Arc<str>>,
-    /// Tokens that the prompt has and that the answer may have.
-    pub tokens: Option<u64>,
+    /// Tokens that the prompt has.
+    pub prompt_tokens: Option<u64>,
 }
 
 /// A copy of a run's memory on a server.
--- a/relay/src/intake.rs
+++ b/relay/src/intake.rs
@@ -152,6 +152,12 @@
     let lot = xxh3_64(caller.request_id.as_bytes());
     let service = route.target(lot).cloned();
     let service = service.ok_or(Refusal::new(Reason::NoRoute))?;
+    let memory = table
+        .service(&service)
+        .map_or(0, |service| service.memory_tokens);
+    if memory > 0 && caller.prompt_tokens.is_some_and(|tokens| tokens > memory) {
+        return Err(Refusal::new(Reason::PromptTooLarge));
+    }
     relay.count_request(&service);
     let side = relay.side(&service);
     Ok(Job {
--- a/relay/src/lib.rs
+++ b/relay/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod events;
 pub mod exchange;
 pub mod follow;
+pub mod inner;
 pub mod intake;
 pub mod listener;
 pub mod metrics;
--- a/relay/src/metrics.rs
+++ b/relay/src/metrics.rs
@@ -103,6 +103,8 @@
     pub log_lines_lost: Family<OfKind, Counter>,
     /// Requests by how they ended.
     pub ended: Family<Ended, Counter>,
+    /// Answers that came later than their route aims at, or with a longer pause.
+    pub late: Family<OfRoute, Counter>,
     /// Time to the answer, or to the first event of a stream, in seconds.
     pub first: Family<OfRoute, Histogram>,
     /// Streams that went on at another server, by cause.
@@ -159,6 +161,12 @@
                 "Requests by how they ended",
                 Family::default(),
             ),
+            late: add(
+                new,
+                "late",
+                "Answers later than aimed at",
+                Family::default(),
+            ),
             first: add(
                 new,
                 "first_seconds",
@@ -221,6 +229,12 @@
         self.ended.get_or_create(&labels).inc();
     }
 
+    /// Counts an answer that came later than its route aims at.
+    pub fn late(&self, route: &str) {
+        let route = route.to_owned();
+        self.late.get_or_create(&OfRoute { route }).inc();
+    }
+
     /// Measures the time to an answer or a first event.
     pub fn answered(&self, route: &str, service: &str, time: Duration) {
         let seconds = time.as_secs_f64();
--- a/relay/src/mirror.rs
+++ b/relay/src/mirror.rs
@@ -6,7 +6,6 @@
 //! store's revision, so nothing known is replaced by something older.
 
 use std::collections::HashMap;
-use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -14,10 +13,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
-use hyper_util::rt::{TokioIo, TokioTimer};
 use medlarfall_runtime::store::{Change, Changes};
 use tokio::net::TcpListener;
 use tokio::time::{sleep, timeout};
@@ -25,6 +21,7 @@
 use crate::attempt;
 use crate::dialect::{Dialect, Order};
 use crate::follow;
+use crate::inner;
 use crate::packing;
 use crate::state::Relay;
 
@@ -102,28 +99,7 @@
 
 /// Serves the changes to the other entries.
 pub async fn serve<D: Dialect>(relay: Arc<Relay<D>>, listener: TcpListener) {
-    loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(error) => {
-                log::warn!(reason = error.to_string().as_str(); "question of a peer not accepted");
-                sleep(PATIENCE).await;
-                continue;
-            }
-        };
-        let relay = Arc::clone(&relay);
-        let service = service_fn(move |request| {
-            std::future::ready(Ok::<_, Infallible>(reply(&relay, &request)))
-        });
-        let connection = http1::Builder::new()
-            .timer(TokioTimer::new())
-            .serve_connection(TokioIo::new(stream), service);
-        tokio::spawn(async move {
-            if let Err(error) = connection.await {
-                log::debug!(reason = error.to_string().as_str(); "connection of a peer ended");
-            }
-        });
-    }
+    inner::serve(listener, move |request| reply(&relay, request)).await;
 }
 
 fn reply<D: Dialect>(relay: &Relay<D>, request: &Request<Incoming>) -> Response<Full<Bytes>> {
--- a/relay/src/stream/copies.rs
+++ b/relay/src/stream/copies.rs
@@ -41,6 +41,9 @@
             return;
         }
         self.backup = None;
+        if let Some(replaced) = self.keeper.take() {
+            replaced.free(&self.relay);
+        }
         self.keeper = self.choose_backup(source).map(|holder| {
             let request_id = &self.job.original.request_id;
             copy::keep(&self.relay, request_id, source, holder)
--- a/relay/src/stream/passing.rs
+++ b/relay/src/stream/passing.rs
@@ -268,8 +268,20 @@
         let route = &*self.job.route.name;
         let since = |time: Duration| time.saturating_sub(self.job.began).as_millis();
         self.relay.metrics.end(route, status, reason);
+        let first = self
+            .first_event_at
+            .map(|at| at.saturating_sub(self.job.began));
+        let late = first.is_some_and(|first| first > self.job.route.target_latency)
+            || self
+                .job
+                .route
+                .longest_pause
+                .is_some_and(|longest| self.longest_pause > longest);
+        if late {
+            self.relay.metrics.late(route);
+        }
         log::info!(
-            request = &*self.job.original.request_id, route, status, reason,
+            request = &*self.job.original.request_id, route, status, reason, late,
             account = self.job.account.as_ref().map_or("", |account| &*account.name),
             configuration = self.job.table.version,
             first_ms = self.first_event_at.map_or(0, since),
