--- a/programs/src/commands.rs
+++ b/programs/src/commands.rs
@@ -1,6 +1,7 @@
 //! The subcommands of the command line.
 
 use std::error::Error;
+use std::ffi::OsStr;
 use std::fs;
 use std::io::Write;
 use std::net::SocketAddr;
@@ -28,9 +29,13 @@
 ///
 /// Returns what is wrong with it.
 pub fn check(path: &Path, json: bool) -> Result {
-    let settings = Settings::load(path)?;
+    let name = if is_yaml(path) {
+        medlarfall_platform::settings::read(path)?.relay.entry
+    } else {
+        Settings::load(path)?.entry.name
+    };
+    let name = name.as_ref();
     if json {
-        let name = settings.entry.name.as_ref();
         println!("{}", serde_json::json!({ "ok": true, "entry": name }));
     } else {
         println!("{}: ok", path.display());
@@ -38,6 +43,12 @@
     Ok(())
 }
 
+/// Returns whether a file is one of the users' platform, whose settings are YAML.
+fn is_yaml(path: &Path) -> bool {
+    let extension = path.extension().and_then(OsStr::to_str);
+    matches!(extension, Some("yaml" | "yml"))
+}
+
 /// Declares the service in a TOML file.
 ///
 /// # Errors
--- a/programs/src/main.rs
+++ b/programs/src/main.rs
@@ -34,7 +34,7 @@
         }
         /// Checks a settings file.
             cmd check {
-                /// Settings file, in TOML.
+                /// Settings file: TOML, or the users' platform's YAML.
                 required file: PathBuf
             }
             /// Merges the logs of several entries into the timeline of one request.
--- a/programs/tests/settings.rs
+++ b/programs/tests/settings.rs
@@ -221,6 +221,23 @@
     assert_eq!(run(&["no-such-command"]).status.code(), Some(2));
 }
 
+#[test]
+fn the_users_platform_s_settings_file_is_checked_as_well() {
+    let folder = std::env::temp_dir();
+    let check = |name: &str, text: &str| {
+        let file = folder.join(format!("medlarfall-{}-{name}.yaml", std::process::id()));
+        fs::write(&file, text).expect("written");
+        run(&["check", file.to_str().expect("UTF-8")])
+    };
+    let good = "node: edge-1\nzone: cage-a\nbind: {front: \"127.0.0.1:1\", ready: \"127.0.0.1:2\"}\n\
+                limits: {memory_mb: 64}\nplatform: {address: \"127.0.0.1:3\"}\nnew_field: 1\n";
+    assert_eq!(check("good", good).status.code(), Some(0));
+    let bad = check("bad", &good.replace("memory_mb: 64", "memory_mb: 0"));
+    assert_eq!(bad.status.code(), Some(1));
+    let told = String::from_utf8_lossy(&bad.stderr).into_owned();
+    assert!(told.contains("limits.memory_mb"), "{told}");
+}
+
 #[test]
 fn the_page_names_every_setting() {
     let page = fs::read_to_string(root().join("docs/SETTINGS.md")).expect("the page is read");
