--- a/relay/src/moves.rs
+++ b/relay/src/moves.rs
@@ -15,6 +15,9 @@
 /// Time between two looks at moves that are under way.
 const INTERVAL: Duration = Duration::from_millis(100);
 
+/// Time in which changes of moves gather.
+const GATHER: Duration = Duration::from_millis(1);
+
 /// Drives the moves for ever. Only entries that read the store record ends: the others' would say
 /// the same, and each call is paid for.
 pub async fn run<D: Dialect, S: Store>(relay: Arc<Relay<D>>, store: S) {
@@ -29,7 +32,8 @@
             }
         }
         let _ = timeout(INTERVAL, relay.moves_changed.notified()).await;
-        sleep(Duration::from_millis(1)).await;
+        // Several changes go into one look.
+        sleep(GATHER).await;
     }
 }
 
--- a/relay/src/rediscover.rs
+++ b/relay/src/rediscover.rs
@@ -46,7 +46,7 @@
             true => {}
             false => {
                 questions += 1;
-                if look(&relay, &backend).await != Found::Nothing {
+                if look(&relay, &backend).await != Occupant::Nobody {
                     break;
                 }
             }
@@ -58,9 +58,9 @@
 
 /// What answers at the address of a server.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Found {
+enum Occupant {
     /// Nothing answers.
-    Nothing,
+    Nobody,
     /// The server itself.
     Same,
     /// Another server.
@@ -78,12 +78,12 @@
         return Some(Arc::clone(backend));
     }
     match look(relay, backend).await {
-        Found::Same => {
+        Occupant::Same => {
             relay.answered(backend);
             Some(Arc::clone(backend))
         }
-        Found::Other => relay.successor(backend),
-        Found::Nothing => {
+        Occupant::Other => relay.successor(backend),
+        Occupant::Nobody => {
             relay.unreachable(backend);
             None
         }
@@ -91,7 +91,7 @@
 }
 
 /// Asks once what answers at the address of a server.
-async fn look<D: Dialect>(relay: &Relay<D>, backend: &Backend) -> Found {
+async fn look<D: Dialect>(relay: &Relay<D>, backend: &Backend) -> Occupant {
     let address = backend.server.address;
     let asked = async {
         let name = attempt::name(relay, address).await?;
@@ -99,10 +99,10 @@
         Ok::<_, String>((name, report))
     };
     let Ok(Ok((name, report))) = tokio::time::timeout(ANSWER_TIME, asked).await else {
-        return Found::Nothing;
+        return Occupant::Nobody;
     };
     if name == backend.server.id {
-        return Found::Same;
+        return Occupant::Same;
     }
     let service = relay.table();
     let service = service
@@ -116,5 +116,5 @@
     if same {
         relay.adopt(&backend.server, &name, report.born_ms, false);
     }
-    Found::Other
+    Occupant::Other
 }
--- a/relay/src/stream.rs
+++ b/relay/src/stream.rs
@@ -170,20 +170,13 @@
                 None => self.next().await,
             };
             let (chosen, copy) = next.ok_or_else(|| self.refusal())?;
-            let confirmed = rediscover::confirm(&self.relay, &chosen).await;
-            let gone = confirmed
-                .as_ref()
-                .is_none_or(|now| now.server.id != chosen.server.id);
-            if gone && (copy.is_some() || confirmed.is_none()) {
-                // Its copy has gone with it.
-                self.lost.push(Arc::clone(&chosen.server.id));
+            let Some(backend) = self.confirm(&chosen, copy.as_ref()).await else {
                 refusals += 1;
                 if refusals >= REFUSALS {
                     return Err(self.refusal());
                 }
                 continue;
-            }
-            let backend = confirmed.unwrap_or(chosen);
+            };
             if !self.pay() {
                 return Err(match self.ran {
                     0 => Refusal::come_back(Reason::RetryBudget, NO_SERVER_PAUSE),
@@ -203,6 +196,22 @@
         }
     }
 
+    /// Returns the server that a send goes to that was meant for `chosen`, unless nothing is there, or
+    /// the run's copy has gone with the server that held it.
+    async fn confirm(
+        &mut self,
+        chosen: &Arc<Backend>,
+        copy: Option<&Copy>,
+    ) -> Option<Arc<Backend>> {
+        let there = rediscover::confirm(&self.relay, chosen).await;
+        let same = |there: &Arc<Backend>| there.server.id == chosen.server.id;
+        let there = there.filter(|there| same(there) || copy.is_none());
+        if there.is_none() {
+            self.lost.push(Arc::clone(&chosen.server.id));
+        }
+        there
+    }
+
     /// Returns the server that has read the prompt of a stream that its caller goes on with.
     async fn prompt_holder(&self) -> Option<Arc<Backend>> {
         let first = self.arrivals == 0 && self.resumable();
