fix(relay): a reader whose answer was lost asks again at once, though another reads

Cause: the watches of both readers fell silent at the same moment (the store drops its history while configurations come in quick succession); each had just heard that the other reads, took the lost answer for being turned away, and paused for 2 s. Ruled out: the watch's own bound (both noticed after 1.9 s), the other entries (they stepped in after 0.98 s as they should). Change: only three failures in a row count as turned away; a watch waits 1.2 s instead of 1.5 s, so that with its answer's time and another call 1.7 s pass. Test: a_lost_answer_is_asked_for_again_at_once_though_others_read.

--- a/coordination/src/readers.rs
+++ b/coordination/src/readers.rs
@@ -31,6 +31,30 @@
 /// Longest time that an entry waits on top of [`FRESH`].
 const LONGEST_WAIT: Duration = Duration::from_millis(1_500);
 
+/// Longest pause after a call that failed; each call is paid for, and an outage lasts seconds.
+const RETRY_PAUSE: Duration = Duration::from_millis(250);
+
+/// Pause after the first call that failed.
+const FIRST_PAUSE: Duration = Duration::from_millis(20);
+
+/// Pause after calls that failed while other entries read: what they tell serves this one too.
+const TURNED_AWAY_PAUSE: Duration = Duration::from_secs(2);
+
+/// Failures in a row from which the store turns this entry away. One or two may be an answer that was
+/// lost, or a watch that fell silent, and the other readers may just have lost theirs as well.
+const TURNED_AWAY: u32 = 3;
+
+/// Returns the longest pause after `failures` calls to the store in a row; `others_read` says whether
+/// other entries read it with success.
+#[must_use]
+pub fn retry_pause(failures: u32, others_read: bool) -> Duration {
+    if others_read && failures >= TURNED_AWAY {
+        return TURNED_AWAY_PAUSE;
+    }
+    let doubled = FIRST_PAUSE * 2_u32.pow(failures.saturating_sub(1).min(6));
+    doubled.min(RETRY_PAUSE)
+}
+
 /// What this entry knows of the others' reading.
 #[derive(Clone, Debug)]
 pub struct Readers {
--- a/coordination/tests/balance.rs
+++ b/coordination/tests/balance.rs
@@ -6,7 +6,7 @@
 
 use medlarfall_coordination::balance::{Candidate, Load, choose, likely};
 use medlarfall_coordination::placement::{Proximity, name_hash};
-use medlarfall_coordination::readers::Readers;
+use medlarfall_coordination::readers::{Readers, retry_pause};
 use medlarfall_coordination::shared_load::{Count, FRESH, Table};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -293,3 +293,15 @@
     assert_eq!(likely(&servers, 5, 1).len(), 1);
     assert!(likely(&[], 5, 8).is_empty());
 }
+
+/// Two readers' watches fall silent at the same moment. Each has just heard that the other reads, and
+/// a configuration has to be in force 2 s after its acceptance: both ask again at once.
+#[test]
+fn a_lost_answer_is_asked_for_again_at_once_though_others_read() {
+    for failures in 1..=2 {
+        assert!(retry_pause(failures, true) <= Duration::from_millis(50));
+    }
+    let turned_away = retry_pause(3, true);
+    assert!(turned_away >= Duration::from_secs(1), "{turned_away:?}");
+    assert!(retry_pause(9, false) <= Duration::from_millis(250));
+}
--- a/relay/src/follow.rs
+++ b/relay/src/follow.rs
@@ -13,27 +13,20 @@
 use tokio::time::timeout;
 
 use medlarfall_coordination::canary::Order;
+use medlarfall_coordination::readers::retry_pause;
 use medlarfall_runtime::store::{Change, Changes, Error, Store};
 
 use crate::dialect::{Dialect, Entry};
 use crate::state::Relay;
 
 /// Longest time that a watch waits for changes. A configuration has to be in force within 2 s of
-/// its acceptance, also when a watch has fallen silent.
-const WATCH_TIME: Duration = Duration::from_millis(1_500);
+/// its acceptance, also when a watch has fallen silent: with the time for an answer and another call
+/// after it that takes 1.7 s.
+const WATCH_TIME: Duration = Duration::from_millis(1_200);
 
 /// Time beyond its own that a call may take until it is given up.
 const ANSWER_TIME: Duration = Duration::from_millis(400);
 
-/// Longest pause after a call that failed; each call is paid for, and an outage lasts seconds.
-const RETRY_PAUSE: Duration = Duration::from_millis(250);
-
-/// Pause after the first call that failed.
-const FIRST_PAUSE: Duration = Duration::from_millis(20);
-
-/// Pause after a call that failed while other entries read: what they tell serves this one too.
-const TURNED_AWAY_PAUSE: Duration = Duration::from_secs(2);
-
 /// Time between two looks at whether this entry has to read.
 const READER_CHECK: Duration = Duration::from_millis(100);
 
@@ -101,21 +94,13 @@
             tokio::time::sleep(COALESCE).await;
         } else {
             failures = failures.saturating_add(1);
-            tokio::time::sleep(pause(failures, others_read)).await;
+            // Spread, so that entries do not ask again at the same moment.
+            let part = rand::rng().random_range(0.5..=1.0);
+            tokio::time::sleep(retry_pause(failures, others_read).mul_f64(part)).await;
         }
     }
 }
 
-/// Returns the pause after a number of failures in a row.
-fn pause(failures: u32, others_read: bool) -> Duration {
-    if others_read {
-        return TURNED_AWAY_PAUSE;
-    }
-    let doubled = FIRST_PAUSE * 2_u32.pow(failures.saturating_sub(1).min(6));
-    let longest = doubled.min(RETRY_PAUSE);
-    longest.mul_f64(rand::rng().random_range(0.5..=1.0))
-}
-
 fn tell<D: Dialect>(relay: &Relay<D>, answers: bool, reason: &str) {
     relay.metrics.store_up.set(i64::from(answers));
     if answers {
