feat(relay): log the parts of prompts of runs that fail

An operator could not tell which requests end servers: the log named requests and servers, not what the requests have in common.

--- a/relay/src/codec.rs
+++ b/relay/src/codec.rs
@@ -29,6 +29,8 @@
     pub last_event: Option<u64>,
     /// Hash of the prompt's shared parts; equal for prompts with the same prefix.
     pub prompt_hash: Option<u64>,
+    /// Identifiers of the prompt's parts, in order; requests share all but the last.
+    pub prompt_parts: Arc<[u64]>,
     /// Identifier of the last part of the prompt, which no other request shares.
     pub last_part: Option<Arc<str>>,
     /// Length of the prompt in tokens.
--- a/relay/src/ingress.rs
+++ b/relay/src/ingress.rs
@@ -69,6 +69,14 @@
         account.unwrap_or(self.route.priority).min(9)
     }
 
+    /// Returns the identifiers of the prompt's parts as text, for logs.
+    #[must_use]
+    pub fn parts_text(&self) -> String {
+        let parts = self.head.prompt_parts.iter();
+        let parts: Vec<String> = parts.map(|part| format!("{part:08x}")).collect();
+        parts.join(",")
+    }
+
     /// Returns the hash that places the request: the hash of its prompt prefix, or else of its
     /// identifier.
     #[must_use]
--- a/relay/src/stream.rs
+++ b/relay/src/stream.rs
@@ -70,7 +70,8 @@
     avoided_domains: Vec<Arc<str>>,
     backup: Option<Arc<Backend>>,
     replacement: Option<Replacement>,
-    has_events: bool,
+    /// Events that arrived from the current run.
+    run_events: u32,
     /// Whether an attempt's outcome is unknown: a server may be processing it.
     in_flight: bool,
     retry_withdrawn: bool,
@@ -121,7 +122,7 @@
             avoided_domains: Vec::new(),
             backup: None,
             replacement: None,
-            has_events: false,
+            run_events: 0,
             in_flight: false,
             retry_withdrawn: false,
             arrivals: 0,
@@ -290,7 +291,8 @@
         log::info!(
             request = &*self.job.original.request_id, server = &*backend.server.id,
             failure_domain = &*backend.server.failure_domain,
-            last_event = self.last_event.unwrap_or(0), reason = failure.to_string().as_str();
+            last_event = self.last_event.unwrap_or(0), parts = self.job.parts_text().as_str(),
+            reason = failure.to_string().as_str();
             "send failed"
         );
     }
@@ -372,7 +374,7 @@
                 self.record_server_failure(backend);
             }
             self.backup = backup;
-            self.has_events = false;
+            self.run_events = 0;
         }
         Ok(Opened {
             answer: answer?,
--- a/relay/src/stream/backups.rs
+++ b/relay/src/stream/backups.rs
@@ -14,7 +14,7 @@
     pub(super) fn take_backup(&mut self) -> Option<(Arc<Backend>, Option<Backup>)> {
         let replacement = self.replacement.take();
         let server = self.backup.take();
-        if !self.has_events {
+        if self.run_events == 0 {
             return None;
         }
         if let Some(replacement) =
--- a/relay/src/stream/forwarding.rs
+++ b/relay/src/stream/forwarding.rs
@@ -188,7 +188,8 @@
             failure_domain = &*failed.server.failure_domain, cause,
             last_event = self.last_event.unwrap_or(0),
             silent_ms = now.saturating_sub(self.last_event_at).as_millis(),
-            copy = self.backup.as_ref().map_or("", |backup| &*backup.server.id);
+            copy = self.backup.as_ref().map_or("", |backup| &*backup.server.id),
+            run_events = self.run_events, parts = self.job.parts_text().as_str();
             "stream leaves its server"
         );
     }
@@ -201,7 +202,7 @@
         // Bytes that complete no new event are no progress: a stalled server may send some for ever.
         let mut progress_at = Instant::now();
         loop {
-            let bound = if self.has_events {
+            let bound = if self.run_events > 0 {
                 self.relay.settings.liveness.stream_silence_limit * 2_u32.pow(self.silences.min(3))
             } else {
                 self.first_event_timeout()
@@ -232,7 +233,8 @@
                     (Some(id), Some(last)) if id > last + 1 => return RunEnd::Lost("gap"),
                     _ => {}
                 }
-                if !std::mem::replace(&mut self.has_events, true) {
+                self.run_events += 1;
+                if self.run_events == 1 {
                     source.run.occupancy.prefill_done();
                     self.maintain_backup(&source.run.backend);
                 }
