fix(relay): block prompts that crash the servers that answer them

Cause: a run that is lost with its server is sent to the next one, as often as the route allows, whatever was lost with it before; no entry remembers what the lost runs have in common, and none tells the others. The class of fault: a retry that carries the fault with it.

Runs that are lost before they begin to answer are now told to all entries with the parts of their prompts, and so are answers to prompts with suspect parts. Three losses at different moments without an answer in between block the parts that they have in common, more where other prompts are lost often too; runs in prefill are ended. The result is recorded in the store for entries that start.

Evidence: the parts in the logs: 63 of 90 runs lost before their first event had one part in common. Ruled out: load (one to four streams at a server that ended) and failure domains (all of them, one server at a time).

--- a/coordination/src/dissemination.rs
+++ b/coordination/src/dissemination.rs
@@ -13,6 +13,7 @@
 use std::time::Duration;
 
 use crate::placement::name_hash;
+use crate::quarantine::{Loss, Part};
 use crate::retry_budget::Usage;
 
 pub mod codec;
@@ -21,6 +22,7 @@
 pub mod moves;
 pub mod news;
 mod node;
+mod prompt_news;
 pub mod roster;
 
 pub use ledger::{Count, Summary};
@@ -74,6 +76,15 @@
     pub started_ms: Option<u64>,
 }
 
+/// Losses and answers of prompts that may crash servers, and how long ago.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Prompts {
+    /// Runs that were lost before their answer began.
+    pub losses: Vec<(Loss, Duration)>,
+    /// Parts of answered prompts that were suspect.
+    pub answers: Vec<(Arc<[Part]>, Duration)>,
+}
+
 /// The entry that sent a message.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Sender {
@@ -106,6 +117,8 @@
     pub usage: Vec<(Arc<str>, Usage)>,
     /// Its reports on moves.
     pub moves: Vec<MoveReport>,
+    /// What it saw of prompts that may crash servers.
+    pub prompts: Prompts,
 }
 
 /// State of failure domains.
@@ -119,6 +132,8 @@
     pub successors: Vec<Successor>,
     /// Reports on moves.
     pub moves: Vec<MoveReport>,
+    /// What was seen of prompts that may crash servers.
+    pub prompts: Prompts,
     /// Entries of the sender's failure domain that can be its hubs.
     pub contacts: Vec<Contact>,
 }
@@ -155,10 +170,12 @@
 /// What a received message says that the entry acts on itself.
 #[derive(Clone, Debug, Default)]
 pub struct Received {
-    /// Servers that another entry could not reach recently.
-    pub lost: Vec<Tag>,
+    /// Servers that another entry could not reach recently, and how long ago.
+    pub lost: Vec<(Tag, Duration)>,
     /// Successors of lost servers.
     pub successors: Vec<Successor>,
     /// Reports on moves.
     pub moves: Vec<MoveReport>,
+    /// What was seen of prompts that may crash servers.
+    pub prompts: Prompts,
 }
--- a/coordination/src/dissemination/codec.rs
+++ b/coordination/src/dissemination/codec.rs
@@ -8,10 +8,12 @@
 
 use crate::canary;
 use crate::evidence::{Cohort, Observation};
+use crate::quarantine::{Loss, Part};
 use crate::retry_budget::Usage;
 
 use super::{
-    Contact, Content, Count, Digest, Message, MoveReport, Report, Sender, Successor, Summary, Tag,
+    Contact, Content, Count, Digest, Message, MoveReport, Prompts, Report, Sender, Successor,
+    Summary, Tag,
 };
 
 /// Why a datagram is not a message.
@@ -104,6 +106,8 @@
             successors: texts(report.successors, Into::into),
             retries: encode_usage(report.usage),
             moves: texts(report.moves, Into::into),
+            prompt_losses: texts(report.prompts.losses, encode_loss),
+            prompt_answers: texts(report.prompts.answers, encode_answer),
         }
     }
 }
@@ -118,6 +122,7 @@
             successors: texts(report.successors, Into::into),
             usage: decode_usage(report.retries),
             moves: texts(report.moves, Into::into),
+            prompts: decode_prompts(report.prompt_losses, report.prompt_answers),
         })
     }
 }
@@ -140,6 +145,8 @@
             lost: encode_lost(&digest.lost),
             successors: texts(digest.successors, Into::into),
             moves: texts(digest.moves, Into::into),
+            prompt_losses: texts(digest.prompts.losses, encode_loss),
+            prompt_answers: texts(digest.prompts.answers, encode_answer),
             contacts: texts(digest.contacts, contact),
             updates: None,
         }
@@ -174,6 +181,7 @@
             lost: decode_lost(digest.lost)?,
             successors: texts(digest.successors, Into::into),
             moves: texts(digest.moves, Into::into),
+            prompts: decode_prompts(digest.prompt_losses, digest.prompt_answers),
             contacts: digest
                 .contacts
                 .into_iter()
@@ -224,6 +232,36 @@
     Ok(lost.servers.into_iter().zip(ages).collect())
 }
 
+fn encode_loss((loss, age): (Loss, Duration)) -> peers::PromptLoss {
+    peers::PromptLoss {
+        server: loss.server,
+        parts: loss.parts.to_vec(),
+        age_ms: millis(age),
+    }
+}
+
+fn encode_answer((parts, age): (Arc<[Part]>, Duration)) -> peers::PromptAnswer {
+    peers::PromptAnswer {
+        parts: parts.to_vec(),
+        age_ms: millis(age),
+    }
+}
+
+fn decode_prompts(losses: Vec<peers::PromptLoss>, answers: Vec<peers::PromptAnswer>) -> Prompts {
+    let age = |milliseconds| Duration::from_millis(u64::from(milliseconds));
+    let loss = |loss: peers::PromptLoss| {
+        let parts = Arc::from(loss.parts);
+        let server = loss.server;
+        (Loss { server, parts }, age(loss.age_ms))
+    };
+    Prompts {
+        losses: texts(losses, loss),
+        answers: texts(answers, |answer| {
+            (Arc::from(answer.parts), age(answer.age_ms))
+        }),
+    }
+}
+
 fn encode_usage(usage: Vec<(Arc<str>, Usage)>) -> Vec<peers::RetryUsage> {
     texts(usage, |(service, usage)| peers::RetryUsage {
         service: service.to_string(),
--- a/coordination/src/dissemination/news.rs
+++ b/coordination/src/dissemination/news.rs
@@ -17,7 +17,7 @@
 /// Periodic messages within which all events that are no longer new are repeated.
 const ROTATION: usize = 5;
 
-/// Most events that are kept.
+/// Most events that are kept, unless the events are large.
 const CAPACITY: usize = 4_096;
 
 /// Where an entry has an event from.
@@ -63,12 +63,22 @@
 pub struct News<T> {
     items: Vec<Item<T>>,
     cursors: [Cursor; Scope::COUNT],
+    capacity: usize,
 }
 
 impl<T> Default for News<T> {
     fn default() -> Self {
+        Self::with_capacity(CAPACITY)
+    }
+}
+
+impl<T> News<T> {
+    /// Returns a list that keeps at most `capacity` events, so that all of them fit into a message.
+    #[must_use]
+    pub fn with_capacity(capacity: usize) -> Self {
         Self {
             items: Vec::new(),
+            capacity,
             cursors: [Cursor::default(); Scope::COUNT],
         }
     }
@@ -88,7 +98,7 @@
                 return;
             }
         } else {
-            if self.items.len() >= CAPACITY {
+            if self.items.len() >= self.capacity {
                 self.items.remove(0);
             }
             self.items.push(Item {
@@ -143,6 +153,6 @@
 
     /// Removes all events.
     pub fn clear(&mut self) {
-        *self = Self::default();
+        *self = Self::with_capacity(self.capacity);
     }
 }
--- a/coordination/src/dissemination/node.rs
+++ b/coordination/src/dissemination/node.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::quarantine::{Loss, Part};
 use crate::reader_election::{Election, Rank};
 use crate::retry_budget::{Others, Usage};
 
@@ -12,6 +13,7 @@
 use super::members::{Change, Members};
 use super::moves::{MoveReport, Reports};
 use super::news::{self, Origin};
+use super::prompt_news::PromptNews;
 use super::roster::{Contact, Roster};
 use super::{Scope, Successor, Tag};
 
@@ -87,6 +89,7 @@
     lost: news::News<Tag>,
     successors: news::News<Successor>,
     moves: Reports,
+    prompts: PromptNews,
     election: Election,
     sent: [Sent; Scope::COUNT],
     hub: bool,
@@ -120,6 +123,7 @@
             lost: news::News::default(),
             successors: news::News::default(),
             moves: Reports::default(),
+            prompts: PromptNews::default(),
             sent: [Sent::default(); Scope::COUNT],
             hub: false,
             started_at: now,
@@ -245,6 +249,20 @@
         self.successors.clear();
     }
 
+    /// Adds a run that this entry lost before its answer began.
+    pub fn add_prompt_loss(&mut self, loss: Loss, now: Duration) {
+        self.prompts
+            .losses
+            .insert(loss, Duration::ZERO, Origin::Own, now);
+    }
+
+    /// Adds the suspect parts of a prompt whose answer began at this entry.
+    pub fn add_prompt_answer(&mut self, parts: Arc<[Part]>, now: Duration) {
+        self.prompts
+            .answers
+            .insert(parts, Duration::ZERO, Origin::Own, now);
+    }
+
     /// Replaces this entry's own report on a move.
     pub fn set_move(&mut self, service: &Arc<str>, report: crate::canary::Report, now: Duration) {
         let report = MoveReport {
@@ -311,6 +329,7 @@
 
     fn expire(&mut self, now: Duration) {
         self.lost.expire(now);
+        self.prompts.expire(now);
         let change = self.members.expire(now);
         self.update_sums(change, now);
         self.ledger.expire(now);
--- a/coordination/src/dissemination/node/receiving.rs
+++ b/coordination/src/dissemination/node/receiving.rs
@@ -6,10 +6,9 @@
 
 use crate::reader_election::rank;
 
-use super::super::moves::MoveReport;
 use super::super::news::Origin;
 use super::super::roster::Contact;
-use super::super::{Content, Digest, Message, Received, Report, Sender, Successor, Tag};
+use super::super::{Content, Digest, Message, Received, Report, Sender};
 use super::Node;
 
 impl Node {
@@ -51,13 +50,13 @@
         self.joined |= changed.joined;
         self.changed_reports += u32::from(changed.streams);
         self.update_sums(changed, now);
-        self.pass_on(
-            Origin::Domain,
-            report.lost,
-            report.successors,
-            report.moves,
-            now,
-        )
+        let received = Received {
+            lost: report.lost,
+            successors: report.successors,
+            moves: report.moves,
+            prompts: report.prompts,
+        };
+        self.pass_on(Origin::Domain, received, now)
     }
 
     fn receive_digest(
@@ -96,43 +95,36 @@
             lost,
             successors,
             moves,
+            prompts,
             ..
         } = digest;
-        if !local {
-            return self.pass_on(Origin::Remote, lost, successors, moves, now);
-        }
-        Received {
-            lost: lost.into_iter().map(|(server, _)| server).collect(),
+        let received = Received {
+            lost,
             successors,
             moves,
+            prompts,
+        };
+        if local {
+            return received;
         }
+        self.pass_on(Origin::Remote, received, now)
     }
 
     /// Returns received events, and keeps them to be passed on if this entry is a hub.
-    fn pass_on(
-        &mut self,
-        origin: Origin,
-        lost: Vec<(Tag, Duration)>,
-        successors: Vec<Successor>,
-        moves: Vec<MoveReport>,
-        now: Duration,
-    ) -> Received {
+    fn pass_on(&mut self, origin: Origin, received: Received, now: Duration) -> Received {
         if self.hub {
-            for (server, age) in &lost {
+            for (server, age) in &received.lost {
                 self.lost.insert(*server, *age, origin, now);
             }
-            for successor in &successors {
+            for successor in &received.successors {
                 self.successors
                     .insert(successor.clone(), Duration::ZERO, origin, now);
             }
-            for report in &moves {
+            for report in &received.moves {
                 self.moves.insert(report.clone(), origin, now);
             }
+            self.prompts.extend(&received.prompts, origin, now);
         }
-        Received {
-            lost: lost.into_iter().map(|(server, _)| server).collect(),
-            successors,
-            moves,
-        }
+        received
     }
 }
--- a/coordination/src/dissemination/node/sending.rs
+++ b/coordination/src/dissemination/node/sending.rs
@@ -109,6 +109,7 @@
             || self.lost.has_unsent(scope)
             || self.successors.has_unsent(scope)
             || self.moves.has_unsent_verdict(scope)
+            || self.prompts.has_unsent(scope)
     }
 
     fn send(&mut self, scope: Scope, now: Duration) -> Option<Outgoing> {
@@ -199,6 +200,7 @@
             successors: successors.into_iter().map(|(found, _)| found).collect(),
             usage: self.own.usage.clone(),
             moves: self.moves.batch(Scope::Report, periodic, now),
+            prompts: self.prompts.batch(Scope::Report, periodic, now),
         };
         self.reported = self.own.clone();
         let streams = report.streams.iter().copied();
@@ -218,6 +220,7 @@
             lost: self.lost.batch(scope, periodic, now),
             successors: successors.into_iter().map(|(found, _)| found).collect(),
             moves: self.moves.batch(scope, periodic, now),
+            prompts: self.prompts.batch(scope, periodic, now),
             contacts: if periodic {
                 self.contacts()
             } else {
--- a/coordination/src/lib.rs
+++ b/coordination/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod pacing;
 pub mod placement;
 pub mod planned_stop;
+pub mod quarantine;
 pub mod reader_election;
 pub mod registry;
 pub mod rendezvous;
--- /dev/null
+++ b/coordination/src/quarantine.rs
@@ -0,0 +1,403 @@
+//! Quarantine of prompts that crash the servers that begin to answer them.
+//!
+//! A request whose server is lost before the answer begins is sent to another server. If the prompt
+//! itself crashes servers, this crashes one after the other. The tracker finds the parts of prompts
+//! that such losses have in common and that no answered prompt has, and blocks the requests that have
+//! them.
+//!
+//! Servers are also lost for other reasons, together with the prompts in prefill there. Therefore a
+//! part needs several losses at different moments without an answer in between, more of them the more
+//! often other prompts are lost. What is blocked is a combination: all parts that these losses have in
+//! common. It shrinks when a prompt with some of its parts is answered, and ends when a prompt with
+//! all of them is.
+//!
+//! ```
+//! use medlarfall_coordination::quarantine::{Loss, Tracker};
+//! use std::time::Duration;
+//!
+//! let mut tracker = Tracker::default();
+//! for (server, last_part) in [(1, 10), (2, 11), (3, 12)] {
+//!     let now = Duration::from_secs(server.into());
+//!     let parts = [7, 666, last_part].into();
+//!     tracker.record_loss(&Loss { server, parts }, 60, now, now);
+//! }
+//! let now = Duration::from_secs(3);
+//! tracker.record_answer(&[7, 20], now, now);
+//! assert!(tracker.blocked_for(&[8, 666, 13], now).is_some());
+//! assert!(tracker.blocked_for(&[7, 21], now).is_none());
+//! ```
+
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::dissemination::Tag;
+
+/// Identifier of a part of a prompt.
+pub type Part = u64;
+
+/// Losses of a part at different moments after which it is blocked, if prompts are rarely lost.
+const LOSSES: usize = 3;
+
+/// Losses of a part that was blocked, alone or with others, after which it is blocked again.
+const REPEATED_LOSSES: usize = 2;
+
+/// Shortest time between two losses that count for a part. Servers that fail together are found lost
+/// within this time.
+const SPACING: Duration = Duration::from_millis(300);
+
+/// Time between the losses of two prompts at a server that count as one crash.
+const CRASH_WINDOW: Duration = Duration::from_millis(500);
+
+/// Time within which a loss of the same prompt at the same server is the same one, reported again.
+const REPEAT_WINDOW: Duration = Duration::from_secs(3);
+
+/// Time for which a loss counts.
+const MEMORY: Duration = Duration::from_secs(30);
+
+/// Time over which the rate of losses is measured.
+pub const RATE_WINDOW: Duration = Duration::from_secs(10);
+
+/// Accepted probability that a sound part has as many losses in a row as block it.
+const FALSE_POSITIVE_RATE: f64 = 2e-4;
+
+/// Bounds of the rate of losses among sound prompts: few requests give no smaller estimate, and above
+/// the upper one no number of losses tells anything.
+const RATE_BOUNDS: (f64, f64) = (0.02, 0.8);
+
+/// Time for which a combination is blocked first; doubled each time it crashes a server after that.
+pub const FIRST_TIME: Duration = Duration::from_mins(2);
+
+/// Longest time for which a combination is blocked.
+const LONGEST_TIME: Duration = Duration::from_mins(32);
+
+/// Interval in which about one entry of the fleet may try a combination whose time is over.
+const TRIAL_INTERVAL: Duration = Duration::from_secs(2);
+
+/// Time for which the answers to prompts are remembered, since news of an earlier loss may still be on
+/// its way.
+const ANSWER_MEMORY: Duration = Duration::from_secs(2);
+
+/// Most losses that are remembered.
+const MAX_LOSSES: usize = 256;
+
+/// Most combinations that are blocked.
+const MAX_COMBINATIONS: usize = 64;
+
+/// Most parts of a loss that are considered.
+const MAX_PARTS: usize = 32;
+
+/// A run that was lost with its server before its answer began.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Loss {
+    /// The server.
+    pub server: Tag,
+    /// Parts of the prompt.
+    pub parts: Arc<[Part]>,
+}
+
+#[derive(Clone, Debug)]
+struct Record {
+    server: Tag,
+    parts: Arc<[Part]>,
+    /// The parts that no prompt answered since had.
+    suspects: Vec<Part>,
+    at: Duration,
+}
+
+/// A blocked combination of parts.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Combination {
+    /// The parts, in ascending order. A request with all of them is blocked.
+    pub parts: Arc<[Part]>,
+    /// End of the time for which it is blocked. After that, single requests are tried.
+    pub ends_at: Duration,
+    time: Duration,
+}
+
+impl Combination {
+    fn new(parts: Arc<[Part]>, time: Duration, now: Duration) -> Self {
+        Self {
+            parts,
+            ends_at: now + time,
+            time,
+        }
+    }
+
+    fn within(&self, parts: &[Part]) -> bool {
+        self.parts.iter().all(|part| parts.contains(part))
+    }
+
+    /// Returns the end of the time in which single requests are tried.
+    fn forgotten_at(&self) -> Duration {
+        self.ends_at + self.time
+    }
+}
+
+/// The share of an entry in trials of combinations whose time is over.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Turn {
+    /// Entries that take turns.
+    pub entries: u32,
+    /// Number that differs between entries.
+    pub offset: u64,
+}
+
+impl Turn {
+    fn is_on(self, now: Duration) -> bool {
+        let interval = now.as_secs() / TRIAL_INTERVAL.as_secs();
+        (interval + self.offset).is_multiple_of(u64::from(self.entries.max(1)))
+    }
+}
+
+/// What an entry knows of prompts that crash servers.
+#[derive(Clone, Debug, Default)]
+pub struct Tracker {
+    records: VecDeque<Record>,
+    combinations: Vec<Combination>,
+    answered: HashMap<Part, Duration>,
+}
+
+impl Tracker {
+    /// Records a loss at `at`. `requests` is the number of requests for generations in the fleet over
+    /// [`RATE_WINDOW`]. Returns the parts of the loss that this entry has seen answered since, which
+    /// the other entries must learn.
+    pub fn record_loss(
+        &mut self,
+        loss: &Loss,
+        requests: u32,
+        at: Duration,
+        now: Duration,
+    ) -> Vec<Part> {
+        self.expire(now);
+        let parts = considered(&loss.parts);
+        let known = |record: &Record| {
+            record.server == loss.server
+                && record.parts == parts
+                && record.at.abs_diff(at) < REPEAT_WINDOW
+        };
+        if now.saturating_sub(at) >= MEMORY || self.records.iter().any(known) {
+            return Vec::new();
+        }
+        let answered_since = |part: &&Part| {
+            self.answered
+                .get(part)
+                .is_some_and(|answered| *answered > at)
+        };
+        let answered: Vec<Part> = parts.iter().filter(answered_since).copied().collect();
+        let unanswered = |part: &&Part| !answered.contains(part);
+        let suspects = parts.iter().filter(unanswered).copied().collect();
+        if self.records.len() >= MAX_LOSSES {
+            self.records.pop_front();
+        }
+        for combination in &mut self.combinations {
+            if combination.within(&parts) && combination.ends_at <= at {
+                let time = (combination.time * 2).min(LONGEST_TIME);
+                *combination = Combination::new(Arc::clone(&combination.parts), time, now);
+            }
+        }
+        self.records.push_back(Record {
+            server: loss.server,
+            parts,
+            suspects,
+            at,
+        });
+        while let Some(parts) = self.find(requests, now) {
+            self.block(parts, now);
+        }
+        answered
+    }
+
+    /// Records that the answer to a prompt with `parts` began at `at`. Returns the parts that were
+    /// suspect, which the other entries must learn.
+    pub fn record_answer(&mut self, parts: &[Part], at: Duration, now: Duration) -> Vec<Part> {
+        self.expire(now);
+        let mut cleared = Vec::new();
+        for part in parts {
+            let answered_at = self.answered.entry(*part).or_default();
+            *answered_at = at.max(*answered_at);
+        }
+        for record in self.records.iter_mut().filter(|record| record.at < at) {
+            record.suspects.retain(|suspect| {
+                let answered = parts.contains(suspect);
+                cleared.extend(answered.then_some(*suspect));
+                !answered
+            });
+        }
+        self.combinations.retain_mut(|combination| {
+            let (answered, rest): (Vec<Part>, Vec<Part>) = combination
+                .parts
+                .iter()
+                .partition(|part| parts.contains(*part));
+            if !answered.is_empty() {
+                cleared.extend(answered);
+                combination.parts = rest.into();
+            }
+            !combination.parts.is_empty()
+        });
+        cleared.sort_unstable();
+        cleared.dedup();
+        cleared
+    }
+
+    /// Returns for how long requests with these parts are blocked, if they are.
+    #[must_use]
+    pub fn blocked_for(&self, parts: &[Part], now: Duration) -> Option<Duration> {
+        let matching = self.matching(parts);
+        let remaining = matching.map(|combination| combination.ends_at.saturating_sub(now));
+        remaining.max().filter(|remaining| !remaining.is_zero())
+    }
+
+    /// Returns for how long a request with these parts is refused, if it is: it is blocked, or the time
+    /// is over, and it is not this entry's turn to try it.
+    #[must_use]
+    pub fn refused_for(&self, parts: &[Part], turn: Turn, now: Duration) -> Option<Duration> {
+        let waits = || {
+            let mut open = self.matching(parts);
+            let waiting = open.any(|combination| now < combination.forgotten_at());
+            (waiting && !turn.is_on(now)).then_some(TRIAL_INTERVAL)
+        };
+        self.blocked_for(parts, now).or_else(waits)
+    }
+
+    /// Blocks a combination that another entry has found, for the rest of its time. Returns whether it
+    /// was not blocked before.
+    pub fn adopt(&mut self, parts: &[Part], remaining: Duration, now: Duration) -> bool {
+        let parts = sorted(parts.to_vec());
+        if parts.is_empty() || self.matching(&parts).next().is_some() {
+            return false;
+        }
+        let combination = Combination {
+            ends_at: now + remaining,
+            ..Combination::new(parts, FIRST_TIME, now)
+        };
+        self.insert(combination);
+        true
+    }
+
+    /// Returns the blocked combinations.
+    pub fn blocked(&self, now: Duration) -> impl Iterator<Item = &Combination> {
+        let combinations = self.combinations.iter();
+        combinations.filter(move |combination| now < combination.ends_at)
+    }
+
+    fn matching(&self, parts: &[Part]) -> impl Iterator<Item = &Combination> {
+        let combinations = self.combinations.iter();
+        combinations.filter(move |combination| combination.within(parts))
+    }
+
+    /// Returns whether a known combination explains a loss: the lost prompt has it, or another prompt
+    /// that was lost in the same crash.
+    fn is_explained(&self, record: &Record) -> bool {
+        let same_crash = |other: &&Record| {
+            other.server == record.server && other.at.abs_diff(record.at) < CRASH_WINDOW
+        };
+        let mut crash = self.records.iter().filter(same_crash);
+        crash.any(|other| self.matching(&other.parts).next().is_some())
+    }
+
+    /// Returns the next combination to block.
+    fn find(&self, requests: u32, now: Duration) -> Option<Arc<[Part]>> {
+        let records = self.records.iter();
+        let open: Vec<&Record> = records
+            .filter(|record| !self.is_explained(record))
+            .collect();
+        let mut losses: BTreeMap<Part, Vec<&Record>> = BTreeMap::new();
+        for record in &open {
+            for part in &record.suspects {
+                losses.entry(*part).or_default().push(record);
+            }
+        }
+        let counted = losses.iter().map(|(part, losses)| (part, spaced(losses)));
+        let enough = counted.filter(|(part, count)| *count >= self.limit(**part, requests, now));
+        let (part, _) = enough.max_by_key(|(_, count)| *count)?;
+        self.common_suspects(*part)
+    }
+
+    /// Returns the suspect parts that all losses of a part have in common.
+    fn common_suspects(&self, part: Part) -> Option<Arc<[Part]>> {
+        let records = self.records.iter();
+        let of_part = records.filter(|record| record.suspects.contains(&part));
+        let suspects = of_part.map(|record| record.suspects.clone());
+        let common = suspects.reduce(|mut common, suspects| {
+            common.retain(|part| suspects.contains(part));
+            common
+        })?;
+        Some(sorted(common))
+    }
+
+    /// Returns the number of losses after which a part is blocked.
+    fn limit(&self, part: Part, requests: u32, now: Duration) -> usize {
+        let others = self.records.iter().filter(|record| {
+            now.saturating_sub(record.at) < RATE_WINDOW && !record.parts.contains(&part)
+        });
+        let others = u32::try_from(others.count()).unwrap_or(u32::MAX);
+        let rate = f64::from(others) / f64::from(requests.max(1));
+        let rate = rate.clamp(RATE_BOUNDS.0, RATE_BOUNDS.1);
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "at most 39, since the rate is bounded"
+        )]
+        let in_a_row = (FALSE_POSITIVE_RATE.ln() / rate.ln()).ceil() as usize;
+        let known = self.combinations.iter();
+        if known
+            .flat_map(|known| known.parts.iter())
+            .any(|known| *known == part)
+        {
+            in_a_row.saturating_sub(1).max(REPEATED_LOSSES)
+        } else {
+            in_a_row.max(LOSSES)
+        }
+    }
+
+    fn block(&mut self, parts: Arc<[Part]>, now: Duration) {
+        let wider =
+            |combination: &Combination| parts.iter().all(|part| combination.parts.contains(part));
+        self.combinations.retain(|combination| !wider(combination));
+        self.insert(Combination::new(parts, FIRST_TIME, now));
+    }
+
+    fn insert(&mut self, combination: Combination) {
+        if self.combinations.len() >= MAX_COMBINATIONS {
+            self.combinations.remove(0);
+        }
+        self.combinations.push(combination);
+    }
+
+    fn expire(&mut self, now: Duration) {
+        self.records
+            .retain(|record| now.saturating_sub(record.at) < MEMORY);
+        self.combinations
+            .retain(|combination| now < combination.forgotten_at());
+        self.answered
+            .retain(|_, answered| now.saturating_sub(*answered) < ANSWER_MEMORY);
+    }
+}
+
+/// Returns the first parts of a prompt and its last one, without repetitions.
+fn considered(parts: &[Part]) -> Arc<[Part]> {
+    let first = parts.iter().take(MAX_PARTS - 1);
+    sorted(first.chain(parts.last()).copied().collect())
+}
+
+fn sorted(mut parts: Vec<Part>) -> Arc<[Part]> {
+    parts.sort_unstable();
+    parts.dedup();
+    parts.into()
+}
+
+/// Returns how many losses are [`SPACING`] apart.
+fn spaced(losses: &[&Record]) -> usize {
+    let mut times: Vec<Duration> = losses.iter().map(|record| record.at).collect();
+    times.sort_unstable();
+    let mut last: Option<Duration> = None;
+    let counts = |at: &Duration| {
+        let counts = last.is_none_or(|last| at.saturating_sub(last) >= SPACING);
+        if counts {
+            last = Some(*at);
+        }
+        counts
+    };
+    times.into_iter().filter(counts).count()
+}
--- a/coordination/tests/dissemination.rs
+++ b/coordination/tests/dissemination.rs
@@ -13,6 +13,7 @@
 };
 use medlarfall_coordination::evidence::{Cohort, Observation};
 use medlarfall_coordination::placement::{Proximity, name_hash};
+use medlarfall_coordination::quarantine::{Loss, Tracker};
 use medlarfall_coordination::retry_budget::Usage;
 use medlarfall_schema::peers;
 use prost::Message as _;
@@ -74,6 +75,8 @@
     order: u64,
     /// Entries that learned of each lost server.
     heard_lost: HashMap<Tag, HashSet<usize>>,
+    /// What each entry knows of prompts that crash servers.
+    prompts: Vec<Tracker>,
     /// Observations of moves that each entry received of each other one, by the rule that a part after a gap
     /// is left out.
     observations: HashMap<(usize, Arc<str>), usize>,
@@ -130,6 +133,7 @@
             network: BinaryHeap::new(),
             order: 0,
             heard_lost: HashMap::new(),
+            prompts: vec![Tracker::default(); entries],
             observations: HashMap::new(),
             traffic: vec![(0, 0, 0); entries],
         };
@@ -201,7 +205,11 @@
                 *known = (*known).max(first + length);
             }
         }
-        for server in news.lost {
+        for (loss, age) in &news.prompts.losses {
+            let at = self.now.saturating_sub(*age);
+            self.prompts[arrived.to].record_loss(loss, 1_000, at, self.now);
+        }
+        for (server, _) in news.lost {
             self.heard_lost
                 .entry(server)
                 .or_default()
@@ -335,6 +343,24 @@
     assert!(soon >= 0.99 && later >= 1.0, "{soon} {later}");
 }
 
+/// Three entries lose a run each, and a twentieth of the datagrams is lost.
+#[test]
+fn all_entries_block_a_prompt_that_crashes_servers_within_a_second() {
+    let mut fleet = Fleet::start(300, 6, 12);
+    fleet.run(Duration::from_secs(2), 0);
+    for (server, entry) in [(1, 7), (2, 101), (3, 255)] {
+        let now = fleet.now;
+        let parts = [666, 1_000 + u64::from(server)].into();
+        let loss = Loss { server, parts };
+        fleet.nodes[entry].add_prompt_loss(loss.clone(), now);
+        fleet.prompts[entry].record_loss(&loss, 1_000, now, now);
+        fleet.run(Duration::from_millis(400), 5);
+    }
+    fleet.run(Duration::from_millis(600), 5);
+    let blocks = |prompts: &&Tracker| prompts.blocked_for(&[666, 1], fleet.now).is_some();
+    assert_eq!(fleet.prompts.iter().filter(blocks).count(), 300);
+}
+
 /// A tenth of the entries die, among them all hubs of one failure domain.
 #[test]
 fn news_spreads_after_entries_and_hubs_died() {
--- a/relay/src/answer.rs
+++ b/relay/src/answer.rs
@@ -109,6 +109,8 @@
     Full,
     /// The prompt exceeds the KV-cache capacity of the service's engines.
     PromptTooLarge,
+    /// Prompts with parts of this one crash the servers that begin to answer them.
+    PromptBlocked,
     /// The retry budget of the service is used up.
     RetryBudget,
     /// A server was lost that may have run the request.
@@ -136,6 +138,7 @@
             | Self::NoServer
             | Self::Full
             | Self::PromptTooLarge
+            | Self::PromptBlocked
             | Self::RetryBudget
             | Self::TooLate
             | Self::Memory
@@ -158,6 +161,7 @@
             Self::NoServer => "no_server",
             Self::Full => "full",
             Self::PromptTooLarge => "prompt_too_large",
+            Self::PromptBlocked => "prompt_blocked",
             Self::RetryBudget => "retry_budget",
             Self::Lost => "lost",
             Self::TimedOut => "timed_out",
--- a/relay/src/attempt.rs
+++ b/relay/src/attempt.rs
@@ -56,6 +56,8 @@
     Lost {
         /// Cause of the failure.
         reason: String,
+        /// Whether the server or the connection to it was lost, as when the server crashes.
+        disconnected: bool,
     },
 }
 
@@ -165,8 +167,10 @@
     let response = sender.send_request(request).await.map_err(|error| {
         let now = relay.clock.now();
         backend.load(|load| load.record_outcome(true, now));
-        let reason = error.to_string();
-        Failure::Lost { reason }
+        Failure::Lost {
+            reason: error.to_string(),
+            disconnected: true,
+        }
     })?;
     let (parts, body) = response.into_parts();
     let reply = relay.codec.decode_reply(&original.request_id, &parts);
@@ -191,6 +195,7 @@
         return Err(Failure::Lost {
             reason: "response carries another request's identifier or no server signature"
                 .to_owned(),
+            disconnected: false,
         });
     }
     backend.load(|load| load.record_outcome(parts.status.is_server_error(), now));
--- a/relay/src/call.rs
+++ b/relay/src/call.rs
@@ -112,6 +112,13 @@
 ) -> Result<Received, Refusal> {
     let mut failed: Option<Received> = None;
     loop {
+        if let Some(pause) = relay.prompt_refused_for(&job.head.prompt_parts) {
+            let refused = match progress.ran {
+                0 => Refusal::with_retry(Reason::PromptBlocked, pause),
+                _ => Refusal::new(Reason::Lost),
+            };
+            return failed.ok_or(refused);
+        }
         let Some(backend) = next(relay, job, progress).await else {
             return failed.ok_or_else(|| refusal(progress));
         };
@@ -134,7 +141,10 @@
         };
         record_attempt(relay, job, &backend, &received, sent_at);
         match received {
-            Ok(received) if !received.status.is_server_error() => return Ok(received),
+            Ok(received) if !received.status.is_server_error() => {
+                relay.record_answered_prompt(&job.head.prompt_parts);
+                return Ok(received);
+            }
             Ok(received) => {
                 progress.record_run(&mut failed, Some(received));
             }
@@ -150,7 +160,13 @@
                 progress.full |= status != 421;
                 log_failure(job, &backend, "not_run", "refused by the server");
             }
-            Err(Failure::Lost { reason }) => {
+            Err(Failure::Lost {
+                reason,
+                disconnected,
+            }) => {
+                if disconnected {
+                    relay.record_unanswered_prompt(&backend, &job.head.prompt_parts);
+                }
                 progress.record_run(&mut failed, None);
                 log_failure(job, &backend, "lost", &reason);
             }
@@ -277,6 +293,7 @@
             backend.load(|load| load.record_outcome(true, now));
             Failure::Lost {
                 reason: error.to_string(),
+                disconnected: true,
             }
         })?;
         bytes.extend_from_slice(&frame.into_data().unwrap_or_default());
--- a/relay/src/codec.rs
+++ b/relay/src/codec.rs
@@ -145,6 +145,13 @@
         /// Whether the version was accepted.
         good: bool,
     },
+    /// The record of a combination of prompt parts that is blocked.
+    BlockedPrompt {
+        /// Key of the record.
+        key: Arc<str>,
+        /// The record, in the form of [`crate::quarantine`]; `None` if it was removed.
+        value: Option<String>,
+    },
     /// A key that the relay does not use.
     Other,
 }
@@ -221,6 +228,9 @@
     /// Returns the key under which an entry registers; with an empty name, the prefix of all of them.
     fn entry_key(&self, entry: &str) -> String;
 
+    /// Returns the key under which a blocked combination of prompt parts is recorded.
+    fn blocked_prompt_key(&self, name: &str) -> String;
+
     /// Returns the server's name if `key` is the key of a server's registration.
     fn server_id<'key>(&self, key: &'key str) -> Option<&'key str>;
 }
--- a/relay/src/ingress.rs
+++ b/relay/src/ingress.rs
@@ -18,7 +18,7 @@
 use crate::answer::{Content, Reason, Refusal};
 use crate::attempt::Original;
 use crate::codec::{Codec, Head, Invalid};
-use crate::state::Relay;
+use crate::state::{Relay, parts_text};
 use crate::{call, stream};
 
 /// Longest time that a request waits for a configuration or for a server to become known. It stays
@@ -72,9 +72,7 @@
     /// Returns the identifiers of the prompt's parts as text, for logs.
     #[must_use]
     pub fn parts_text(&self) -> String {
-        let parts = self.head.prompt_parts.iter();
-        let parts: Vec<String> = parts.map(|part| format!("{part:08x}")).collect();
-        parts.join(",")
+        parts_text(&self.head.prompt_parts)
     }
 
     /// Returns the hash that places the request: the hash of its prompt prefix, or else of its
--- a/relay/src/lib.rs
+++ b/relay/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod monitor;
 pub mod moves;
 pub mod prompt_cache;
+pub mod quarantine;
 pub mod rediscover;
 pub mod registration;
 pub mod state;
--- a/relay/src/metrics.rs
+++ b/relay/src/metrics.rs
@@ -77,6 +77,8 @@
     Registration,
     /// Records the end of a move.
     MoveEnd,
+    /// Records a blocked combination of prompt parts, or removes its record.
+    BlockedPrompt,
 }
 
 impl StoreCall {
@@ -91,6 +93,7 @@
             Self::Renewal => "renewal",
             Self::Registration => "registration",
             Self::MoveEnd => "move_end",
+            Self::BlockedPrompt => "blocked_prompt",
         }
     }
 }
@@ -158,6 +161,10 @@
     pub retries: Counter,
     /// Retries that a budget refused.
     pub retries_refused: Counter,
+    /// Prompts whose server was lost before it began to answer them.
+    pub prompts_lost: Counter,
+    /// Combinations of prompt parts that were blocked since they crash servers.
+    pub prompts_blocked: Counter,
     /// Calls to the store by kind.
     pub store_calls: Family<KindLabels, Counter>,
     /// Messages sent to other entries by kind; one to several entries counts for each.
@@ -239,6 +246,13 @@
             servers_lost: add(new, "servers_lost", "Servers found lost", counter()),
             retries: add(new, "retries", "Repeats sent", counter()),
             retries_refused: add(new, "retries_refused", "Repeats refused", counter()),
+            prompts_lost: add(new, "prompts_lost", "Prompts that got no answer", counter()),
+            prompts_blocked: add(
+                new,
+                "prompts_blocked",
+                "Prompts that crash servers",
+                counter(),
+            ),
             store_calls: add(new, "store_calls", "Calls to the store", Family::default()),
             messages: add(
                 new,
--- /dev/null
+++ b/relay/src/quarantine.rs
@@ -0,0 +1,110 @@
+//! Records the combinations of prompt parts that are blocked in the store, so that entries that start
+//! know them.
+//!
+//! A record has a lease of the time for which a combination is blocked first. Only entries that read
+//! the store write records: the others would write the same, and each store call has a cost.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use medlarfall_coordination::quarantine::{FIRST_TIME, Part};
+use medlarfall_runtime::store::{Change, Error, Store};
+use serde::{Deserialize, Serialize};
+use tokio::time::{sleep, timeout};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::codec::Codec;
+use crate::metrics::StoreCall;
+use crate::state::{Due, Relay, parts_text};
+use crate::store_watch::{self, with_timeout};
+
+/// Pause between two attempts to write records, while this entry reads the store.
+const RETRY_PAUSE: Duration = Duration::from_millis(500);
+
+/// Value of a record.
+#[derive(Debug, Deserialize, Serialize)]
+struct Value {
+    parts: Vec<Part>,
+}
+
+/// Applies a record of the store, or its removal (`None`). A record that can't be decoded is logged and
+/// has no effect.
+pub fn apply<C: Codec>(relay: &Relay<C>, key: &Arc<str>, value: Option<&str>, revision: u64) {
+    let parts = match value.map(serde_json::from_str::<Value>).transpose() {
+        Ok(value) => value.map(|value| value.parts.into()),
+        Err(error) => {
+            log::warn!(key = &**key, problem = error.to_string().as_str(); "record of a blocked prompt not decoded");
+            return;
+        }
+    };
+    relay.apply_prompt_record(key, parts, revision);
+}
+
+/// Writes records until the task is aborted.
+pub async fn run<C: Codec, S: Store>(relay: Arc<Relay<C>>, store: S) {
+    loop {
+        let Due { new, ended } = relay.prompt_records_due();
+        if new.is_empty() && ended.is_empty() {
+            relay.prompts_changed.notified().await;
+            continue;
+        }
+        if relay.reads_store.load(Ordering::Relaxed) {
+            for parts in &new {
+                let written = write(&relay, &store, parts).await;
+                log_outcome(parts, "recorded", written);
+            }
+            for (key, revision) in &ended {
+                relay.metrics.count_store_call(StoreCall::BlockedPrompt);
+                let deleting = store.delete(key, *revision);
+                if with_timeout(Duration::ZERO, deleting).await.is_ok() {
+                    relay.apply_prompt_record(key, None, *revision);
+                }
+            }
+        }
+        let _ = timeout(RETRY_PAUSE, relay.prompts_changed.notified()).await;
+        sleep(Duration::from_millis(1)).await;
+    }
+}
+
+fn log_outcome(parts: &[Part], outcome: &'static str, written: Result<(), Error>) {
+    let parts = parts_text(parts);
+    match written {
+        Ok(()) => log::info!(parts = parts.as_str(), outcome; "record of a blocked prompt written"),
+        Err(error) => {
+            let reason = error.to_string();
+            log::warn!(parts = parts.as_str(), reason = reason.as_str(); "record of a blocked prompt not written yet");
+        }
+    }
+}
+
+/// Writes the record of a combination, unless another entry has written it.
+async fn write<C: Codec, S: Store>(
+    relay: &Relay<C>,
+    store: &S,
+    parts: &Arc<[Part]>,
+) -> Result<(), Error> {
+    let name = format!("{:016x}", xxh3_64(parts_text(parts).as_bytes()));
+    let key = relay.codec.blocked_prompt_key(&name);
+    let value = Value {
+        parts: parts.to_vec(),
+    };
+    let value = serde_json::to_string(&value).unwrap_or_default();
+    relay.metrics.count_store_call(StoreCall::Lease);
+    let lease = with_timeout(Duration::ZERO, store.grant(FIRST_TIME)).await?;
+    relay.metrics.count_store_call(StoreCall::BlockedPrompt);
+    let writing = store.put(&key, value.clone(), 0, Some(lease));
+    let revision = match with_timeout(Duration::ZERO, writing).await {
+        Err(Error::Conflict {
+            current: Some(current),
+        }) => current.revision,
+        written => written?,
+    };
+    let change = Change {
+        key,
+        value: Some(value),
+        revision,
+    };
+    store_watch::apply(relay, &change);
+    Ok(())
+}
--- a/relay/src/state.rs
+++ b/relay/src/state.rs
@@ -23,12 +23,14 @@
 mod moves;
 mod peers;
 mod placement;
+mod prompts;
 mod servers;
 mod view;
 
 pub use backend::Backend;
 pub use moves::{Measurement, MoveEnd};
 pub use placement::{Criteria, Measure};
+pub use prompts::{Due, parts_text};
 use view::View;
 
 /// Address of an entry that receives no messages.
@@ -87,6 +89,8 @@
     pub search_requested: Notify,
     /// Wakes the task that drives moves.
     pub moves_changed: Notify,
+    /// Wakes the task that records blocked prompts.
+    pub prompts_changed: Notify,
     /// Whether this entry reads the store and its last call succeeded.
     pub reads_store: AtomicBool,
     view: Mutex<View>,
@@ -122,6 +126,7 @@
             streams_changed: Notify::new(),
             search_requested: Notify::new(),
             moves_changed: Notify::new(),
+            prompts_changed: Notify::new(),
             reads_store: AtomicBool::new(false),
             view: Mutex::new(View::new(node)),
             changelog: Mutex::default(),
--- a/relay/src/state/peers.rs
+++ b/relay/src/state/peers.rs
@@ -122,8 +122,11 @@
             lost,
             successors,
             moves,
+            prompts,
         } = self.view(|view| view.node.receive(from, message, now));
+        let lost: Vec<Tag> = lost.into_iter().map(|(server, _)| server).collect();
         self.record_peer_unreachable(&lost);
+        self.receive_prompts(&prompts);
         self.record_peer_successors(&successors);
         for report in moves {
             self.receive_move_report(report);
--- a/relay/src/state/view.rs
+++ b/relay/src/state/view.rs
@@ -3,6 +3,7 @@
 use medlarfall_coordination::canary::Canary;
 use medlarfall_coordination::dissemination::Node;
 use medlarfall_coordination::group_outage::Groups;
+use medlarfall_coordination::quarantine::{self, Part};
 use medlarfall_coordination::registry::Registry;
 use medlarfall_coordination::retry_budget::{Bounds, Window};
 use medlarfall_coordination::routing::Table;
@@ -38,6 +39,10 @@
     pub(super) warmups: HashMap<Arc<str>, Duration>,
     pub(super) groups: Groups<Group>,
     pub(super) pending_searches: Vec<Arc<Backend>>,
+    /// Prompts that crash servers.
+    pub(super) prompts: quarantine::Tracker,
+    /// Blocked combinations that are recorded in the store: their parts and the revision, by key.
+    pub(super) recorded_prompts: HashMap<Arc<str>, (Arc<[Part]>, u64)>,
     /// What this entry shares with the others, and what it knows of them.
     pub(super) node: Node,
 }
@@ -64,6 +69,8 @@
             warmups: HashMap::new(),
             groups: Groups::default(),
             pending_searches: Vec::new(),
+            prompts: quarantine::Tracker::default(),
+            recorded_prompts: HashMap::new(),
             node,
         }
     }
--- a/relay/src/store_watch.rs
+++ b/relay/src/store_watch.rs
@@ -18,6 +18,7 @@
 
 use crate::codec::{Codec, Record};
 use crate::metrics::StoreCall;
+use crate::quarantine;
 use crate::registration;
 use crate::state::Relay;
 
@@ -261,6 +262,9 @@
             good,
         }) => relay.record_move_end(&service, &version, good, change.revision),
         Ok(Record::Entry { name, value }) => record_entry(relay, &name, value.as_deref()),
+        Ok(Record::BlockedPrompt { key, value }) => {
+            quarantine::apply(relay, &key, value.as_deref(), change.revision);
+        }
         Ok(Record::Other) => {}
         Err(invalid) => {
             log::error!(
--- a/relay/src/stream.rs
+++ b/relay/src/stream.rs
@@ -72,6 +72,8 @@
     replacement: Option<Replacement>,
     /// Events that arrived from the current run.
     run_events: u32,
+    /// Whether a server has begun to answer the prompt.
+    answered: bool,
     /// Whether an attempt's outcome is unknown: a server may be processing it.
     in_flight: bool,
     retry_withdrawn: bool,
@@ -123,6 +125,7 @@
             backup: None,
             replacement: None,
             run_events: 0,
+            answered: false,
             in_flight: false,
             retry_withdrawn: false,
             arrivals: 0,
@@ -170,6 +173,12 @@
         let mut refusals = 0;
         let mut cache_holder = self.find_cache_holder().await;
         loop {
+            if let Some(pause) = self.relay.prompt_refused_for(&self.job.head.prompt_parts) {
+                return Err(match self.ran {
+                    0 => Refusal::with_retry(Reason::PromptBlocked, pause),
+                    _ => Refusal::new(Reason::Lost),
+                });
+            }
             let found = cache_holder.take().map(|backend| (backend, None));
             let cached = found.is_some();
             let next = match found {
@@ -282,7 +291,10 @@
         match failure {
             Failure::NotSent { .. } => self.avoid(&backend.server.failure_domain),
             Failure::NotRun { .. } => self.record_arrival(),
-            Failure::Lost { .. } => {
+            Failure::Lost { disconnected, .. } => {
+                if *disconnected {
+                    self.record_unanswered(backend);
+                }
                 self.record_arrival();
                 self.ran += 1;
                 self.avoid(&backend.server.failure_domain);
@@ -317,6 +329,22 @@
         Some((self.relay.choose(criteria)?, None))
     }
 
+    /// Records that a run was lost with its server, unless a server has begun to answer the prompt.
+    fn record_unanswered(&self, backend: &Backend) {
+        if !self.answered && self.last_event.is_none() {
+            self.relay
+                .record_unanswered_prompt(backend, &self.job.head.prompt_parts);
+        }
+    }
+
+    /// Records that a server has begun to answer the prompt.
+    fn record_answered(&mut self) {
+        if !std::mem::replace(&mut self.answered, true) {
+            self.relay
+                .record_answered_prompt(&self.job.head.prompt_parts);
+        }
+    }
+
     /// Records a failure of a live server for the comparison of versions.
     fn record_server_failure(&self, backend: &Backend) {
         let measurement = Measurement {
@@ -363,10 +391,13 @@
         self.in_flight = true;
         let answer = tokio::select! {
             answer = attempt::send(&relay, backend, &self.job.original, &dispatch) => answer,
-            () = subscription.lost() => lost_answer("the server was lost"),
+            () = subscription.lost() => lost_answer("the server was lost", true),
+            () = relay.prompt_to_be_blocked(&self.job.head.prompt_parts) => {
+                lost_answer("prompts with parts of this one crash servers", false)
+            }
             () = tokio::time::sleep_until(timeout) => {
                 self.record_server_failure(backend);
-                lost_answer("no response from a live server in time")
+                lost_answer("no response from a live server in time", false)
             }
         };
         if let Ok(answer) = &answer {
@@ -388,8 +419,9 @@
     }
 }
 
-fn lost_answer(reason: &str) -> Result<Answer, Failure> {
+fn lost_answer(reason: &str, disconnected: bool) -> Result<Answer, Failure> {
     Err(Failure::Lost {
         reason: reason.to_owned(),
+        disconnected,
     })
 }
--- a/relay/src/stream/forwarding.rs
+++ b/relay/src/stream/forwarding.rs
@@ -27,6 +27,10 @@
 /// Longest time for the body of a server's error response.
 const ERROR_BODY_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Events from which an answer counts as begun. The first ones can be on their way when a server crashes
+/// as it begins to answer.
+const ANSWER_EVENTS: u32 = 3;
+
 /// The run and the connection that a stream's events come from.
 struct Source<C: Codec> {
     body: Incoming,
@@ -47,6 +51,8 @@
     Caller,
     /// The deadline passed.
     Deadline,
+    /// The prompt was blocked before the run began to answer it.
+    Blocked,
     /// The run failed, with the cause.
     Lost(&'static str),
 }
@@ -81,6 +87,7 @@
                 }
                 RunEnd::Caller => self.record_end(status.as_u16(), "caller_left"),
                 RunEnd::Deadline => self.record_end(status.as_u16(), "timed_out"),
+                RunEnd::Blocked => self.record_end(status.as_u16(), "prompt_blocked"),
                 RunEnd::Lost(_) => self.record_end(status.as_u16(), "broken_off"),
             }
         });
@@ -130,6 +137,9 @@
             if matches!(cause, "silent" | "gap" | "not_events") {
                 self.record_server_failure(&failed);
             }
+            if matches!(cause, "connection" | "server_lost" | "cut_event") {
+                self.record_unanswered(&failed);
+            }
             // Closes the old connection first, so that the old run stops.
             drop(source);
             if !self.may_retry() {
@@ -202,6 +212,9 @@
         // Bytes that complete no new event are no progress: a stalled server may send some for ever.
         let mut progress_at = Instant::now();
         loop {
+            if self.run_events == 0 && self.relay.prompt_blocked(&self.job.head.prompt_parts) {
+                return RunEnd::Blocked;
+            }
             let bound = if self.run_events > 0 {
                 self.relay.settings.liveness.stream_silence_limit * 2_u32.pow(self.silences.min(3))
             } else {
@@ -223,7 +236,10 @@
                 Some(Ok(frame)) => splitter.push(&frame.into_data().unwrap_or_default()),
                 Some(Err(_)) => return RunEnd::Lost("connection"),
                 None if splitter.has_partial() => return RunEnd::Lost("cut_event"),
-                None => return RunEnd::Complete,
+                None => {
+                    self.record_answered();
+                    return RunEnd::Complete;
+                }
             }
             let now = self.relay.clock.now();
             source.run.backend.monitor.record_activity(now);
@@ -238,6 +254,9 @@
                     source.run.occupancy.prefill_done();
                     self.maintain_backup(&source.run.backend);
                 }
+                if self.run_events == ANSWER_EVENTS {
+                    self.record_answered();
+                }
                 if event.id.is_some() || event.has_data() {
                     progress_at = Instant::now();
                 }
--- a/relay/tests/datagram.rs
+++ b/relay/tests/datagram.rs
@@ -5,8 +5,9 @@
 
 use bolero::check;
 use medlarfall_coordination::dissemination::{
-    Contact, Content, Count, Digest, Message, Report, Sender, Successor, Summary,
+    Contact, Content, Count, Digest, Message, Prompts, Report, Sender, Successor, Summary,
 };
+use medlarfall_coordination::quarantine::Loss;
 use medlarfall_coordination::retry_budget::Usage;
 use medlarfall_relay::datagram::{self, Error, Updates};
 use medlarfall_runtime::store::{Change, Changes};
@@ -51,6 +52,16 @@
             started_ms: Some(5),
         }],
         moves: Vec::new(),
+        prompts: Prompts {
+            losses: vec![(
+                Loss {
+                    server: 7,
+                    parts: [1, 2, u64::MAX].into(),
+                },
+                Duration::from_millis(30),
+            )],
+            answers: vec![([1].into(), Duration::from_millis(20))],
+        },
         contacts: vec![Contact {
             entry: Arc::from("entry-2"),
             address: "10.0.0.2:7200".parse().expect("an address"),
