fix(relay): keep the limits that servers name, over all entries

Cause: Server-Limit was read nowhere; it was passed on to callers with the other headers, and placement went by load alone. The class of fault: something that a server says of itself and that no decision uses.

An entry now reads the limit from each answer and tells the others; each uses its share of the limit, by its share of the service's requests of the last 10 s, and placement passes over a server that has none left. A request that no server takes waits an eighth of its target latency at most, else it is refused at once as not run, with a time to return at which a place is free for it.

--- a/coordination/src/dissemination.rs
+++ b/coordination/src/dissemination.rs
@@ -15,6 +15,7 @@
 use crate::placement::name_hash;
 use crate::quarantine::{Loss, Part};
 use crate::retry_budget::Usage;
+use crate::server_limit::Named;
 
 pub mod codec;
 pub mod ledger;
@@ -85,6 +86,15 @@
     pub answers: Vec<(Arc<[Part]>, Duration)>,
 }
 
+/// What a server said of the requests that it takes from all entries.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ServerLimit {
+    /// The server.
+    pub server: Tag,
+    /// Its limit.
+    pub named: Named,
+}
+
 /// The entry that sent a message.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Sender {
@@ -119,6 +129,8 @@
     pub moves: Vec<MoveReport>,
     /// What it saw of prompts that may crash servers.
     pub prompts: Prompts,
+    /// What servers said of their limits, and how long ago.
+    pub limits: Vec<(ServerLimit, Duration)>,
 }
 
 /// State of failure domains.
@@ -134,6 +146,8 @@
     pub moves: Vec<MoveReport>,
     /// What was seen of prompts that may crash servers.
     pub prompts: Prompts,
+    /// What servers said of their limits, and how long ago.
+    pub limits: Vec<(ServerLimit, Duration)>,
     /// Entries of the sender's failure domain that can be its hubs.
     pub contacts: Vec<Contact>,
 }
@@ -178,4 +192,6 @@
     pub moves: Vec<MoveReport>,
     /// What was seen of prompts that may crash servers.
     pub prompts: Prompts,
+    /// What servers said of their limits, and how long ago.
+    pub limits: Vec<(ServerLimit, Duration)>,
 }
--- a/coordination/src/dissemination/codec.rs
+++ b/coordination/src/dissemination/codec.rs
@@ -10,10 +10,11 @@
 use crate::evidence::{Cohort, Observation};
 use crate::quarantine::{Loss, Part};
 use crate::retry_budget::Usage;
+use crate::server_limit::Named;
 
 use super::{
-    Contact, Content, Count, Digest, Message, MoveReport, Prompts, Report, Sender, Successor,
-    Summary, Tag,
+    Contact, Content, Count, Digest, Message, MoveReport, Prompts, Report, Sender, ServerLimit,
+    Successor, Summary, Tag,
 };
 
 /// Why a datagram is not a message.
@@ -108,6 +109,7 @@
             moves: texts(report.moves, Into::into),
             prompt_losses: texts(report.prompts.losses, encode_loss),
             prompt_answers: texts(report.prompts.answers, encode_answer),
+            server_limits: encode_limits(&report.limits),
         }
     }
 }
@@ -123,6 +125,7 @@
             usage: decode_usage(report.retries),
             moves: texts(report.moves, Into::into),
             prompts: decode_prompts(report.prompt_losses, report.prompt_answers),
+            limits: decode_limits(report.server_limits)?,
         })
     }
 }
@@ -147,6 +150,7 @@
             moves: texts(digest.moves, Into::into),
             prompt_losses: texts(digest.prompts.losses, encode_loss),
             prompt_answers: texts(digest.prompts.answers, encode_answer),
+            server_limits: encode_limits(&digest.limits),
             contacts: texts(digest.contacts, contact),
             updates: None,
         }
@@ -182,6 +186,7 @@
             successors: texts(digest.successors, Into::into),
             moves: texts(digest.moves, Into::into),
             prompts: decode_prompts(digest.prompt_losses, digest.prompt_answers),
+            limits: decode_limits(digest.server_limits)?,
             contacts: digest
                 .contacts
                 .into_iter()
@@ -262,6 +267,43 @@
     }
 }
 
+fn encode_limits(limits: &[(ServerLimit, Duration)]) -> Option<peers::ServerLimits> {
+    let encode = |named: Named| {
+        named
+            .0
+            .map_or(0, |thousandths| thousandths.saturating_add(1))
+    };
+    (!limits.is_empty()).then(|| peers::ServerLimits {
+        servers: limits.iter().map(|(limit, _)| limit.server).collect(),
+        limits: limits
+            .iter()
+            .map(|(limit, _)| encode(limit.named))
+            .collect(),
+        ages_ms: limits.iter().map(|(_, age)| millis(*age)).collect(),
+    })
+}
+
+fn decode_limits(
+    limits: Option<peers::ServerLimits>,
+) -> Result<Vec<(ServerLimit, Duration)>, Invalid> {
+    let limits = limits.unwrap_or_default();
+    let length = limits.servers.len();
+    if limits.limits.len() != length || limits.ages_ms.len() != length {
+        return Err(Invalid::Lengths {
+            part: "server limits",
+        });
+    }
+    let named = limits
+        .limits
+        .into_iter()
+        .map(|limit| Named(limit.checked_sub(1)));
+    let ages = limits.ages_ms.into_iter();
+    let ages = ages.map(|age| Duration::from_millis(u64::from(age)));
+    let servers = limits.servers.into_iter().zip(named);
+    let limits = servers.map(|(server, named)| ServerLimit { server, named });
+    Ok(limits.zip(ages).collect())
+}
+
 fn encode_usage(usage: Vec<(Arc<str>, Usage)>) -> Vec<peers::RetryUsage> {
     texts(usage, |(service, usage)| peers::RetryUsage {
         service: service.to_string(),
--- a/coordination/src/dissemination/node.rs
+++ b/coordination/src/dissemination/node.rs
@@ -15,7 +15,7 @@
 use super::news::{self, Origin};
 use super::prompt_news::PromptNews;
 use super::roster::{Contact, Roster};
-use super::{Scope, Successor, Tag};
+use super::{Scope, ServerLimit, Successor, Tag};
 
 mod receiving;
 mod sending;
@@ -31,6 +31,9 @@
 /// Contacts that digests name and that are registered in the store, for each failure domain.
 const CONTACTS: usize = 4;
 
+/// Most limits of servers that are passed on at a time.
+const LIMITS: usize = 512;
+
 /// Identity of an entry.
 #[derive(Clone, Debug)]
 pub struct Identity {
@@ -90,6 +93,7 @@
     successors: news::News<Successor>,
     moves: Reports,
     prompts: PromptNews,
+    limits: news::News<ServerLimit>,
     election: Election,
     sent: [Sent; Scope::COUNT],
     hub: bool,
@@ -124,6 +128,7 @@
             successors: news::News::default(),
             moves: Reports::default(),
             prompts: PromptNews::default(),
+            limits: news::News::with_capacity(LIMITS),
             sent: [Sent::default(); Scope::COUNT],
             hub: false,
             started_at: now,
@@ -263,6 +268,11 @@
             .insert(parts, Duration::ZERO, Origin::Own, now);
     }
 
+    /// Adds what a server said of its limit to this entry.
+    pub fn add_limit(&mut self, limit: ServerLimit, now: Duration) {
+        self.limits.insert(limit, Duration::ZERO, Origin::Own, now);
+    }
+
     /// Replaces this entry's own report on a move.
     pub fn set_move(&mut self, service: &Arc<str>, report: crate::canary::Report, now: Duration) {
         let report = MoveReport {
@@ -330,6 +340,7 @@
     fn expire(&mut self, now: Duration) {
         self.lost.expire(now);
         self.prompts.expire(now);
+        self.limits.expire(now);
         let change = self.members.expire(now);
         self.update_sums(change, now);
         self.ledger.expire(now);
--- a/coordination/src/dissemination/node/receiving.rs
+++ b/coordination/src/dissemination/node/receiving.rs
@@ -55,6 +55,7 @@
             successors: report.successors,
             moves: report.moves,
             prompts: report.prompts,
+            limits: report.limits,
         };
         self.pass_on(Origin::Domain, received, now)
     }
@@ -96,6 +97,7 @@
             successors,
             moves,
             prompts,
+            limits,
             ..
         } = digest;
         let received = Received {
@@ -103,6 +105,7 @@
             successors,
             moves,
             prompts,
+            limits,
         };
         if local {
             return received;
@@ -124,6 +127,9 @@
                 self.moves.insert(report.clone(), origin, now);
             }
             self.prompts.extend(&received.prompts, origin, now);
+            for (limit, age) in &received.limits {
+                self.limits.insert(*limit, *age, origin, now);
+            }
         }
         received
     }
--- a/coordination/src/dissemination/node/sending.rs
+++ b/coordination/src/dissemination/node/sending.rs
@@ -110,6 +110,7 @@
             || self.successors.has_unsent(scope)
             || self.moves.has_unsent_verdict(scope)
             || self.prompts.has_unsent(scope)
+            || self.limits.has_unsent(scope)
     }
 
     fn send(&mut self, scope: Scope, now: Duration) -> Option<Outgoing> {
@@ -201,6 +202,7 @@
             usage: self.own.usage.clone(),
             moves: self.moves.batch(Scope::Report, periodic, now),
             prompts: self.prompts.batch(Scope::Report, periodic, now),
+            limits: self.limits.batch(Scope::Report, periodic, now),
         };
         self.reported = self.own.clone();
         let streams = report.streams.iter().copied();
@@ -221,6 +223,7 @@
             successors: successors.into_iter().map(|(found, _)| found).collect(),
             moves: self.moves.batch(scope, periodic, now),
             prompts: self.prompts.batch(scope, periodic, now),
+            limits: self.limits.batch(scope, periodic, now),
             contacts: if periodic {
                 self.contacts()
             } else {
--- a/coordination/src/lib.rs
+++ b/coordination/src/lib.rs
@@ -33,3 +33,4 @@
 pub mod rollout;
 pub mod routing;
 pub mod schedule;
+pub mod server_limit;
--- a/relay/src/answer.rs
+++ b/relay/src/answer.rs
@@ -107,6 +107,8 @@
     NoServer,
     /// Every server is at capacity.
     Full,
+    /// Every server has got as many requests as the limit that it names allows.
+    Limited,
     /// The prompt exceeds the KV-cache capacity of the service's engines.
     PromptTooLarge,
     /// Prompts with parts of this one crash the servers that begin to answer them.
@@ -137,6 +139,7 @@
             Self::NoConfiguration
             | Self::NoServer
             | Self::Full
+            | Self::Limited
             | Self::PromptTooLarge
             | Self::PromptBlocked
             | Self::RetryBudget
@@ -160,6 +163,7 @@
             Self::NoConfiguration => "no_configuration",
             Self::NoServer => "no_server",
             Self::Full => "full",
+            Self::Limited => "limited",
             Self::PromptTooLarge => "prompt_too_large",
             Self::PromptBlocked => "prompt_blocked",
             Self::RetryBudget => "retry_budget",
--- a/relay/src/attempt.rs
+++ b/relay/src/attempt.rs
@@ -150,6 +150,8 @@
     original: &Original,
     dispatch: &Dispatch,
 ) -> Result<Answer, Failure> {
+    // Before the connection opens, so that requests that are placed meanwhile see it.
+    relay.take_from_limit(backend);
     let opened = open(backend.server.address).await;
     let (mut sender, connection) = opened.map_err(|reason| {
         relay.record_unreachable(backend);
@@ -178,6 +180,9 @@
     if let Some(requests) = reply.requests {
         backend.load(|load| load.record_report(requests, now));
     }
+    if reply.matches {
+        relay.record_limit(backend, reply.limit);
+    }
     if reply.not_run {
         let status = parts.status.as_u16();
         match status {
--- a/relay/src/call.rs
+++ b/relay/src/call.rs
@@ -120,7 +120,8 @@
             return failed.ok_or(refused);
         }
         let Some(backend) = next(relay, job, progress).await else {
-            return failed.ok_or_else(|| refusal(progress));
+            let refused = || refuse_limited(relay, job, progress);
+            return failed.ok_or_else(|| refused().unwrap_or_else(|| refusal(progress)));
         };
         let is_retry = progress.arrivals > progress.retries_withdrawn;
         if is_retry && !relay.take_retry(&job.service) {
@@ -223,6 +224,17 @@
     );
 }
 
+/// Returns the refusal of a call that has not run and that no server takes within its limit; `None` if
+/// that is not the reason.
+fn refuse_limited<C: Codec>(relay: &Relay<C>, job: &Job, progress: &Progress) -> Option<Refusal> {
+    let wait = relay.limit_wait(criteria(relay, job, progress))?;
+    let limited = progress.ran == 0 && !wait.is_zero();
+    limited.then(|| {
+        let pause = relay.limit_pause(&job.service, wait);
+        Refusal::with_retry(Reason::Limited, pause)
+    })
+}
+
 /// Returns the refusal of a call that no server accepted.
 fn refusal(progress: &Progress) -> Refusal {
     match progress {
@@ -232,9 +244,13 @@
     }
 }
 
-/// Chooses the next server. The first attempt waits up to [`SHORT_WAIT`] for one to become known.
-async fn next<C: Codec>(relay: &Relay<C>, job: &Job, progress: &Progress) -> Option<Arc<Backend>> {
-    let criteria = Criteria {
+/// Returns the criteria for the next server.
+fn criteria<'call, C: Codec>(
+    relay: &Relay<C>,
+    job: &'call Job,
+    progress: &'call Progress,
+) -> Criteria<'call> {
+    Criteria {
         service: &job.service,
         excluded: &progress.tried,
         avoided_domains: &[],
@@ -247,16 +263,26 @@
         },
         version: None,
         request_hash: job.request_hash(),
-    };
+    }
+}
+
+/// Chooses the next server. The first attempt waits up to [`SHORT_WAIT`] for one to become known, or to
+/// take a request within its limit.
+async fn next<C: Codec>(relay: &Relay<C>, job: &Job, progress: &Progress) -> Option<Arc<Backend>> {
+    let criteria = criteria(relay, job, progress);
     if let Some(backend) = relay.choose(criteria) {
         return Some(backend);
     }
     if !progress.tried.is_empty() {
         return None;
     }
+    let limit_wait = relay.limit_wait(criteria);
+    if limit_wait.is_some_and(|wait| wait > SHORT_WAIT) {
+        return None;
+    }
     let mut changed = relay.changed.subscribe();
     let known = changed.wait_for(|_| relay.choose(criteria).is_some());
-    let _ = tokio::time::timeout(SHORT_WAIT, known).await;
+    let _ = tokio::time::timeout(limit_wait.unwrap_or(SHORT_WAIT), known).await;
     relay.choose(criteria)
 }
 
--- a/relay/src/codec.rs
+++ b/relay/src/codec.rs
@@ -12,6 +12,7 @@
 use hyper::{HeaderMap, Method, StatusCode};
 use medlarfall_coordination::registry::Server;
 use medlarfall_coordination::routing::Table;
+use medlarfall_coordination::server_limit::Named;
 use snafu::Snafu;
 
 use medlarfall_runtime::store::Change;
@@ -79,6 +80,8 @@
     pub requests: Option<u32>,
     /// Pause before a retry, if the server states one.
     pub retry_after: Option<Duration>,
+    /// Requests that the server takes from all entries.
+    pub limit: Named,
 }
 
 /// Status report of a server.
--- a/relay/src/metrics.rs
+++ b/relay/src/metrics.rs
@@ -123,6 +123,8 @@
     pub hub: bool,
     /// Servers that accept requests, by service.
     pub servers: Vec<(String, usize)>,
+    /// Servers that have named a limit.
+    pub limited_servers: usize,
 }
 
 /// The metrics.
@@ -165,6 +167,8 @@
     pub prompts_lost: Counter,
     /// Combinations of prompt parts that were blocked since they crash servers.
     pub prompts_blocked: Counter,
+    /// Servers that have named a limit.
+    pub limited_servers: Gauge,
     /// Calls to the store by kind.
     pub store_calls: Family<KindLabels, Counter>,
     /// Messages sent to other entries by kind; one to several entries counts for each.
@@ -247,12 +251,8 @@
             retries: add(new, "retries", "Repeats sent", counter()),
             retries_refused: add(new, "retries_refused", "Repeats refused", counter()),
             prompts_lost: add(new, "prompts_lost", "Prompts that got no answer", counter()),
-            prompts_blocked: add(
-                new,
-                "prompts_blocked",
-                "Prompts that crash servers",
-                counter(),
-            ),
+            limited_servers: add(new, "limited_servers", "Servers with a limit", gauge()),
+            prompts_blocked: add(new, "prompts_blocked", "Prompts blocked", counter()),
             store_calls: add(new, "store_calls", "Calls to the store", Family::default()),
             messages: add(
                 new,
@@ -382,6 +382,7 @@
         let signed = |number: usize| i64::try_from(number).unwrap_or(i64::MAX);
         self.held_bytes.set(signed(gauges.held_bytes));
         self.entries.set(signed(gauges.entries));
+        self.limited_servers.set(signed(gauges.limited_servers));
         self.hub.set(i64::from(gauges.hub));
         for (service, count) in &gauges.servers {
             let service = service.clone();
--- a/relay/src/state.rs
+++ b/relay/src/state.rs
@@ -20,6 +20,7 @@
 
 mod backend;
 mod gauges;
+mod limits;
 mod moves;
 mod peers;
 mod placement;
--- a/relay/src/state/backend.rs
+++ b/relay/src/state/backend.rs
@@ -8,6 +8,7 @@
 use medlarfall_coordination::dissemination::{self, Count, Tag};
 use medlarfall_coordination::placement::{Proximity, name_hash};
 use medlarfall_coordination::registry::Server;
+use medlarfall_coordination::server_limit::Limit;
 
 use crate::monitor::Monitor;
 
@@ -26,6 +27,8 @@
     tag: Tag,
     pub(super) proximity: Proximity,
     load: Mutex<Load>,
+    limit: Mutex<Limit>,
+    limited: AtomicBool,
     searching: AtomicBool,
     unconfirmed: AtomicBool,
     /// Number of streams of this entry at the server.
@@ -55,6 +58,21 @@
         self.unconfirmed.store(unconfirmed, Ordering::Relaxed);
     }
 
+    /// Returns whether the server has named a limit.
+    #[must_use]
+    pub fn is_limited(&self) -> bool {
+        self.limited.load(Ordering::Relaxed)
+    }
+
+    /// Reads or changes what is known of the server's limit.
+    pub(super) fn limit<T>(&self, act: impl FnOnce(&mut Limit) -> T) -> T {
+        let mut limit = self.limit.lock().unwrap_or_else(PoisonError::into_inner);
+        let result = act(&mut limit);
+        let limited = limit.named().rate().is_some();
+        self.limited.store(limited, Ordering::Relaxed);
+        result
+    }
+
     /// Reads or changes the server's load.
     pub fn load<T>(&self, act: impl FnOnce(&mut Load) -> T) -> T {
         act(&mut self.load.lock().unwrap_or_else(PoisonError::into_inner))
@@ -77,6 +95,8 @@
             server,
             monitor: Monitor::default(),
             load: Mutex::default(),
+            limit: Mutex::default(),
+            limited: AtomicBool::new(false),
             searching: AtomicBool::new(false),
             unconfirmed: AtomicBool::new(false),
             streams: AtomicUsize::new(0),
--- a/relay/src/state/gauges.rs
+++ b/relay/src/state/gauges.rs
@@ -25,6 +25,12 @@
             held_bytes: self.memory.reserved(),
             entries: view.node.entries().saturating_sub(1) as usize,
             hub: view.node.is_hub(),
+            limited_servers: view
+                .backends
+                .values()
+                .flatten()
+                .filter(|backend| backend.is_limited())
+                .count(),
             servers: view
                 .backends
                 .iter()
--- /dev/null
+++ b/relay/src/state/limits.rs
@@ -0,0 +1,125 @@
+//! Limits that servers name: what this entry and the others hear of them, and its share.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use medlarfall_coordination::dissemination::ServerLimit;
+use medlarfall_coordination::placement::name_hash;
+use medlarfall_coordination::server_limit::{self, Named};
+
+use crate::codec::Codec;
+
+use super::placement::Criteria;
+use super::view::View;
+use super::{Backend, Relay};
+
+/// Steps between 0 and 1 of the part of a request that an entry may send at once.
+const START_STEPS: u32 = 1_024;
+
+impl<C: Codec> Relay<C> {
+    /// Records what a server said of its limit in an answer.
+    pub fn record_limit(&self, backend: &Backend, named: Named) {
+        if named.rate().is_none() && !backend.is_limited() {
+            return;
+        }
+        let now = self.clock.now();
+        self.apply_limit(backend, named, now);
+        let announced = backend.limit(|limit| limit.announce(now));
+        if let Some(named) = announced {
+            let server = backend.tag();
+            self.view(|view| view.node.add_limit(ServerLimit { server, named }, now));
+            self.streams_changed.notify_one();
+        }
+    }
+
+    /// Applies what other entries heard.
+    pub(super) fn receive_limits(&self, limits: &[(ServerLimit, Duration)]) {
+        if limits.is_empty() {
+            return;
+        }
+        let now = self.clock.now();
+        let heard: Vec<(Arc<Backend>, Named, Duration)> = self.view(|view| {
+            let backends = view.backends.values().flatten();
+            let heard = backends.filter_map(|backend| {
+                let of_server = limits
+                    .iter()
+                    .filter(|(limit, _)| limit.server == backend.tag());
+                let (limit, age) = of_server.min_by_key(|(_, age)| *age)?;
+                Some((Arc::clone(backend), limit.named, *age))
+            });
+            heard.collect()
+        });
+        for (backend, named, age) in heard {
+            self.apply_limit(&backend, named, now.saturating_sub(age));
+            backend.limit(|limit| limit.record_announcement(named, now));
+        }
+    }
+
+    fn apply_limit(&self, backend: &Backend, named: Named, at: Duration) {
+        let server = &backend.server;
+        let hash = name_hash(&format!("{} {}", self.settings.entry, server.id));
+        let steps = u32::try_from(hash % u64::from(START_STEPS)).unwrap_or(0);
+        let start = f64::from(steps) / f64::from(START_STEPS);
+        let changed = backend.limit(|limit| limit.record(named, at, start));
+        if changed {
+            let share = self.view(|view| view.limit_share(&server.service, self.clock.now()));
+            log::info!(
+                server = &*server.id, service = &*server.service,
+                per_second = named.rate().map_or_else(String::new, |rate| rate.to_string()).as_str(),
+                share;
+                "limit of a server changed"
+            );
+            self.notify_changed();
+        }
+    }
+
+    /// Counts a request that is sent to a server towards its limit.
+    pub fn take_from_limit(&self, backend: &Backend) {
+        if !backend.is_limited() {
+            return;
+        }
+        let now = self.clock.now();
+        let share = self.view(|view| view.limit_share(&backend.server.service, now));
+        backend.limit(|limit| limit.take(share, now));
+    }
+
+    /// Returns the time until a server may get a request that all of them may not get now, because of
+    /// their limits. Returns `None` if no limit is the reason.
+    #[must_use]
+    pub fn limit_wait(&self, criteria: Criteria) -> Option<Duration> {
+        let now = self.clock.now();
+        self.view(|view| {
+            let share = view.limit_share(criteria.service, now);
+            let backends = view.backends.get(criteria.service)?;
+            let limited = backends.iter().filter(|backend| {
+                backend.is_limited() && !criteria.excluded.contains(&backend.server.id)
+            });
+            let waits = limited.map(|backend| backend.limit(|limit| limit.wait(share, now)));
+            waits.min()
+        })
+    }
+
+    /// Returns the pause after which a caller that limits refuse may return.
+    #[must_use]
+    pub fn limit_pause(&self, service: &Arc<str>, wait: Duration) -> Duration {
+        let now = self.clock.now();
+        self.view(|view| {
+            let share = view.limit_share(service, now);
+            let backends = view.backends.get(service).into_iter().flatten();
+            let rates = backends.filter_map(|backend| backend.limit(|limit| limit.named().rate()));
+            let pace = rates.sum::<f64>() * share;
+            let returns = view.returns.entry(Arc::clone(service)).or_default();
+            returns.next(wait, pace, now)
+        })
+    }
+}
+
+impl View {
+    /// Returns this entry's share of the limits of a service's servers.
+    pub(super) fn limit_share(&mut self, service: &str, now: Duration) -> f64 {
+        let window = self.retry_windows.get_mut(service);
+        let own = window.map_or(0, |window| window.usage(now).requests);
+        let others = self.node.others(service, now).usage.requests;
+        server_limit::share(own, own.saturating_add(others), self.node.entries())
+    }
+}
--- a/relay/src/state/peers.rs
+++ b/relay/src/state/peers.rs
@@ -123,10 +123,12 @@
             successors,
             moves,
             prompts,
+            limits,
         } = self.view(|view| view.node.receive(from, message, now));
         let lost: Vec<Tag> = lost.into_iter().map(|(server, _)| server).collect();
         self.record_peer_unreachable(&lost);
         self.receive_prompts(&prompts);
+        self.receive_limits(&limits);
         self.record_peer_successors(&successors);
         for report in moves {
             self.receive_move_report(report);
--- a/relay/src/state/placement.rs
+++ b/relay/src/state/placement.rs
@@ -128,6 +128,15 @@
         let now = self.clock.now();
         self.view(|view| {
             let backends = view.backends.get(criteria.service)?;
+            let share = if backends.iter().any(|backend| backend.is_limited()) {
+                view.limit_share(criteria.service, now)
+            } else {
+                1.0
+            };
+            let backends = view.backends.get(criteria.service)?;
+            let within_limit = |backend: &Backend| {
+                !backend.is_limited() || backend.limit(|limit| limit.wait(share, now)).is_zero()
+            };
             let moves_to = view.canaries.get(criteria.service);
             let moves_to = moves_to.map(|canary| Arc::clone(&canary.order().version));
             let allowed = |backend: &&Arc<Backend>, cohort: Option<Cohort>| {
@@ -139,7 +148,7 @@
                         (version == target) == (cohort == Cohort::Canary)
                     }
                 };
-                fits && !criteria.excluded.contains(&backend.server.id)
+                fits && !criteria.excluded.contains(&backend.server.id) && within_limit(backend)
             };
             // Falls back to the old version if no server of the new one is available.
             let new_serves = || {
--- a/relay/src/state/view.rs
+++ b/relay/src/state/view.rs
@@ -7,6 +7,7 @@
 use medlarfall_coordination::registry::Registry;
 use medlarfall_coordination::retry_budget::{Bounds, Window};
 use medlarfall_coordination::routing::Table;
+use medlarfall_coordination::server_limit::Returns;
 use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
@@ -43,6 +44,8 @@
     pub(super) prompts: quarantine::Tracker,
     /// Blocked combinations that are recorded in the store: their parts and the revision, by key.
     pub(super) recorded_prompts: HashMap<Arc<str>, (Arc<[Part]>, u64)>,
+    /// When callers that limits refused return, by service.
+    pub(super) returns: HashMap<Arc<str>, Returns>,
     /// What this entry shares with the others, and what it knows of them.
     pub(super) node: Node,
 }
@@ -71,6 +74,7 @@
             pending_searches: Vec::new(),
             prompts: quarantine::Tracker::default(),
             recorded_prompts: HashMap::new(),
+            returns: HashMap::new(),
             node,
         }
     }
--- a/relay/src/stream.rs
+++ b/relay/src/stream.rs
@@ -277,7 +277,14 @@
         self.resumable() && self.ran < self.job.route.attempts
     }
 
+    /// Returns the refusal of a stream that no server accepted, or takes within its limit.
     fn refusal(&self) -> Refusal {
+        let criteria = self.criteria(&[]);
+        let limit_wait = self.relay.limit_wait(criteria);
+        if let Some(wait) = limit_wait.filter(|wait| self.ran == 0 && !wait.is_zero()) {
+            let pause = self.relay.limit_pause(&self.job.service, wait);
+            return Refusal::with_retry(Reason::Limited, pause);
+        }
         match self.ran {
             0 => Refusal::with_retry(Reason::NoServer, NO_SERVER_PAUSE),
             _ => Refusal::new(Reason::Lost),
@@ -321,8 +328,13 @@
         // All known servers have failed the stream; they may have recovered.
         self.excluded.clear();
         self.avoided_domains.clear();
-        let wait = self.job.route.target_latency / SERVER_WAIT_FRACTION;
+        let longest = self.job.route.target_latency / SERVER_WAIT_FRACTION;
         let criteria = self.criteria(&[]);
+        let limit_wait = self.relay.limit_wait(criteria);
+        if limit_wait.is_some_and(|wait| wait > longest) {
+            return None;
+        }
+        let wait = limit_wait.unwrap_or(longest);
         let mut changed = self.relay.changed.subscribe();
         let known = changed.wait_for(|_| self.relay.choose(criteria).is_some());
         let _ = tokio::time::timeout(wait, known).await;
--- a/relay/tests/datagram.rs
+++ b/relay/tests/datagram.rs
@@ -5,10 +5,12 @@
 
 use bolero::check;
 use medlarfall_coordination::dissemination::{
-    Contact, Content, Count, Digest, Message, Prompts, Report, Sender, Successor, Summary,
+    Contact, Content, Count, Digest, Message, Prompts, Report, Sender, ServerLimit, Successor,
+    Summary,
 };
 use medlarfall_coordination::quarantine::Loss;
 use medlarfall_coordination::retry_budget::Usage;
+use medlarfall_coordination::server_limit::Named;
 use medlarfall_relay::datagram::{self, Error, Updates};
 use medlarfall_runtime::store::{Change, Changes};
 
@@ -62,6 +64,9 @@
             )],
             answers: vec![([1].into(), Duration::from_millis(20))],
         },
+        limits: [Named::per_second(0.0), Named(None), Named(Some(2_700))]
+            .map(|named| (ServerLimit { server: 9, named }, Duration::from_millis(5)))
+            .to_vec(),
         contacts: vec![Contact {
             entry: Arc::from("entry-2"),
             address: "10.0.0.2:7200".parse().expect("an address"),
