--- a/coordination/tests/canary.rs
+++ b/coordination/tests/canary.rs
@@ -35,6 +35,8 @@
     failures: f64,
     from: Duration,
     slowness: f64,
+    /// Share of the new version's responses that are slower.
+    slow_share: f64,
 }
 
 const GOOD: Case = Case {
@@ -44,6 +46,7 @@
     failures: 0.0,
     from: Duration::ZERO,
     slowness: 1.0,
+    slow_share: 1.0,
 };
 
 /// The outcome of a simulated move.
@@ -120,7 +123,8 @@
             }
             let failures = if worse { case.failures } else { 0.0 };
             let failed = random.random_bool((case.usual_failures + failures).min(1.0));
-            let factor = if worse { case.slowness } else { 1.0 };
+            let slow = worse && (case.slow_share >= 1.0 || random.random_bool(case.slow_share));
+            let factor = if slow { case.slowness } else { 1.0 };
             if worse && (failed || factor > 2.0) {
                 bad_answers += 1;
                 if bad_answers == 50 {
@@ -221,6 +225,21 @@
     }
 }
 
+/// The operators complete and keep a version that is not taken back.
+#[test]
+fn a_version_that_answers_one_request_in_five_slowly_is_not_kept() {
+    let slow = Case {
+        slowness: 8.0,
+        slow_share: 0.2,
+        ..GOOD
+    };
+    for seed in 0..20 {
+        let outcome = simulate(slow, seed);
+        assert!(outcome.within_bounds(), "seed {seed}: {outcome:?}");
+        assert!(outcome.bad(), "seed {seed}: {outcome:?}");
+    }
+}
+
 /// A version that turns bad after the shift of all requests to it must stay within the limits.
 #[test]
 fn a_version_that_turns_bad_at_the_end_stays_within_its_limits() {
