fix(coordination): take back versions whose answers are slow now and then

Cause: the sequential tests tolerate a fifth of slow durations whatever the old version does, and a call that was not answered by its deadline was no observation. The class of fault: accepted because it isn't proved bad, by a test that can't prove it.

One look at the end of a move compares the share of durations over twice the old version's 90th percentile; it has the power that a test at any moment lacks. The trial gets 0.49 of what a bad version may receive, before 0.43.

--- a/coordination/src/canary.rs
+++ b/coordination/src/canary.rs
@@ -2,7 +2,7 @@
 //! its peers' reports.
 //!
 //! The operators' order names the new version (the canary) and the duration of the move. In the
-//! trial phase a few requests go to the canary, at most half of the requests that a bad version may
+//! trial phase a few requests go to the canary, about half of the requests that a bad version may
 //! receive. Their outcomes are reported to all entries and compared with those of the version in
 //! force (the baseline). A canary that performs worse receives no more requests. Otherwise all
 //! requests are shifted to it shortly before the end, so that few are still at the baseline servers
@@ -19,10 +19,10 @@
 
 /// Share of the planned requests to the canary that the trial phase uses; the rest is for the shift
 /// at the end of the move.
-const TRIAL_SHARE: f64 = 0.5;
+const TRIAL_SHARE: f64 = 0.6;
 
 /// Share of the allowed requests that is planned for: requests in flight are counted late.
-const PLANNED_SHARE: f64 = 0.85;
+const PLANNED_SHARE: f64 = 0.82;
 
 /// Share of the allowed requests that is never exceeded: retries are not counted here.
 const MAX_SHARE: f64 = 0.95;
@@ -215,19 +215,21 @@
     /// Returns whether the canary has passed the trial phase so far, and all requests until the end
     /// of the move can go to it without exceeding the limit for a bad version.
     fn may_shift(&self, entries: u32, age: Duration) -> bool {
-        if age < MIN_RATE_WINDOW.min(self.order.duration / 2) || !self.passed() {
+        if age < MIN_RATE_WINDOW.min(self.order.duration / 2) {
             return false;
         }
         let remaining = self.order.duration.saturating_sub(age).as_secs_f64();
         let expected = f64::from(self.requests) / age.as_secs_f64().max(1e-3) * remaining;
         let total = f64::from(self.requests) + expected;
-        f64::from(self.sent) + expected
-            <= PLANNED_SHARE * self.bad_version_limit(entries, total) + self.offset
+        let limit = PLANNED_SHARE * self.bad_version_limit(entries, total) + self.offset;
+        f64::from(self.sent) + expected <= limit && self.passed()
     }
 
     /// Returns whether the canary has answered enough requests and shows no sign of being worse.
     fn passed(&self) -> bool {
-        self.evidence.requests() >= MIN_RESPONSES && !self.evidence.suspect()
+        self.evidence.requests() >= MIN_RESPONSES
+            && !self.evidence.suspect()
+            && self.evidence.doubt().is_none()
     }
 
     /// Adds an observation that this entry made.
@@ -316,7 +318,11 @@
             }
             Some(age) if age + DECISION_MARGIN >= self.order.duration => {
                 let answers = self.evidence.requests();
-                self.reject(&format!("not proved good in time by {answers} answers"));
+                let doubt = self.evidence.doubt().map(|doubt| format!(": {doubt}"));
+                let doubt = doubt.unwrap_or_default();
+                self.reject(&format!(
+                    "not proved good in time by {answers} answers{doubt}"
+                ));
             }
             _ => return false,
         }
--- a/coordination/src/evidence.rs
+++ b/coordination/src/evidence.rs
@@ -30,8 +30,10 @@
 use std::time::Duration;
 
 mod process;
+mod sample;
 
 use process::Test;
+use sample::Sample;
 
 /// Maximum number of routes with their own tests; further routes count in the overall tests only.
 const MAX_ROUTES: usize = 8;
@@ -198,6 +200,8 @@
 #[derive(Clone, Debug, Default)]
 struct Comparison {
     tests: [Test; QUANTILES.len()],
+    /// Durations of the stage, for one look at its end.
+    sample: Sample,
     recent: VecDeque<Duration>,
     slow_bounds: Option<[Duration; QUANTILES.len()]>,
     since_recompute: usize,
@@ -217,6 +221,7 @@
         limits: SlowLimits,
         tolerated: f64,
     ) {
+        self.sample.add(cohort, duration);
         for (test, bound) in self.tests.iter_mut().zip(self.slow_bounds.iter().flatten()) {
             test.add(cohort, duration > *bound, tolerated);
         }
@@ -249,6 +254,7 @@
     /// Restarts the tests and keeps the baseline durations.
     fn restart(&mut self) {
         self.tests.iter_mut().for_each(Test::restart);
+        self.sample.restart();
     }
 
     /// Returns the evidence against the canary as a share of what its rejection requires.
@@ -365,6 +371,18 @@
             .is_some_and(|(_, _, value)| value >= SUSPECT_SHARE)
     }
 
+    /// Returns why the canary must not be accepted at the end of a move: its answers are probably slower,
+    /// though there may be too little evidence to reject it before.
+    ///
+    /// A canary gets few requests, and the sequential tests, which may reject it at any moment, need
+    /// more evidence than a single look at the end.
+    #[must_use]
+    pub fn doubt(&self) -> Option<String> {
+        let mut comparisons = self.comparisons.iter();
+        let doubtful = comparisons.find(|(_, comparison)| comparison.sample.is_slower());
+        doubtful.map(|((route, measure), _)| describe(route, *measure))
+    }
+
     /// Returns the reason for rejecting the canary if the evidence is sufficient.
     #[must_use]
     pub fn rejection(&self) -> Option<String> {
@@ -372,11 +390,7 @@
         if value < 1.0 {
             return None;
         }
-        Some(if route.is_empty() {
-            format!("{measure} than the old version")
-        } else {
-            format!("{measure} than the old version on route {route}")
-        })
+        Some(describe(route, measure))
     }
 
     /// Returns the test with the most evidence against the canary.
@@ -394,3 +408,12 @@
         values.max_by(|left, right| left.2.total_cmp(&right.2))
     }
 }
+
+/// Describes how the canary is worse; an empty route stands for all.
+fn describe(route: &str, measure: Measure) -> String {
+    if route.is_empty() {
+        format!("{measure} than the old version")
+    } else {
+        format!("{measure} than the old version on route {route}")
+    }
+}
--- a/relay/src/call.rs
+++ b/relay/src/call.rs
@@ -57,6 +57,8 @@
     retries_withdrawn: u32,
     in_flight: bool,
     full: bool,
+    /// The server of the current attempt, and when the request was sent to it.
+    current: Option<(Arc<Backend>, Duration)>,
 }
 
 /// Handles a call.
@@ -65,7 +67,10 @@
     let mut progress = Progress::default();
     let deadline = relay.clock.instant(job.deadline);
     let outcome = tokio::time::timeout_at(deadline, run(relay, &job, &mut progress)).await;
-    let outcome = outcome.unwrap_or_else(|_| Err(Refusal::new(timeout_reason(&progress))));
+    let outcome = outcome.unwrap_or_else(|_| {
+        record_timeout(relay, &job, &progress);
+        Err(Refusal::new(timeout_reason(&progress)))
+    });
     let (status, reason) = match &outcome {
         Ok(received) => (received.status, "answered"),
         Err(refusal) => (refusal.reason.status(), refusal.reason.name()),
@@ -136,10 +141,12 @@
         progress.in_flight = true;
         let dispatch = dispatch(relay, job, &backend);
         let sent_at = relay.clock.now();
+        progress.current = Some((Arc::clone(&backend), sent_at));
         let received = match attempt::send(relay, &backend, &job.original, &dispatch).await {
             Ok(answer) => read_response(relay, &backend, answer, job.deadline).await,
             Err(failure) => Err(failure),
         };
+        progress.current = None;
         record_attempt(relay, job, &backend, &received, sent_at);
         match received {
             Ok(received) if !received.status.is_server_error() => {
@@ -204,6 +211,19 @@
     relay.record_measurement(backend, &job.route.name, measurement);
 }
 
+/// Records an attempt that was not answered by the deadline: it took at least this long.
+fn record_timeout<C: Codec>(relay: &Relay<C>, job: &Job, progress: &Progress) {
+    let Some((backend, sent_at)) = &progress.current else {
+        return;
+    };
+    let measurement = Measurement {
+        failed: Some(false),
+        call: Some(relay.clock.now().saturating_sub(*sent_at)),
+        ..Measurement::default()
+    };
+    relay.record_measurement(backend, &job.route.name, measurement);
+}
+
 impl Progress {
     /// Records an attempt that ran or may have run; `received` is the server's error response, if
     /// there is one.
