--- a/coordination/src/evidence.rs
+++ b/coordination/src/evidence.rs
@@ -24,16 +24,16 @@
 //! assert!(evidence.rejection().is_some());
 //! ```
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 use std::fmt;
 use std::sync::Arc;
 use std::time::Duration;
 
+mod comparison;
 mod process;
 mod sample;
 
-use process::Test;
-use sample::Sample;
+use comparison::{Comparison, SlowLimits};
 
 /// Maximum number of routes with their own tests; further routes count in the overall tests only.
 const MAX_ROUTES: usize = 8;
@@ -42,12 +42,6 @@
 /// each duration measure, one per quantile.
 const TESTS_PER_STAGE: usize = (MAX_ROUTES + 1) * (1 + (Measure::ALL.len() - 1) * QUANTILES.len());
 
-/// Recent baseline durations from which the slowness bounds are computed.
-const RECENT_DURATIONS: usize = 128;
-
-/// Baseline durations after which the slowness bounds are recomputed.
-const RECOMPUTE_INTERVAL: usize = 16;
-
 /// Quantiles of the baseline durations from which slowness is judged, in percent. The high one
 /// detects a canary whose slow responses are slower. The median detects one that is slower
 /// throughout, even when noise that affects both versions raises the baseline's slow responses above
@@ -169,13 +163,6 @@
     }
 }
 
-/// Limits from which a duration counts as slow.
-#[derive(Clone, Copy, Debug)]
-struct SlowLimits {
-    slowness: f64,
-    slack: Duration,
-}
-
 impl Tolerance {
     /// Returns the limits from which the durations of a measure count as slow.
     fn limits_of(&self, measure: Measure) -> SlowLimits {
@@ -196,84 +183,6 @@
 /// The same at a stage without requests to the baseline.
 const SLOW_SHARE_WITHOUT_BASELINE: f64 = 0.4;
 
-/// The tests of one measure on one route: one for failures, or one for each quantile of durations.
-#[derive(Clone, Debug, Default)]
-struct Comparison {
-    tests: [Test; QUANTILES.len()],
-    /// Durations of the stage, for one look at its end.
-    sample: Sample,
-    recent: VecDeque<Duration>,
-    slow_bounds: Option<[Duration; QUANTILES.len()]>,
-    since_recompute: usize,
-}
-
-impl Comparison {
-    /// Adds whether an attempt failed.
-    fn add(&mut self, cohort: Cohort, failed: bool, tolerated: f64) {
-        self.tests[0].add(cohort, failed, tolerated);
-    }
-
-    /// Adds a duration, which counts as bad if it exceeds the bounds from earlier baseline durations.
-    fn add_duration(
-        &mut self,
-        cohort: Cohort,
-        duration: Duration,
-        limits: SlowLimits,
-        tolerated: f64,
-    ) {
-        self.sample.add(cohort, duration);
-        for (test, bound) in self.tests.iter_mut().zip(self.slow_bounds.iter().flatten()) {
-            test.add(cohort, duration > *bound, tolerated);
-        }
-        if cohort == Cohort::Canary {
-            return;
-        }
-        self.recent.push_back(duration);
-        if self.recent.len() > RECENT_DURATIONS {
-            self.recent.pop_front();
-        }
-        self.since_recompute += 1;
-        if self.since_recompute >= RECOMPUTE_INTERVAL {
-            self.since_recompute = 0;
-            self.recompute_bounds(limits);
-        }
-    }
-
-    /// Computes the bounds above which a duration is slow from the recent baseline durations.
-    fn recompute_bounds(&mut self, limits: SlowLimits) {
-        let mut durations: Vec<Duration> = self.recent.iter().copied().collect();
-        durations.sort_unstable();
-        self.slow_bounds = Some(QUANTILES.map(|quantile| {
-            let reference = durations[(durations.len() - 1) * quantile / 100];
-            reference
-                .mul_f64(limits.slowness)
-                .max(reference + limits.slack)
-        }));
-    }
-
-    /// Restarts the tests and keeps the baseline durations.
-    fn restart(&mut self) {
-        self.tests.iter_mut().for_each(Test::restart);
-        self.sample.restart();
-    }
-
-    /// Returns the evidence against the canary as a share of what its rejection requires.
-    ///
-    /// Without a concurrent baseline only the first quantile counts: noise that begins later raises
-    /// half of all durations above the earlier median.
-    fn value(&self, threshold: f64, without_baseline: bool) -> f64 {
-        let counted = if without_baseline {
-            1
-        } else {
-            self.tests.len()
-        };
-        let values = self.tests[..counted].iter();
-        values
-            .map(|test| test.value(threshold, without_baseline))
-            .fold(0.0, f64::max)
-    }
-}
-
 /// The evidence that one entry has collected at a stage of a move.
 #[derive(Clone, Debug)]
 pub struct Evidence {
@@ -379,7 +288,7 @@
     #[must_use]
     pub fn doubt(&self) -> Option<String> {
         let mut comparisons = self.comparisons.iter();
-        let doubtful = comparisons.find(|(_, comparison)| comparison.sample.is_slower());
+        let doubtful = comparisons.find(|(_, comparison)| comparison.is_slower());
         doubtful.map(|((route, measure), _)| describe(route, *measure))
     }
 
--- a/relay/src/call.rs
+++ b/relay/src/call.rs
@@ -248,8 +248,7 @@
 /// that is not the reason.
 fn refuse_limited<C: Codec>(relay: &Relay<C>, job: &Job, progress: &Progress) -> Option<Refusal> {
     let wait = relay.limit_wait(criteria(relay, job, progress))?;
-    let limited = progress.ran == 0 && !wait.is_zero();
-    limited.then(|| {
+    (progress.ran == 0).then(|| {
         let pause = relay.limit_pause(&job.service, wait);
         Refusal::with_retry(Reason::Limited, pause)
     })
--- a/relay/src/quarantine.rs
+++ b/relay/src/quarantine.rs
@@ -22,6 +22,9 @@
 /// Pause between two attempts to write records, while this entry reads the store.
 const RETRY_PAUSE: Duration = Duration::from_millis(500);
 
+/// Pause after a change, so that one round covers several changes.
+const COALESCE: Duration = Duration::from_millis(1);
+
 /// Value of a record.
 #[derive(Debug, Deserialize, Serialize)]
 struct Value {
@@ -52,7 +55,7 @@
         if relay.reads_store.load(Ordering::Relaxed) {
             for parts in &new {
                 let written = write(&relay, &store, parts).await;
-                log_outcome(parts, "recorded", written);
+                log_written(parts, written);
             }
             for (key, revision) in &ended {
                 relay.metrics.count_store_call(StoreCall::BlockedPrompt);
@@ -63,14 +66,14 @@
             }
         }
         let _ = timeout(RETRY_PAUSE, relay.prompts_changed.notified()).await;
-        sleep(Duration::from_millis(1)).await;
+        sleep(COALESCE).await;
     }
 }
 
-fn log_outcome(parts: &[Part], outcome: &'static str, written: Result<(), Error>) {
+fn log_written(parts: &[Part], written: Result<(), Error>) {
     let parts = parts_text(parts);
     match written {
-        Ok(()) => log::info!(parts = parts.as_str(), outcome; "record of a blocked prompt written"),
+        Ok(()) => log::info!(parts = parts.as_str(); "record of a blocked prompt written"),
         Err(error) => {
             let reason = error.to_string();
             log::warn!(parts = parts.as_str(), reason = reason.as_str(); "record of a blocked prompt not written yet");
--- a/relay/src/state/limits.rs
+++ b/relay/src/state/limits.rs
@@ -83,19 +83,19 @@
         backend.limit(|limit| limit.take(share, now));
     }
 
-    /// Returns the time until a server may get a request that all of them may not get now, because of
-    /// their limits. Returns `None` if no limit is the reason.
+    /// Returns the time until some server may get a request, if the limits of all that are not excluded
+    /// forbid it now.
     #[must_use]
     pub fn limit_wait(&self, criteria: Criteria) -> Option<Duration> {
         let now = self.clock.now();
         self.view(|view| {
             let share = view.limit_share(criteria.service, now);
             let backends = view.backends.get(criteria.service)?;
-            let limited = backends.iter().filter(|backend| {
-                backend.is_limited() && !criteria.excluded.contains(&backend.server.id)
-            });
-            let waits = limited.map(|backend| backend.limit(|limit| limit.wait(share, now)));
-            waits.min()
+            let usable = backends
+                .iter()
+                .filter(|backend| !criteria.excluded.contains(&backend.server.id));
+            let waits = usable.map(|backend| backend.limit(|limit| limit.wait(share, now)));
+            waits.min().filter(|wait| !wait.is_zero())
         })
     }
 
--- a/relay/src/stream.rs
+++ b/relay/src/stream.rs
@@ -29,6 +29,7 @@
 mod forwarding;
 mod meter;
 mod occupancy;
+mod refusals;
 
 /// Load, in streams, that is added to servers in another failure domain.
 const REMOTE_PENALTY: f64 = 1.0;
@@ -173,11 +174,8 @@
         let mut refusals = 0;
         let mut cache_holder = self.find_cache_holder().await;
         loop {
-            if let Some(pause) = self.relay.prompt_refused_for(&self.job.head.prompt_parts) {
-                return Err(match self.ran {
-                    0 => Refusal::with_retry(Reason::PromptBlocked, pause),
-                    _ => Refusal::new(Reason::Lost),
-                });
+            if let Some(refusal) = self.prompt_refusal() {
+                return Err(refusal);
             }
             let found = cache_holder.take().map(|backend| (backend, None));
             let cached = found.is_some();
@@ -277,20 +275,6 @@
         self.resumable() && self.ran < self.job.route.attempts
     }
 
-    /// Returns the refusal of a stream that no server accepted, or takes within its limit.
-    fn refusal(&self) -> Refusal {
-        let criteria = self.criteria(&[]);
-        let limit_wait = self.relay.limit_wait(criteria);
-        if let Some(wait) = limit_wait.filter(|wait| self.ran == 0 && !wait.is_zero()) {
-            let pause = self.relay.limit_pause(&self.job.service, wait);
-            return Refusal::with_retry(Reason::Limited, pause);
-        }
-        match self.ran {
-            0 => Refusal::with_retry(Reason::NoServer, NO_SERVER_PAUSE),
-            _ => Refusal::new(Reason::Lost),
-        }
-    }
-
     /// Records and logs a failed attempt.
     fn record_failed_attempt(&mut self, backend: &Arc<Backend>, failure: &Failure) {
         self.excluded.push(Arc::clone(&backend.server.id));
@@ -341,22 +325,6 @@
         Some((self.relay.choose(criteria)?, None))
     }
 
-    /// Records that a run was lost with its server, unless a server has begun to answer the prompt.
-    fn record_unanswered(&self, backend: &Backend) {
-        if !self.answered && self.last_event.is_none() {
-            self.relay
-                .record_unanswered_prompt(backend, &self.job.head.prompt_parts);
-        }
-    }
-
-    /// Records that a server has begun to answer the prompt.
-    fn record_answered(&mut self) {
-        if !std::mem::replace(&mut self.answered, true) {
-            self.relay
-                .record_answered_prompt(&self.job.head.prompt_parts);
-        }
-    }
-
     /// Records a failure of a live server for the comparison of versions.
     fn record_server_failure(&self, backend: &Backend) {
         let measurement = Measurement {
--- /dev/null
+++ b/relay/src/stream/refusals.rs
@@ -0,0 +1,48 @@
+//! Refusals of streams that no server can take, and what servers do with prompts.
+
+use crate::answer::{Reason, Refusal};
+use crate::codec::Codec;
+use crate::state::Backend;
+
+use super::{NO_SERVER_PAUSE, Stream};
+
+impl<C: Codec> Stream<C> {
+    /// Returns the refusal of a stream that no server accepted, or takes within its limit.
+    pub(super) fn refusal(&self) -> Refusal {
+        let criteria = self.criteria(&[]);
+        let limit_wait = self.relay.limit_wait(criteria);
+        if let Some(wait) = limit_wait.filter(|_| self.ran == 0) {
+            let pause = self.relay.limit_pause(&self.job.service, wait);
+            return Refusal::with_retry(Reason::Limited, pause);
+        }
+        match self.ran {
+            0 => Refusal::with_retry(Reason::NoServer, NO_SERVER_PAUSE),
+            _ => Refusal::new(Reason::Lost),
+        }
+    }
+
+    /// Returns the refusal of a stream whose prompt crashes servers.
+    pub(super) fn prompt_refusal(&self) -> Option<Refusal> {
+        let pause = self.relay.prompt_refused_for(&self.job.head.prompt_parts)?;
+        Some(match self.ran {
+            0 => Refusal::with_retry(Reason::PromptBlocked, pause),
+            _ => Refusal::new(Reason::Lost),
+        })
+    }
+
+    /// Records that a run was lost with its server, unless a server has begun to answer the prompt.
+    pub(super) fn record_unanswered(&self, backend: &Backend) {
+        if !self.answered && self.last_event.is_none() {
+            self.relay
+                .record_unanswered_prompt(backend, &self.job.head.prompt_parts);
+        }
+    }
+
+    /// Records that a server has begun to answer the prompt.
+    pub(super) fn record_answered(&mut self) {
+        if !std::mem::replace(&mut self.answered, true) {
+            self.relay
+                .record_answered_prompt(&self.job.head.prompt_parts);
+        }
+    }
+}
