fix(coordination): leave a slow version as soon as it is beyond doubt

Cause: at 470 calls a second the trial alone brings fifty bad answers, and the new comparison was made only at the end of the move. It is now made after each eighth response of the canary too, at a thousandth of the significance.

--- a/coordination/src/canary.rs
+++ b/coordination/src/canary.rs
@@ -31,6 +31,9 @@
 /// request gives five good responses in a row about once in thirty times.
 const MIN_RESPONSES: u64 = 5;
 
+/// Responses of the canary after which all of its durations are compared once more.
+const LOOK_INTERVAL: u64 = 8;
+
 /// Time before the end of the move at which it is decided, so that the operators receive the verdict
 /// in time.
 const DECISION_MARGIN: Duration = Duration::from_millis(600);
@@ -107,6 +110,8 @@
     created_at: Duration,
     ordered_at: Option<Duration>,
     evidence: Evidence,
+    /// Looks at all durations of the canary so far, one for each [`LOOK_INTERVAL`] responses.
+    looks: u64,
     requests: u32,
     /// Requests sent to the new version.
     sent: u32,
@@ -131,6 +136,7 @@
             created_at: now,
             ordered_at: issued_now.then_some(now),
             evidence: Evidence::new(Tolerance::default(), 1),
+            looks: 0,
             requests: 0,
             sent: 0,
             shifting: false,
@@ -290,7 +296,12 @@
     }
 
     fn check_evidence(&mut self) {
-        if let Some(reason) = self.evidence.rejection() {
+        let looks = self.evidence.requests() / LOOK_INTERVAL;
+        let looked = std::mem::replace(&mut self.looks, looks);
+        let certainty = (looks > looked)
+            .then(|| self.evidence.certainty())
+            .flatten();
+        if let Some(reason) = self.evidence.rejection().or(certainty) {
             self.reject(&reason);
         }
     }
--- a/coordination/src/evidence.rs
+++ b/coordination/src/evidence.rs
@@ -180,7 +180,14 @@
 /// Share of slow durations that is tolerated regardless of the baseline.
 const SLOW_SHARE: f64 = 0.2;
 
-/// The same at a stage without requests to the baseline.
+/// Probability of the canary's slow durations, if it is as good as tolerated, below which it is not
+/// accepted at the end of a move.
+const FINAL_SIGNIFICANCE: f64 = 0.01;
+
+/// The same for each of up to a thousand looks during a move.
+const REPEATED_SIGNIFICANCE: f64 = FINAL_SIGNIFICANCE / 1_000.0;
+
+/// [`SLOW_SHARE`] at a stage without requests to the baseline.
 const SLOW_SHARE_WITHOUT_BASELINE: f64 = 0.4;
 
 /// The evidence that one entry has collected at a stage of a move.
@@ -287,9 +294,19 @@
     /// more evidence than a single look at the end.
     #[must_use]
     pub fn doubt(&self) -> Option<String> {
+        self.slower(FINAL_SIGNIFICANCE)
+    }
+
+    /// Returns why the canary is slower beyond doubt, by one of many looks during a move.
+    #[must_use]
+    pub fn certainty(&self) -> Option<String> {
+        self.slower(REPEATED_SIGNIFICANCE)
+    }
+
+    fn slower(&self, significance: f64) -> Option<String> {
         let mut comparisons = self.comparisons.iter();
-        let doubtful = comparisons.find(|(_, comparison)| comparison.is_slower());
-        doubtful.map(|((route, measure), _)| describe(route, *measure))
+        let slower = comparisons.find(|(_, comparison)| comparison.is_slower(significance));
+        slower.map(|((route, measure), _)| describe(route, *measure))
     }
 
     /// Returns the reason for rejecting the canary if the evidence is sufficient.
--- a/coordination/src/evidence/comparison.rs
+++ b/coordination/src/evidence/comparison.rs
@@ -97,8 +97,8 @@
             .fold(0.0, f64::max)
     }
 
-    /// Returns whether the canary's durations are slower by one look at the end of a stage.
-    pub(super) fn is_slower(&self) -> bool {
-        self.sample.is_slower()
+    /// Returns whether the canary's durations are slower than the baseline's by one look at all of them.
+    pub(super) fn is_slower(&self, significance: f64) -> bool {
+        self.sample.is_slower(significance)
     }
 }
--- a/coordination/src/evidence/sample.rs
+++ b/coordination/src/evidence/sample.rs
@@ -24,10 +24,6 @@
 /// Factor on the baseline's share of slow durations that is tolerated.
 const TOLERATED_FACTOR: f64 = 1.5;
 
-/// Probability of the canary's slow durations, if it is as good as tolerated, below which it counts as
-/// slower.
-const SIGNIFICANCE: f64 = 0.01;
-
 /// Durations of both versions.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Sample {
@@ -53,8 +49,9 @@
         self.canary.clear();
     }
 
-    /// Returns whether the canary has slow durations more often than tolerated.
-    pub(super) fn is_slower(&self) -> bool {
+    /// Returns whether the canary has slow durations more often than tolerated: a canary that is as good as
+    /// tolerated has so many with a probability below `significance`.
+    pub(super) fn is_slower(&self, significance: f64) -> bool {
         if self.baseline.len() < MIN_BASELINE {
             return false;
         }
@@ -70,7 +67,7 @@
         let share = number(slow(&self.baseline)) / number(self.baseline.len());
         let tolerated = (TOLERATED_FACTOR * share).max(TOLERATED_SHARE);
         let probability = upper_tail(self.canary.len(), slow(&self.canary), tolerated);
-        probability < SIGNIFICANCE
+        probability < significance
     }
 }
 
--- a/coordination/tests/canary.rs
+++ b/coordination/tests/canary.rs
@@ -240,6 +240,31 @@
     }
 }
 
+/// With many requests, the trial alone gives a slow version more than fifty bad answers, and the users
+/// bear no further request 5 s after those.
+#[test]
+fn a_busy_service_leaves_a_slow_version_soon_after_its_fiftieth_bad_answer() {
+    let busy = Case {
+        entries: 81,
+        per_second: 470.0,
+        slowness: 8.0,
+        slow_share: 0.2,
+        ..GOOD
+    };
+    for seed in 0..5 {
+        let outcome = simulate(busy, seed);
+        assert!(outcome.bad(), "seed {seed}");
+        assert_eq!(outcome.late, 0, "seed {seed}");
+    }
+    for seed in 0..5 {
+        let good = Case {
+            slowness: 1.0,
+            ..busy
+        };
+        assert!(simulate(good, seed).good(), "seed {seed}");
+    }
+}
+
 /// A version that turns bad after the shift of all requests to it must stay within the limits.
 #[test]
 fn a_version_that_turns_bad_at_the_end_stays_within_its_limits() {
