perf(relay): apply named limits with one pass over the servers

A message with many limits was compared with each server in turn, and a loss with each other one even where nothing is blocked: both grow with the square of the fleet.

--- a/coordination/src/quarantine.rs
+++ b/coordination/src/quarantine.rs
@@ -289,6 +289,9 @@
     /// Returns whether a known combination explains a loss: the lost prompt has it, or another prompt
     /// that was lost in the same crash.
     fn is_explained(&self, record: &Record) -> bool {
+        if self.combinations.is_empty() {
+            return false;
+        }
         let same_crash = |other: &&Record| {
             other.server == record.server && other.at.abs_diff(record.at) < CRASH_WINDOW
         };
--- a/relay/src/lib.rs
+++ b/relay/src/lib.rs
@@ -6,8 +6,8 @@
 //! sends it. [`call`] returns a whole response; [`stream`] forwards events as they arrive and
 //! resumes at another server when [`monitor`] reports one lost. [`store_watch`] keeps [`state`] up
 //! to date from the store, and [`broadcast`] shares it with the other entries as
-//! [`medlarfall_coordination::dissemination`] decides. A [`codec::Codec`]
-//! translates the outside protocol.
+//! [`medlarfall_coordination::dissemination`] decides. [`quarantine`] records the prompts that crash
+//! servers in the store. A [`codec::Codec`] translates the outside protocol.
 
 pub mod answer;
 pub mod attempt;
--- a/relay/src/state/limits.rs
+++ b/relay/src/state/limits.rs
@@ -1,9 +1,10 @@
 //! Limits that servers name: what this entry and the others hear of them, and its share.
 
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
-use medlarfall_coordination::dissemination::ServerLimit;
+use medlarfall_coordination::dissemination::{ServerLimit, Tag};
 use medlarfall_coordination::placement::name_hash;
 use medlarfall_coordination::server_limit::{self, Named};
 
@@ -38,14 +39,18 @@
             return;
         }
         let now = self.clock.now();
+        let mut latest: HashMap<Tag, (Named, Duration)> = HashMap::new();
+        for (limit, age) in limits {
+            let known = latest.entry(limit.server).or_insert((limit.named, *age));
+            if *age < known.1 {
+                *known = (limit.named, *age);
+            }
+        }
         let heard: Vec<(Arc<Backend>, Named, Duration)> = self.view(|view| {
             let backends = view.backends.values().flatten();
             let heard = backends.filter_map(|backend| {
-                let of_server = limits
-                    .iter()
-                    .filter(|(limit, _)| limit.server == backend.tag());
-                let (limit, age) = of_server.min_by_key(|(_, age)| *age)?;
-                Some((Arc::clone(backend), limit.named, *age))
+                let (named, age) = *latest.get(&backend.tag())?;
+                Some((Arc::clone(backend), named, age))
             });
             heard.collect()
         });
