fix(relay): count the fleet's generations where an entry has none itself

An entry without own requests for a service left out those of the others, so that each loss looked like a rate of lost prompts near 1 and it blocked no prompt that crashes servers until the store told it. Found by reading; the share of server limits counted the same requests apart, now in one place.

--- a/coordination/src/retry_budget.rs
+++ b/coordination/src/retry_budget.rs
@@ -170,12 +170,6 @@
         }
     }
 
-    /// Returns the length of the window.
-    #[must_use]
-    pub fn span(&self) -> Duration {
-        self.bounds.window
-    }
-
     /// Counts a request.
     pub fn request(&mut self, now: Duration) {
         self.slot(now).requests += 1;
--- a/relay/src/state/limits.rs
+++ b/relay/src/state/limits.rs
@@ -122,9 +122,7 @@
 impl View {
     /// Returns this entry's share of the limits of a service's servers.
     pub(super) fn limit_share(&mut self, service: &str, now: Duration) -> f64 {
-        let window = self.retry_windows.get_mut(service);
-        let own = window.map_or(0, |window| window.usage(now).requests);
-        let others = self.node.others(service, now).usage.requests;
-        server_limit::share(own, own.saturating_add(others), self.node.entries())
+        let (own, all) = self.requests(service, now);
+        server_limit::share(own, all, self.node.entries())
     }
 }
--- a/relay/src/state/prompts.rs
+++ b/relay/src/state/prompts.rs
@@ -35,7 +35,7 @@
         };
         self.change_prompts(|view| {
             view.node.add_prompt_loss(loss.clone(), now);
-            let requests = view.generation_requests(now);
+            let requests = view.generation_requests(self.settings.retries.window, now);
             let answered = view.prompts.record_loss(&loss, requests, now, now);
             view.announce_answered(answered, now);
         });
@@ -58,7 +58,7 @@
         }
         let now = self.clock.now();
         self.change_prompts(|view| {
-            let requests = view.generation_requests(now);
+            let requests = view.generation_requests(self.settings.retries.window, now);
             for (loss, age) in &prompts.losses {
                 let at = now.saturating_sub(*age);
                 let answered = view.prompts.record_loss(loss, requests, at, now);
@@ -171,8 +171,9 @@
 }
 
 impl View {
-    /// Returns the requests for generations in the fleet over [`quarantine::RATE_WINDOW`].
-    fn generation_requests(&mut self, now: Duration) -> u32 {
+    /// Returns the requests for generations in the fleet over [`quarantine::RATE_WINDOW`]. `window` is the
+    /// time over which entries count requests.
+    fn generation_requests(&mut self, window: Duration, now: Duration) -> u32 {
         let Some(table) = &self.table else {
             return 0;
         };
@@ -181,22 +182,15 @@
             service.is_some_and(|service| service.memory_tokens > 0)
         };
         let services: Vec<Arc<str>> = table.services().filter(generates).cloned().collect();
-        let mut requests = 0.0;
-        for service in &services {
-            let others = self.node.others(service, now).usage.requests;
-            let Some(window) = self.retry_windows.get_mut(service) else {
-                continue;
-            };
-            let own = window.usage(now).requests;
-            let windows = quarantine::RATE_WINDOW.as_secs_f64() / window.span().as_secs_f64();
-            requests += f64::from(own.saturating_add(others)) * windows;
-        }
+        let requests = services.iter().map(|service| self.requests(service, now).1);
+        let requests: u32 = requests.fold(0, u32::saturating_add);
+        let windows = quarantine::RATE_WINDOW.as_secs_f64() / window.as_secs_f64();
         #[expect(
             clippy::cast_possible_truncation,
             clippy::cast_sign_loss,
             reason = "out of range values become the nearest one"
         )]
-        let requests = requests as u32;
+        let requests = (f64::from(requests) * windows) as u32;
         requests
     }
 
--- a/relay/src/state/view.rs
+++ b/relay/src/state/view.rs
@@ -85,6 +85,14 @@
         window.or_insert_with(|| Window::new(bounds))
     }
 
+    /// Returns the requests of this entry and of all for a service, over the window of its retries.
+    pub(super) fn requests(&mut self, service: &str, now: Duration) -> (u32, u32) {
+        let window = self.retry_windows.get_mut(service);
+        let own = window.map_or(0, |window| window.usage(now).requests);
+        let others = self.node.others(service, now).usage.requests;
+        (own, own.saturating_add(others))
+    }
+
     /// Returns this entry's part of a reserve of retries.
     pub(super) fn reserve(&self, bounds: Bounds) -> f64 {
         let entries = self.node.entries().max(MIN_ENTRIES);
