fix(relay): record blocked prompts only where they were found

Entries that read the store could record and remove a blocked combination in turn, twice a second: one that kept a wider combination beside a narrower one, and one that started later and blocked it for longer than the others. A record whose lease ended while the block went on was not written again, since nothing woke the task. Found by reading, not seen in a run.

A narrower combination now replaces the wider ones, however it is learned; an entry records only what it found itself, removes only what an answer has cleared, and looks again after each change of the records. A part's limit is computed only for parts that were lost repeatedly.

--- a/coordination/src/quarantine.rs
+++ b/coordination/src/quarantine.rs
@@ -112,6 +112,8 @@
     pub parts: Arc<[Part]>,
     /// End of the time for which it is blocked. After that, single requests are tried.
     pub ends_at: Duration,
+    /// Whether this entry found it, from losses that it knows.
+    pub found: bool,
     time: Duration,
 }
 
@@ -120,6 +122,7 @@
         Self {
             parts,
             ends_at: now + time,
+            found: true,
             time,
         }
     }
@@ -203,7 +206,7 @@
             at,
         });
         while let Some(parts) = self.find(requests, now) {
-            self.block(parts, now);
+            self.insert(Combination::new(parts, FIRST_TIME, now));
         }
         answered
     }
@@ -260,21 +263,27 @@
         self.blocked_for(parts, now).or_else(waits)
     }
 
-    /// Blocks a combination that another entry has found, for the rest of its time. Returns whether it
-    /// was not blocked before.
-    pub fn adopt(&mut self, parts: &[Part], remaining: Duration, now: Duration) -> bool {
+    /// Blocks a combination that another entry has found, unless a narrower one is known. Returns whether
+    /// it was not known before.
+    pub fn adopt(&mut self, parts: &[Part], now: Duration) -> bool {
         let parts = sorted(parts.to_vec());
         if parts.is_empty() || self.matching(&parts).next().is_some() {
             return false;
         }
-        let combination = Combination {
-            ends_at: now + remaining,
+        self.insert(Combination {
+            found: false,
             ..Combination::new(parts, FIRST_TIME, now)
-        };
-        self.insert(combination);
+        });
         true
     }
 
+    /// Returns whether a combination is known, blocked or with its time over.
+    #[must_use]
+    pub fn knows(&self, parts: &[Part]) -> bool {
+        let mut combinations = self.combinations.iter();
+        combinations.any(|combination| *combination.parts == *parts)
+    }
+
     /// Returns the blocked combinations.
     pub fn blocked(&self, now: Duration) -> impl Iterator<Item = &Combination> {
         let combinations = self.combinations.iter();
@@ -312,7 +321,8 @@
             }
         }
         let counted = losses.iter().map(|(part, losses)| (part, spaced(losses)));
-        let enough = counted.filter(|(part, count)| *count >= self.limit(**part, requests, now));
+        let repeated = counted.filter(|(_, count)| *count >= REPEATED_LOSSES);
+        let enough = repeated.filter(|(part, count)| *count >= self.limit(**part, requests, now));
         let (part, _) = enough.max_by_key(|(_, count)| *count)?;
         self.common_suspects(*part)
     }
@@ -354,14 +364,10 @@
         }
     }
 
-    fn block(&mut self, parts: Arc<[Part]>, now: Duration) {
-        let wider =
-            |combination: &Combination| parts.iter().all(|part| combination.parts.contains(part));
-        self.combinations.retain(|combination| !wider(combination));
-        self.insert(Combination::new(parts, FIRST_TIME, now));
-    }
-
+    /// Adds a combination in place of those that have all of its parts.
     fn insert(&mut self, combination: Combination) {
+        self.combinations
+            .retain(|wider| !combination.within(&wider.parts));
         if self.combinations.len() >= MAX_COMBINATIONS {
             self.combinations.remove(0);
         }
--- a/coordination/tests/quarantine.rs
+++ b/coordination/tests/quarantine.rs
@@ -192,14 +192,38 @@
 #[test]
 fn a_combination_that_another_entry_found_is_adopted_once() {
     let mut tracker = Tracker::default();
-    assert!(tracker.adopt(&[CRASHES, SHARED], FIRST_TIME, at(0)));
-    assert!(!tracker.adopt(&[SHARED, CRASHES], FIRST_TIME, at(0)));
+    assert!(tracker.adopt(&[CRASHES, SHARED], at(0)));
+    assert!(!tracker.adopt(&[SHARED, CRASHES], at(0)));
     assert!(blocked(&tracker, &[SHARED, CRASHES, 11], 0));
     assert!(!blocked(&tracker, &[CRASHES, 11], 0));
 }
 
-/// Whatever is lost and answered, only prompts are blocked whose parts were lost three times, and none
-/// that was answered after its last loss.
+/// Entries that keep a wider combination beside a narrower one record and remove it in turn.
+#[test]
+fn a_narrower_combination_replaces_a_wider_one() {
+    let mut tracker = crashed();
+    assert!(tracker.knows(&[SHARED, CRASHES]));
+    assert!(tracker.adopt(&[CRASHES], at(3_000)));
+    assert!(!tracker.knows(&[SHARED, CRASHES]));
+    assert!(!tracker.adopt(&[SHARED, CRASHES], at(3_000)));
+    assert_eq!(tracker.blocked(at(3_000)).count(), 1);
+}
+
+/// An entry that started later than others must not prolong the record for the next one.
+#[test]
+fn a_combination_that_was_adopted_does_not_count_as_found() {
+    let mut tracker = Tracker::default();
+    tracker.adopt(&[CRASHES], at(0));
+    assert!(tracker.blocked(at(0)).all(|combination| !combination.found));
+    assert!(
+        crashed()
+            .blocked(at(3_000))
+            .all(|combination| combination.found)
+    );
+}
+
+/// Whatever is lost and answered, no prompt is blocked whose parts were lost together only once, and none
+/// whose answer was the last that was seen of it.
 #[test]
 fn only_prompts_that_were_lost_repeatedly_and_not_answered_since_are_blocked() {
     check!()
--- a/relay/src/state/prompts.rs
+++ b/relay/src/state/prompts.rs
@@ -15,9 +15,9 @@
 /// How the records of blocked combinations in the store differ from what is blocked.
 #[derive(Clone, Debug, Default)]
 pub struct Due {
-    /// Combinations without a record.
+    /// Combinations that this entry found and that have no record.
     pub new: Vec<Arc<[Part]>>,
-    /// Records of combinations that are no longer blocked: key and revision.
+    /// Records of combinations that an answer has cleared: key and revision.
     pub ended: Vec<(Arc<str>, u64)>,
 }
 
@@ -140,31 +140,31 @@
                 view.recorded_prompts.remove(key);
                 return;
             };
-            view.prompts.adopt(&parts, quarantine::FIRST_TIME, now);
+            view.prompts.adopt(&parts, now);
             view.recorded_prompts
                 .insert(Arc::clone(key), (parts, revision));
         });
+        self.prompts_changed.notify_one();
     }
 
-    /// Returns how the records in the store differ from what is blocked.
+    /// Returns how the records in the store differ from what this entry knows. Only combinations that it
+    /// found itself are due: those that it adopted would be recorded again and again by entries that start
+    /// later than others.
     #[must_use]
     pub fn prompt_records_due(&self) -> Due {
         let now = self.clock.now();
         self.view(|view| {
-            let blocked = view.prompts.blocked(now);
-            let blocked: Vec<Arc<[Part]>> = blocked.map(|found| Arc::clone(&found.parts)).collect();
-            let recorded = |parts: &Arc<[Part]>| {
-                let mut records = view.recorded_prompts.values();
-                records.any(|(recorded, _)| recorded == parts)
-            };
-            let records = view.recorded_prompts.iter();
-            let ended = records.filter(|(_, (parts, _))| !blocked.contains(parts));
-            let ended = ended.map(|(key, (_, revision))| (Arc::clone(key), *revision));
-            let ended = ended.collect();
-            let new = blocked.iter().filter(|parts| !recorded(parts));
+            let records = &view.recorded_prompts;
+            let recorded = |parts: &Arc<[Part]>| records.values().any(|(known, _)| known == parts);
+            let found = view.prompts.blocked(now).filter(|blocked| blocked.found);
+            let found = found.map(|found| Arc::clone(&found.parts));
+            let ended = records.iter();
+            let ended = ended.filter(|(_, (parts, _))| !view.prompts.knows(parts));
             Due {
-                new: new.cloned().collect(),
-                ended,
+                new: found.filter(|parts| !recorded(parts)).collect(),
+                ended: ended
+                    .map(|(key, (_, revision))| (Arc::clone(key), *revision))
+                    .collect(),
             }
         })
     }
