--- a/relay/src/changelog.rs
+++ b/relay/src/changelog.rs
@@ -96,6 +96,7 @@
         Changes {
             changes,
             revision: self.revision,
+            era: 0,
         }
     }
 }
--- a/relay/src/datagram.rs
+++ b/relay/src/datagram.rs
@@ -149,6 +149,7 @@
             changes: Changes {
                 changes: changes.collect(),
                 revision: updates.revision,
+                era: 0,
             },
         }
     }
--- a/relay/src/metrics.rs
+++ b/relay/src/metrics.rs
@@ -111,6 +111,8 @@
     pub configuration: Gauge,
     /// Whether the store is available: 1 or 0.
     pub store_up: Gauge,
+    /// Era of the store, which increases with each restore.
+    pub store_era: Gauge,
     registry: Mutex<Registry>,
 }
 
@@ -202,6 +204,7 @@
             hub: add(new, "hub", "Whether the entry is a hub", gauge()),
             configuration: add(new, "configuration", "Version in force", gauge()),
             store_up: add(new, "store_up", "Whether the store answers", gauge()),
+            store_era: add(new, "store_era", "Restores of the store, plus 1", gauge()),
             age: add(
                 new,
                 "age_seconds",
--- a/relay/src/store_watch.rs
+++ b/relay/src/store_watch.rs
@@ -172,6 +172,7 @@
                 }
                 apply(relay, &item.into());
             }
+            note_era(relay, listing.era, "list", listing.revision);
             relay.retain_servers(&listed, listing.revision);
             relay.changelog(|changelog| changelog.mark_complete(listing.revision));
             Ok(Position::At(listing.revision))
@@ -179,7 +180,12 @@
         Position::At(revision) => {
             relay.metrics.count_store_call(StoreCall::Watch);
             let watching = store.watch("", revision, WATCH_TIME);
-            let Changes { changes, revision } = with_timeout(WATCH_TIME, watching).await?;
+            let Changes {
+                changes,
+                revision,
+                era,
+            } = with_timeout(WATCH_TIME, watching).await?;
+            note_era(relay, era, "watch", revision);
             // The first response after an outage carries the changes made during it.
             relay.set_store_available(true);
             for change in &changes {
@@ -191,6 +197,16 @@
     }
 }
 
+/// Logs an era of the store that differs from the one before: the store was restored from a copy.
+fn note_era<C: Codec>(relay: &Relay<C>, era: u64, call: &str, revision: u64) {
+    let era = i64::try_from(era).unwrap_or(i64::MAX);
+    let before = relay.metrics.store_era.set(era);
+    if before != 0 && before != era {
+        let known = relay.changelog(|changelog| changelog.revision());
+        log::warn!(era, before, call, revision, known; "the store was restored from a copy");
+    }
+}
+
 /// Bounds a call that itself waits up to `wait`.
 pub(crate) async fn with_timeout<T>(
     wait: Duration,
--- a/runtime/src/store.rs
+++ b/runtime/src/store.rs
@@ -27,6 +27,10 @@
     pub items: Vec<Item>,
     /// Revision of the store at which the items were read.
     pub revision: u64,
+    /// Era of the store that answered, which increases when it is restored from a copy; 0 if it names
+    /// none.
+    #[serde(default)]
+    pub era: u64,
 }
 
 /// A change of one key.
@@ -57,6 +61,10 @@
     pub changes: Vec<Change>,
     /// Revision of the store up to which the changes are complete.
     pub revision: u64,
+    /// Era of the store that answered, which increases when it is restored from a copy; 0 if it names
+    /// none.
+    #[serde(default)]
+    pub era: u64,
 }
 
 /// An instance on the platform's list of instances.
