fix(relay): order revisions of the store by its era

Cause: a store that is restored from a copy gives out its revisions again, and each revision was compared as one number: in the position of the watch, the log of changes, the list of servers, orders to move a service and messages between entries. The store's position was 39 when the copy came back at 38; the watch stayed at 39 and skipped the new change 39, version 14.

Now a revision has an era, which the store names in its answers, and eras are compared first. An answer of a later era ends the watch, and all keys are read anew; keys that the list lacks are taken as removed, servers as lapsed. Entries send the era with their revisions; one without an era (an older process) counts as the receiver's. All keys are sent to a peer of an earlier era.

Ruled out: that entries which read the store fail to pass changes on; those that read it skipped the change themselves.

--- a/coordination/src/canary.rs
+++ b/coordination/src/canary.rs
@@ -16,6 +16,7 @@
 use std::time::Duration;
 
 use crate::evidence::{Cohort, Evidence, Observation, Tolerance};
+use crate::history::Revision;
 
 /// Share of the planned requests to the canary that the trial phase uses; the rest is for the shift
 /// at the end of the move.
@@ -69,7 +70,7 @@
     /// The version to move to.
     pub version: Arc<str>,
     /// Revision of the order in the store.
-    pub revision: u64,
+    pub revision: Revision,
     /// Duration of the move.
     pub duration: Duration,
 }
@@ -90,7 +91,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct Report {
     /// Revision of the order.
-    pub revision: u64,
+    pub revision: Revision,
     /// Time since the order, in milliseconds; `None` if the entry does not know it.
     pub age_ms: Option<u64>,
     /// How the move ended, if it has ended.
@@ -262,7 +263,8 @@
 
     /// Merges a peer's report, whole or in part.
     pub fn receive(&mut self, peer: &Arc<str>, report: Report, now: Duration) {
-        if report.revision != self.order.revision {
+        let own = self.order.revision;
+        if report.revision.or_era(own.era) != own {
             return;
         }
         if let Some(age) = report.age_ms {
--- a/coordination/src/dissemination.rs
+++ b/coordination/src/dissemination.rs
@@ -12,6 +12,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::history::Revision;
 use crate::placement::name_hash;
 use crate::quarantine::{Loss, Part};
 use crate::retry_budget::Usage;
@@ -105,7 +106,7 @@
     /// Capacity of its machine's link, in Mbit/s.
     pub link_mbps: u32,
     /// Revision of the store up to which it knows all changes.
-    pub revision: u64,
+    pub revision: Revision,
     /// Whether it reads the store and its last call succeeded.
     pub reads_store: bool,
     /// Whether the store is available to any entry that it knows.
--- a/coordination/src/dissemination/codec.rs
+++ b/coordination/src/dissemination/codec.rs
@@ -8,6 +8,7 @@
 
 use crate::canary;
 use crate::evidence::{Cohort, Observation};
+use crate::history::Revision;
 use crate::quarantine::{Loss, Part};
 use crate::retry_budget::Usage;
 use crate::server_limit::Named;
@@ -61,10 +62,11 @@
                 entry: sender.entry.to_string(),
                 failure_domain: sender.failure_domain.to_string(),
                 link_mbps: sender.link_mbps,
-                revision: sender.revision,
+                revision: sender.revision.number,
                 reads_store: sender.reads_store,
                 store_available: sender.store_available,
                 leaving: sender.leaving,
+                era: sender.revision.era,
             }),
             content: Some(content),
         }
@@ -89,7 +91,10 @@
                 entry: Arc::from(sender.entry),
                 failure_domain: Arc::from(sender.failure_domain),
                 link_mbps: sender.link_mbps,
-                revision: sender.revision,
+                revision: Revision {
+                    era: sender.era,
+                    number: sender.revision,
+                },
                 reads_store: sender.reads_store,
                 store_available: sender.store_available,
                 leaving: sender.leaving,
@@ -365,7 +370,8 @@
         Self {
             service: report.service.to_string(),
             entry: report.entry.to_string(),
-            revision: report.report.revision,
+            revision: report.report.revision.number,
+            era: report.report.revision.era,
             age_ms: report.report.age_ms,
             verdict,
             first: report.report.first,
@@ -400,7 +406,10 @@
             service: Arc::from(report.service),
             entry: Arc::from(report.entry),
             report: canary::Report {
-                revision: report.revision,
+                revision: Revision {
+                    era: report.era,
+                    number: report.revision,
+                },
                 age_ms: report.age_ms,
                 verdict,
                 first: report.first,
--- a/coordination/src/dissemination/node.rs
+++ b/coordination/src/dissemination/node.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::history::Revision;
 use crate::quarantine::{Loss, Part};
 use crate::reader_election::{Election, Rank};
 use crate::retry_budget::{Others, Usage};
@@ -51,7 +52,7 @@
     /// Its requests and retries, by service.
     pub usage: Vec<(Arc<str>, Usage)>,
     /// Revision of the store up to which it knows all changes.
-    pub revision: u64,
+    pub revision: Revision,
     /// Whether it reads the store and its last call succeeded.
     pub reads_store: bool,
     /// Whether the store is available, as far as it knows.
@@ -66,7 +67,7 @@
     at: Option<Duration>,
     repeated_at: Option<Duration>,
     sequence: u64,
-    revision: u64,
+    revision: Revision,
     store_available: bool,
     leaving: bool,
 }
--- a/coordination/src/lib.rs
+++ b/coordination/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod fencing;
 pub mod grants;
 pub mod group_outage;
+pub mod history;
 pub mod journal;
 pub mod liveness;
 pub mod membership;
--- a/coordination/src/registry.rs
+++ b/coordination/src/registry.rs
@@ -11,6 +11,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::history::Revision;
+
 /// Time after the recovery of the store within which live servers register again, as the platform
 /// specifies.
 pub const LAPSE_GRACE: Duration = Duration::from_secs(2);
@@ -40,7 +42,7 @@
 #[derive(Clone, Debug)]
 struct Record {
     server: Arc<Server>,
-    revision: u64,
+    revision: Revision,
     lapsed: bool,
 }
 
@@ -48,7 +50,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Registry {
     records: HashMap<Arc<str>, Record>,
-    removed: HashMap<Arc<str>, u64>,
+    removed: HashMap<Arc<str>, Revision>,
     store_down: bool,
     trusted_from: Duration,
 }
@@ -90,11 +92,16 @@
         }
     }
 
+    /// Records that the store was restored from a copy, which may lack registrations of live servers.
+    pub fn store_restored(&mut self, now: Duration) {
+        self.trusted_from = now + LAPSE_GRACE;
+    }
+
     /// Applies a server's registration at a revision of the store.
-    pub fn register(&mut self, server: Server, revision: u64) -> Effect {
+    pub fn register(&mut self, server: Server, revision: Revision) -> Effect {
         let known = self.records.get(&server.id);
-        let known_revision = known.map_or(0, |record| record.revision);
-        let removed = self.removed.get(&server.id).copied().unwrap_or(0);
+        let known_revision = known.map_or_else(Revision::default, |record| record.revision);
+        let removed = self.removed.get(&server.id).copied().unwrap_or_default();
         let current = known.is_some_and(|record| !record.lapsed);
         if revision <= removed
             || revision < known_revision
@@ -124,7 +131,7 @@
     }
 
     /// Returns whether a server that started later than `server` is registered at its address.
-    fn superseded(&self, server: &Server, revision: u64) -> bool {
+    fn superseded(&self, server: &Server, revision: Revision) -> bool {
         self.records.iter().any(|(id, other)| {
             let later = match (other.server.started_ms, server.started_ms) {
                 (Some(other), Some(own)) => other > own,
@@ -143,7 +150,7 @@
         self.records
             .retain(|_, record| record.server.address != server.address);
         let record = Record {
-            revision: 0,
+            revision: Revision::default(),
             lapsed: true,
             server: Arc::new(server),
         };
@@ -159,7 +166,7 @@
 
     /// Applies the removal of a registration, or its replacement by content that is not a
     /// registration.
-    pub fn remove(&mut self, id: &str, revision: u64, now: Duration) -> Effect {
+    pub fn remove(&mut self, id: &str, revision: Revision, now: Duration) -> Effect {
         let trusted = !self.store_down && now >= self.trusted_from;
         let Some(record) = self.records.get_mut(id) else {
             let removed = self.removed.entry(Arc::from(id)).or_default();
@@ -179,7 +186,7 @@
     }
 
     /// Applies a complete list, read at `revision`, that contains only the servers of `listed`.
-    pub fn retain(&mut self, listed: &HashSet<Arc<str>>, revision: u64, now: Duration) {
+    pub fn retain(&mut self, listed: &HashSet<Arc<str>>, revision: Revision, now: Duration) {
         let missing: Vec<Arc<str>> = self
             .records
             .iter()
--- a/coordination/tests/canary.rs
+++ b/coordination/tests/canary.rs
@@ -6,6 +6,7 @@
 
 use medlarfall_coordination::canary::{Bounds, Canary, Order, Verdict};
 use medlarfall_coordination::evidence::{Cohort, Observation};
+use medlarfall_coordination::history::Revision;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -80,7 +81,7 @@
 fn order() -> Order {
     Order {
         version: Arc::from("v2"),
-        revision: 7,
+        revision: Revision { era: 1, number: 7 },
         duration: DURATION,
     }
 }
--- a/coordination/tests/dissemination.rs
+++ b/coordination/tests/dissemination.rs
@@ -12,6 +12,7 @@
     Contact, Content, Count, Identity, Message, MoveReport, Node, Own, Scope, Tag, tag,
 };
 use medlarfall_coordination::evidence::{Cohort, Observation};
+use medlarfall_coordination::history::Revision;
 use medlarfall_coordination::placement::{Proximity, name_hash};
 use medlarfall_coordination::quarantine::{Loss, Tracker};
 use medlarfall_coordination::retry_budget::Usage;
@@ -622,7 +623,7 @@
     fleet.run(Duration::from_secs(2), 0);
     let service: Arc<str> = Arc::from("briefs");
     let mut report = canary::Report {
-        revision: 7,
+        revision: Revision { era: 1, number: 7 },
         age_ms: Some(0),
         verdict: None,
         first: 0,
--- a/coordination/tests/registry.rs
+++ b/coordination/tests/registry.rs
@@ -4,10 +4,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use medlarfall_coordination::history::Revision;
 use medlarfall_coordination::registry::{Effect, LAPSE_GRACE, Registry, Server};
 
 const NOW: Duration = Duration::from_secs(100);
 
+fn at(number: u64) -> Revision {
+    Revision { era: 1, number }
+}
+
 fn server(id: &str, port: u16) -> Server {
     Server {
         id: Arc::from(id),
@@ -40,8 +45,8 @@
 #[test]
 fn an_older_revision_changes_nothing() {
     let mut registry = Registry::new();
-    assert_eq!(registry.register(leaving("a", 1), 9), Effect::Leaving);
-    assert_eq!(registry.register(server("a", 1), 8), Effect::Stale);
+    assert_eq!(registry.register(leaving("a", 1), at(9)), Effect::Leaving);
+    assert_eq!(registry.register(server("a", 1), at(8)), Effect::Stale);
     assert!(
         ready(&registry).is_empty(),
         "a server that leaves came back"
@@ -51,23 +56,23 @@
 #[test]
 fn a_server_removed_while_the_store_responds_is_gone_immediately_and_stays_gone() {
     let mut registry = Registry::new();
-    registry.register(server("a", 1), 5);
-    assert_eq!(registry.remove("a", 7, NOW), Effect::Gone);
-    assert_eq!(registry.register(server("a", 1), 6), Effect::Stale);
+    registry.register(server("a", 1), at(5));
+    assert_eq!(registry.remove("a", at(7), NOW), Effect::Gone);
+    assert_eq!(registry.register(server("a", 1), at(6)), Effect::Stale);
     assert!(ready(&registry).is_empty());
 }
 
 #[test]
 fn a_registration_that_lapsed_in_an_outage_is_kept_for_the_grace_period() {
     let mut registry = Registry::new();
-    registry.register(server("a", 1), 5);
-    registry.register(server("b", 2), 6);
+    registry.register(server("a", 1), at(5));
+    registry.register(server("b", 2), at(6));
     registry.store_lost();
-    assert_eq!(registry.remove("a", 7, NOW), Effect::Lapsed);
+    assert_eq!(registry.remove("a", at(7), NOW), Effect::Lapsed);
     registry.store_responded(NOW);
-    assert_eq!(registry.remove("b", 8, NOW), Effect::Lapsed);
+    assert_eq!(registry.remove("b", at(8), NOW), Effect::Lapsed);
     assert_eq!(ready(&registry), ["a", "b"]);
-    registry.register(server("b", 2), 9);
+    registry.register(server("b", 2), at(9));
     assert!(registry.expire(NOW + LAPSE_GRACE / 2).is_empty());
     assert_eq!(registry.expire(NOW + LAPSE_GRACE), [Arc::from("a")]);
     assert_eq!(ready(&registry), ["b"]);
@@ -76,18 +81,18 @@
 #[test]
 fn a_server_that_was_leaving_is_not_kept_in_an_outage() {
     let mut registry = Registry::new();
-    registry.register(leaving("a", 1), 5);
+    registry.register(leaving("a", 1), at(5));
     registry.store_lost();
-    assert_eq!(registry.remove("a", 7, NOW), Effect::Gone);
+    assert_eq!(registry.remove("a", at(7), NOW), Effect::Gone);
 }
 
 #[test]
 fn a_later_start_at_an_address_replaces_the_earlier_one() {
     let mut registry = Registry::new();
-    registry.register(server("a", 1), 5);
-    registry.register(server("b", 1), 6);
+    registry.register(server("a", 1), at(5));
+    registry.register(server("b", 1), at(6));
     assert_eq!(ready(&registry), ["b"]);
-    assert_eq!(registry.register(server("a", 1), 5), Effect::Stale);
+    assert_eq!(registry.register(server("a", 1), at(5)), Effect::Stale);
     assert_eq!(
         ready(&registry),
         ["b"],
@@ -102,25 +107,28 @@
         ..server(id, 1)
     };
     let mut registry = Registry::new();
-    registry.register(started("new", 2_000), 5);
-    assert_eq!(registry.register(started("old", 1_000), 6), Effect::Stale);
+    registry.register(started("new", 2_000), at(5));
+    assert_eq!(
+        registry.register(started("old", 1_000), at(6)),
+        Effect::Stale
+    );
     assert_eq!(ready(&registry), ["new"]);
 }
 
 #[test]
 fn a_list_removes_the_servers_that_it_does_not_contain() {
     let mut registry = Registry::new();
-    registry.register(server("a", 1), 5);
-    registry.register(server("b", 2), 6);
-    registry.register(server("c", 3), 9);
-    registry.retain(&HashSet::from([Arc::from("a")]), 8, NOW);
+    registry.register(server("a", 1), at(5));
+    registry.register(server("b", 2), at(6));
+    registry.register(server("c", 3), at(9));
+    registry.retain(&HashSet::from([Arc::from("a")]), at(8), NOW);
     assert_eq!(ready(&registry), ["a", "c"], "c is newer than the list");
 }
 
 #[test]
 fn a_server_found_in_an_outage_is_used_and_dropped_unless_it_registers() {
     let mut registry = Registry::new();
-    registry.register(server("a", 1), 5);
+    registry.register(server("a", 1), at(5));
     registry.store_lost();
     assert_eq!(registry.adopt(server("b", 1)), Effect::Joined);
     assert_eq!(registry.adopt(server("b", 1)), Effect::Stale);
@@ -144,9 +152,9 @@
                 let revision = u64::from(*revision) + 1;
                 let port = u16::try_from(index).expect("small") + 1;
                 if *removed {
-                    registry.remove(&name, revision, NOW);
+                    registry.remove(&name, at(revision), NOW);
                 } else {
-                    registry.register(server(&name, port), revision);
+                    registry.register(server(&name, port), at(revision));
                 }
                 let (newest_revision, gone) = &mut newest[index];
                 if revision > *newest_revision {
--- a/relay/src/broadcast.rs
+++ b/relay/src/broadcast.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use medlarfall_coordination::dissemination::{Content, Outgoing, Scope};
+use medlarfall_coordination::history::Revision;
 use medlarfall_coordination::pacing;
 use medlarfall_runtime::store::Change;
 use tokio::net::UdpSocket;
@@ -62,11 +63,12 @@
             return;
         }
     };
-    let revision = message.sender.revision;
+    let own_era = relay.changelog(|changelog| changelog.revision().era);
+    let revision = message.sender.revision.or_era(own_era);
     let confirmed = message.sender.store_available && matches!(message.content, Content::Digest(_));
     relay.receive_message(from, message);
     if let Some(Updates { after, changes }) = updates {
-        store_watch::apply_updates(relay, after, &changes);
+        store_watch::apply_updates(relay, after, changes);
     }
     let behind = revision > relay.changelog(|changelog| changelog.revision());
     if confirmed && !behind {
@@ -82,23 +84,28 @@
 }
 
 /// Returns the changes since `sent_revision`, if they fit into a message.
-fn updates<C: Codec>(relay: &Relay<C>, sent_revision: u64) -> Option<Updates> {
-    if sent_revision == 0 {
+fn updates<C: Codec>(relay: &Relay<C>, sent_revision: Revision) -> Option<Updates> {
+    if sent_revision.number == 0 {
         return None;
     }
+    let current = relay.changelog(|changelog| changelog.revision());
     let changes = relay.changelog(|changelog| changelog.changes_since(sent_revision));
     let length = |change: &Change| change.key.len() + change.value.as_ref().map_or(0, String::len);
     let bytes: usize = changes.changes.iter().map(length).sum();
-    let fits = changes.revision > sent_revision && bytes <= UPDATES_LIMIT;
+    let fits = current > sent_revision && bytes <= UPDATES_LIMIT;
     fits.then_some(Updates {
-        after: sent_revision,
+        after: if sent_revision.era == current.era {
+            sent_revision.number
+        } else {
+            0
+        },
         changes,
     })
 }
 
 /// Sends messages when they are due.
 async fn send_messages<C: Codec>(relay: &Relay<C>, socket: &UdpSocket) {
-    let mut sent_revisions = [0; Scope::COUNT];
+    let mut sent_revisions = [Revision::default(); Scope::COUNT];
     loop {
         tokio::select! {
             () = relay.streams_changed.notified() => {}
--- a/relay/src/changelog.rs
+++ b/relay/src/changelog.rs
@@ -3,9 +3,10 @@
 //! An entry catches up from a peer if it is cut off from the store, its watch has fallen silent, or
 //! it started while the store was unavailable. Messages between entries carry the revision that
 //! each has read. One that stays behind for `CATCH_UP_DELAY` fetches the changes from the sender.
-//! Every value carries the store's revision, so a newer value is never replaced by an older one.
+//! Every value carries the store's revision, so a newer value is never replaced by an older one. All
+//! changes belong to one era of the store: a restore begins another.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -14,7 +15,8 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode};
-use medlarfall_runtime::store::{Change, Changes};
+use medlarfall_coordination::history::Revision;
+use medlarfall_runtime::store::{Change, Changes, Listing};
 use tokio::net::TcpListener;
 use tokio::time::{sleep, timeout};
 
@@ -38,29 +40,73 @@
 /// Path prefix of the changes after a revision.
 const CHANGES_PATH: &str = "/changes/";
 
+/// Query that names the era of that revision.
+const ERA_QUERY: &str = "era=";
+
 /// The newest known change of each key.
 #[derive(Debug, Default)]
 pub struct Changelog {
     changes: HashMap<Arc<str>, Change>,
-    revision: u64,
+    revision: Revision,
     /// The last response to a peer, with the revisions that it covers: entries that are behind are
     /// mostly behind by the same changes.
-    response: Option<(u64, u64, Bytes)>,
+    response: Option<(Revision, Revision, Bytes)>,
 }
 
 impl Changelog {
-    /// Adds a change, unless a newer one of its key is known.
-    pub fn insert(&mut self, change: &Change) {
+    /// Adds a change of an era, unless a newer one of its key is known. Returns whether the log is of that
+    /// era; a change of another one is not added.
+    pub fn insert(&mut self, era: u64, change: &Change) -> bool {
+        self.revision = self.revision.or_era(era);
+        if era != 0 && era != self.revision.era {
+            return false;
+        }
         let known = self.changes.get(change.key.as_str());
-        if known.is_some_and(|known| known.revision >= change.revision) {
-            return;
+        if known.is_none_or(|known| known.revision < change.revision) {
+            self.changes
+                .insert(Arc::from(change.key.as_str()), change.clone());
         }
+        true
+    }
+
+    /// Returns the keys that have a value here and that a list of all keys lacks, because they were removed
+    /// before it was read or because the store was restored.
+    #[must_use]
+    pub fn absent(&self, listing: &Listing) -> Vec<String> {
+        let restored = self.precedes(listing.era);
+        let listed = listing.items.iter().map(|item| item.key.as_str());
+        let listed: HashSet<&str> = listed.collect();
         self.changes
-            .insert(Arc::from(change.key.as_str()), change.clone());
+            .values()
+            .filter(|change| change.value.is_some())
+            .filter(|change| restored || change.revision <= listing.revision)
+            .filter(|change| !listed.contains(change.key.as_str()))
+            .map(|change| change.key.clone())
+            .collect()
+    }
+
+    /// Returns whether the store was restored between the era of this log and `era`.
+    #[must_use]
+    pub fn precedes(&self, era: u64) -> bool {
+        self.revision.is_of_earlier_era(Revision { era, number: 0 })
+    }
+
+    /// Drops all changes if the store was restored between their era and `era`; returns whether it was.
+    pub fn enter(&mut self, era: u64) -> bool {
+        let restored = self.precedes(era);
+        if restored {
+            *self = Self {
+                revision: Revision { era, number: 0 },
+                ..Self::default()
+            };
+        }
+        restored
     }
 
     /// Records that all changes up to `revision` have been added.
-    pub fn mark_complete(&mut self, revision: u64) {
+    pub fn mark_complete(&mut self, revision: Revision) {
+        self.revision = self.revision.or_era(revision.era);
+        let revision = revision.or_era(self.revision.era);
         self.revision = self.revision.max(revision);
         let removed = |change: &Change| change.value.is_none();
         let mut revisions: Vec<u64> = self
@@ -79,31 +125,35 @@
 
     /// Returns the revision up to which all changes have been added.
     #[must_use]
-    pub fn revision(&self) -> u64 {
+    pub fn revision(&self) -> Revision {
         self.revision
     }
 
-    /// Returns the changes after a revision, oldest first.
+    /// Returns the changes after a revision, oldest first; for one of another era, all keys with their
+    /// values.
     #[must_use]
-    pub fn changes_since(&self, revision: u64) -> Changes {
-        let mut changes: Vec<Change> = self
-            .changes
-            .values()
-            .filter(|change| change.revision > revision)
-            .cloned()
-            .collect();
+    pub fn changes_since(&self, after: Revision) -> Changes {
+        let same_era = after.or_era(self.revision.era).era == self.revision.era;
+        let is_sent = |change: &&Change| {
+            if same_era {
+                change.revision > after.number
+            } else {
+                change.value.is_some()
+            }
+        };
+        let mut changes: Vec<Change> = self.changes.values().filter(is_sent).cloned().collect();
         changes.sort_by_key(|change| change.revision);
         Changes {
             changes,
-            revision: self.revision,
-            era: 0,
+            revision: self.revision.number,
+            era: self.revision.era,
         }
     }
 }
 
 impl Changelog {
     /// Returns the encoded changes after a revision.
-    fn encoded_since(&mut self, after: u64) -> Result<Bytes, encoding::Error> {
+    fn encoded_since(&mut self, after: Revision) -> Result<Bytes, encoding::Error> {
         let revision = self.revision;
         match &self.response {
             Some((first, last, encoded)) if (*first, *last) == (after, revision) => {
@@ -126,6 +176,12 @@
 fn reply<C: Codec>(relay: &Relay<C>, request: &Request<Incoming>) -> Response<Full<Bytes>> {
     let after = request.uri().path().strip_prefix(CHANGES_PATH);
     let after = after.and_then(|after| after.parse().ok());
+    let era = request.uri().query();
+    let era = era.and_then(|query| query.strip_prefix(ERA_QUERY)?.parse().ok());
+    let after = after.map(|number| Revision {
+        era: era.unwrap_or(0),
+        number,
+    });
     let body = after.map(|after| relay.changelog(|changelog| changelog.encoded_since(after)));
     let mut response = Response::new(Full::from(Bytes::new()));
     match body {
@@ -141,9 +197,9 @@
 
 /// Catches up from a peer that has read up to `revision`, if this entry is still behind after a
 /// short delay.
-pub async fn catch_up<C: Codec>(relay: Arc<Relay<C>>, peer: SocketAddr, revision: u64) {
+pub async fn catch_up<C: Codec>(relay: Arc<Relay<C>>, peer: SocketAddr, revision: Revision) {
     let own = || relay.changelog(|changelog| changelog.revision());
-    if own() > 0 {
+    if own().number > 0 {
         sleep(CATCH_UP_DELAY).await;
     }
     let after = own();
@@ -152,7 +208,7 @@
     }
     let command = Command {
         method: Method::GET,
-        path: format!("{CHANGES_PATH}{after}"),
+        path: format!("{CHANGES_PATH}{}?{ERA_QUERY}{}", after.number, after.era),
         body: Bytes::new(),
     };
     let response = timeout(RESPONSE_TIMEOUT, attempt::fetch(peer, command)).await;
@@ -165,14 +221,11 @@
     match changes {
         Ok(changes) => {
             log::info!(
-                peer = peer.as_str(), after, revision = changes.revision,
-                changes = changes.changes.len();
+                peer = peer.as_str(), era = changes.era, after = after.number,
+                revision = changes.revision, changes = changes.changes.len();
                 "caught up from a peer"
             );
-            for change in &changes.changes {
-                store_watch::apply(&relay, change);
-            }
-            relay.changelog(|changelog| changelog.mark_complete(changes.revision));
+            store_watch::apply_changes(&relay, changes);
         }
         Err(reason) => {
             log::info!(peer = peer.as_str(), reason = reason.as_str(); "catching up from a peer failed");
--- a/relay/src/datagram.rs
+++ b/relay/src/datagram.rs
@@ -63,7 +63,7 @@
 /// Changes in the store after a revision.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Updates {
-    /// The revision before the first change.
+    /// The revision before the first change; 0 if these are all keys with their values.
     pub after: u64,
     /// The changes.
     pub changes: Changes,
@@ -132,6 +132,7 @@
             after: updates.after,
             revision: updates.changes.revision,
             changes: changes.collect(),
+            era: updates.changes.era,
         }
     }
 }
@@ -149,7 +150,7 @@
             changes: Changes {
                 changes: changes.collect(),
                 revision: updates.revision,
-                era: 0,
+                era: updates.era,
             },
         }
     }
--- a/relay/src/moves.rs
+++ b/relay/src/moves.rs
@@ -6,6 +6,7 @@
 
 use tokio::time::{sleep, timeout};
 
+use medlarfall_coordination::history::Revision;
 use medlarfall_runtime::store::{Change, Error, Store};
 
 use crate::codec::{Codec, Record};
@@ -44,6 +45,8 @@
         order,
         good,
     } = ended;
+    let era = relay.store_era();
+    let revision = |number| Revision { era, number };
     let (key, value) = relay.codec.move_status(service, &order.version, *good);
     relay.metrics.count_store_call(StoreCall::MoveEnd);
     let mut written = with_timeout(Duration::ZERO, store.put(&key, value.clone(), 0, None)).await;
@@ -58,9 +61,9 @@
         };
         match relay.codec.decode_record(&change) {
             Ok(Record::MoveEnd { version, good, .. })
-                if version == order.version && current.revision > order.revision =>
+                if version == order.version && revision(current.revision) > order.revision =>
             {
-                relay.record_move_end(service, &version, good, current.revision);
+                relay.record_move_end(service, &version, good, revision(current.revision));
                 return;
             }
             _ => {
@@ -71,8 +74,8 @@
         }
     }
     match written {
-        Ok(revision) => {
-            relay.record_move_end(service, &order.version, *good, revision);
+        Ok(number) => {
+            relay.record_move_end(service, &order.version, *good, revision(number));
             log::info!(service = &**service, version = &*order.version, good = *good; "end of a move recorded for the operators");
         }
         Err(error) => {
--- a/relay/src/quarantine.rs
+++ b/relay/src/quarantine.rs
@@ -93,6 +93,7 @@
         parts: parts.to_vec(),
     };
     let value = serde_json::to_string(&value).unwrap_or_default();
+    let era = relay.store_era();
     relay.metrics.count_store_call(StoreCall::Lease);
     let lease = with_timeout(Duration::ZERO, store.grant(FIRST_TIME)).await?;
     relay.metrics.count_store_call(StoreCall::BlockedPrompt);
@@ -108,6 +109,6 @@
         value: Some(value),
         revision,
     };
-    store_watch::apply(relay, &change);
+    store_watch::apply(relay, era, &change);
     Ok(())
 }
--- a/relay/src/registration.rs
+++ b/relay/src/registration.rs
@@ -125,7 +125,7 @@
     let own = listing.items.iter().find(|item| item.key == key);
     let mut known_revision = own.map_or(0, |own| own.revision);
     for item in listing.items {
-        store_watch::apply(relay, &item.into());
+        store_watch::apply(relay, listing.era, &item.into());
     }
     if !relay.must_register() {
         return Ok(None);
@@ -139,6 +139,7 @@
     };
     let value = serde_json::to_string(&value).unwrap_or_default();
     loop {
+        let era = relay.store_era();
         relay.metrics.count_store_call(StoreCall::Registration);
         let writing = store.put(&key, value.clone(), known_revision, Some(lease));
         match writing.await {
@@ -151,7 +152,7 @@
                     value: Some(value),
                     revision: written?,
                 };
-                store_watch::apply(relay, &change);
+                store_watch::apply(relay, era, &change);
                 return Ok(Some(lease));
             }
         }
--- a/relay/src/state/moves.rs
+++ b/relay/src/state/moves.rs
@@ -7,6 +7,7 @@
 use medlarfall_coordination::canary::{Canary, Order, Verdict};
 use medlarfall_coordination::dissemination::MoveReport;
 use medlarfall_coordination::evidence::{Cohort, Observation};
+use medlarfall_coordination::history::Revision;
 use medlarfall_coordination::placement::name_hash;
 
 use crate::codec::Codec;
@@ -54,7 +55,7 @@
             return;
         };
         // An order that existed when this entry started may be of any age.
-        let given_now = self.changelog(|changelog| changelog.revision()) > 0;
+        let given_now = self.changelog(|changelog| changelog.revision().number) > 0;
         let steps = u32::try_from(name_hash(&self.settings.entry) % u64::from(OFFSETS));
         let offset = f64::from(steps.unwrap_or(0)) / f64::from(OFFSETS);
         let known = self.view(|view| {
@@ -72,7 +73,8 @@
             return;
         }
         log::info!(
-            service = &**service, version = &*order.version, revision = order.revision,
+            service = &**service, version = &*order.version, era = order.revision.era,
+            revision = order.revision.number,
             lasts_ms = order.duration.as_millis(), given_now;
             "a move is ordered"
         );
@@ -80,7 +82,13 @@
     }
 
     /// Applies the end of a move that is recorded in the store.
-    pub fn record_move_end(&self, service: &Arc<str>, version: &str, good: bool, revision: u64) {
+    pub fn record_move_end(
+        &self,
+        service: &Arc<str>,
+        version: &str,
+        good: bool,
+        revision: Revision,
+    ) {
         self.with_canary(service, |canary, view| {
             let order = canary.order();
             if *order.version != *version || revision < order.revision {
@@ -213,7 +221,8 @@
             Verdict::Bad { reason } => (false, &**reason),
         };
         log::info!(
-            service = &**service, version = &*order.version, revision = order.revision, good, reason;
+            service = &**service, version = &*order.version, era = order.revision.era,
+            revision = order.revision.number, good, reason;
             "a move has ended"
         );
         self.streams_changed.notify_one();
--- a/relay/src/state/servers.rs
+++ b/relay/src/state/servers.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use medlarfall_coordination::dissemination::Successor;
+use medlarfall_coordination::history::Revision;
 use medlarfall_coordination::registry::{Effect, Server};
 
 use crate::codec::Codec;
@@ -13,7 +14,7 @@
 
 impl<C: Codec> Relay<C> {
     /// Applies a server's registration; `warmup` is its remaining warm-up time.
-    pub fn register_server(&self, server: Server, warmup: Duration, revision: u64) {
+    pub fn register_server(&self, server: Server, warmup: Duration, revision: Revision) {
         let id = Arc::clone(&server.id);
         let now = self.clock.now();
         let effect = self.view(|view| {
@@ -32,7 +33,7 @@
     }
 
     /// Applies the removal of a server's registration.
-    pub fn remove_server(&self, id: &Arc<str>, revision: u64) {
+    pub fn remove_server(&self, id: &Arc<str>, revision: Revision) {
         let now = self.clock.now();
         let effect = self.view(|view| {
             let effect = view.registry.remove(id, revision, now);
@@ -43,7 +44,7 @@
     }
 
     /// Applies a complete listing: `listed` are the servers registered at `revision`.
-    pub fn retain_servers(&self, listed: &HashSet<Arc<str>>, revision: u64) {
+    pub fn retain_servers(&self, listed: &HashSet<Arc<str>>, revision: Revision) {
         let now = self.clock.now();
         self.view(|view| {
             view.registry.retain(listed, revision, now);
@@ -52,6 +53,31 @@
         self.notify_changed();
     }
 
+    /// Returns the era of the store that is known; 0 if none is.
+    #[must_use]
+    pub fn store_era(&self) -> u64 {
+        self.changelog(|changelog| changelog.revision().era)
+    }
+
+    /// Records the era of a list of all keys, read at a revision. If it is a new one, the store was restored
+    /// from a copy: servers that the copy lacks count as lapsed and are kept for the grace period.
+    pub fn enter_era(&self, era: u64, revision: u64) {
+        let known = self.changelog(|changelog| changelog.revision());
+        let restored = self.changelog(|changelog| changelog.enter(era));
+        self.metrics
+            .store_era
+            .set(i64::try_from(era).unwrap_or(i64::MAX));
+        if !restored {
+            return;
+        }
+        let now = self.clock.now();
+        self.view(|view| view.registry.store_restored(now));
+        log::warn!(
+            era, revision, known_era = known.era, known_revision = known.number;
+            "the store was restored from a copy"
+        );
+    }
+
     /// Records whether the store is available, and drops servers that did not return after an
     /// outage.
     pub fn set_store_available(&self, available: bool) {
@@ -69,16 +95,16 @@
             expired
         });
         for id in &expired {
-            self.registry_changed(Effect::Gone, id, 0);
+            self.registry_changed(Effect::Gone, id, Revision::default());
         }
     }
 
-    pub(super) fn registry_changed(&self, effect: Effect, id: &str, revision: u64) {
+    pub(super) fn registry_changed(&self, effect: Effect, id: &str, revision: Revision) {
         if effect == Effect::Stale {
             return;
         }
         let effect = format!("{effect:?}").to_lowercase();
-        log::info!(server = id, revision, effect = effect.as_str(); "list of servers changed");
+        log::info!(server = id, era = revision.era, revision = revision.number, effect = effect.as_str(); "list of servers changed");
         self.notify_changed();
     }
 
@@ -115,7 +141,7 @@
         if !from_peer {
             self.streams_changed.notify_one();
         }
-        self.registry_changed(effect, id, 0);
+        self.registry_changed(effect, id, Revision::default());
     }
 
     /// Returns the server that has replaced `lost` at its address.
--- a/relay/src/store_watch.rs
+++ b/relay/src/store_watch.rs
@@ -13,8 +13,9 @@
 use tokio::time::timeout;
 
 use medlarfall_coordination::canary::Order;
+use medlarfall_coordination::history::Revision;
 use medlarfall_coordination::reader_election::retry_pause;
-use medlarfall_runtime::store::{Change, Changes, Error, Store};
+use medlarfall_runtime::store::{Change, Changes, Error, Item, Listing, Store};
 
 use crate::codec::{Codec, Record};
 use crate::metrics::StoreCall;
@@ -46,19 +47,20 @@
 enum Position {
     /// Nothing has been read.
     Unknown,
-    /// The store no longer has the changes after the last known revision.
-    Compacted,
+    /// The store no longer has the changes after the last known revision: its history was compacted, or it
+    /// was restored.
+    Gone,
     /// All changes up to this revision are known.
-    At(u64),
+    At(Revision),
 }
 
 impl Position {
     /// Returns the later one of this position and a revision up to which all changes are known.
-    fn at_least(self, revision: u64) -> Self {
+    fn at_least(self, revision: Revision) -> Self {
         match self {
             Self::At(position) => Self::At(position.max(revision)),
-            Self::Unknown if revision > 0 => Self::At(revision),
-            Self::Unknown | Self::Compacted => self,
+            Self::Unknown if revision.number > 0 => Self::At(revision),
+            Self::Unknown | Self::Gone => self,
         }
     }
 }
@@ -70,7 +72,7 @@
     let mut contacts_known = relay.settings.peer_address.is_none();
     let mut failures = 0_u32;
     loop {
-        if !contacts_known && relay.changelog(|changelog| changelog.revision()) == 0 {
+        if !contacts_known && relay.changelog(|changelog| changelog.revision().number) == 0 {
             contacts_known = read_contacts(&relay, &store).await;
             if !contacts_known {
                 failures = failures.saturating_add(1);
@@ -88,7 +90,7 @@
         position = position.at_least(relay.changelog(|changelog| changelog.revision()));
         let (next, reason) = match step(&relay, &store, position).await {
             Ok(next) => (next, None),
-            Err(Error::HistoryGone) => (Position::Compacted, None),
+            Err(Error::HistoryGone) => (Position::Gone, None),
             Err(error) => (position, Some(error.to_string())),
         };
         position = next;
@@ -128,7 +130,7 @@
     match listing {
         Ok(listing) => {
             for item in listing.items {
-                apply(relay, &item.into());
+                apply(relay, listing.era, &item.into());
             }
             relay.streams_changed.notify_one();
             true
@@ -156,7 +158,7 @@
     position: Position,
 ) -> Result<Position, Error> {
     match position {
-        Position::Unknown | Position::Compacted => {
+        Position::Unknown | Position::Gone => {
             // An entry that starts may use an older list: the watch returns what changed since.
             let listing = if position == Position::Unknown {
                 relay.metrics.count_store_call(StoreCall::CachedList);
@@ -165,48 +167,78 @@
                 relay.metrics.count_store_call(StoreCall::List);
                 with_timeout(LIST_TIME, store.list("")).await?
             };
-            let mut listed = HashSet::new();
-            for item in listing.items {
-                if let Some(id) = relay.codec.server_id(&item.key) {
-                    listed.insert(Arc::from(id));
-                }
-                apply(relay, &item.into());
+            let read = Revision {
+                era: listing.era,
+                number: listing.revision,
+            };
+            if read.is_of_earlier_era(relay.changelog(|changelog| changelog.revision())) {
+                return Err(outdated());
             }
-            note_era(relay, listing.era, "list", listing.revision);
-            relay.retain_servers(&listed, listing.revision);
-            relay.changelog(|changelog| changelog.mark_complete(listing.revision));
-            Ok(Position::At(listing.revision))
+            apply_listing(relay, listing);
+            Ok(Position::At(read))
         }
         Position::At(revision) => {
             relay.metrics.count_store_call(StoreCall::Watch);
-            let watching = store.watch("", revision, WATCH_TIME);
+            let watching = store.watch("", revision.number, WATCH_TIME);
             let Changes {
                 changes,
-                revision,
+                revision: number,
                 era,
             } = with_timeout(WATCH_TIME, watching).await?;
-            note_era(relay, era, "watch", revision);
+            let read = Revision { era, number };
+            if read.is_of_earlier_era(revision) {
+                return Err(outdated());
+            }
+            // Revisions of another era are other changes.
+            if revision.is_of_earlier_era(read) {
+                return Ok(Position::Gone);
+            }
             // The first response after an outage carries the changes made during it.
             relay.set_store_available(true);
             for change in &changes {
-                apply(relay, change);
+                apply(relay, era, change);
             }
-            relay.changelog(|changelog| changelog.mark_complete(revision));
-            Ok(Position::At(revision))
+            relay.changelog(|changelog| changelog.mark_complete(read));
+            Ok(Position::At(read.or_era(revision.era)))
         }
     }
 }
 
-/// Logs an era of the store that differs from the one before: the store was restored from a copy.
-fn note_era<C: Codec>(relay: &Relay<C>, era: u64, call: &str, revision: u64) {
-    let era = i64::try_from(era).unwrap_or(i64::MAX);
-    let before = relay.metrics.store_era.set(era);
-    if before != 0 && before != era {
-        let known = relay.changelog(|changelog| changelog.revision());
-        log::warn!(era, before, call, revision, known; "the store was restored from a copy");
+fn outdated() -> Error {
+    Error::Unavailable {
+        reason: "the answer is older than the store's last restore".to_owned(),
     }
 }
 
+/// Applies a list of all keys with their values, read at once from the store or from a peer.
+pub fn apply_listing<C: Codec>(relay: &Relay<C>, listing: Listing) {
+    let absent = relay.changelog(|changelog| changelog.absent(&listing));
+    let Listing {
+        items,
+        revision: number,
+        era,
+    } = listing;
+    relay.enter_era(era, number);
+    let mut listed = HashSet::new();
+    for item in items {
+        if let Some(id) = relay.codec.server_id(&item.key) {
+            listed.insert(Arc::from(id));
+        }
+        apply(relay, era, &item.into());
+    }
+    for key in absent {
+        let removed = Change {
+            key,
+            value: None,
+            revision: number,
+        };
+        apply(relay, era, &removed);
+    }
+    let revision = Revision { era, number };
+    relay.retain_servers(&listed, revision);
+    relay.changelog(|changelog| changelog.mark_complete(revision));
+}
+
 /// Bounds a call that itself waits up to `wait`.
 pub(crate) async fn with_timeout<T>(
     wait: Duration,
@@ -220,18 +252,57 @@
     })
 }
 
-/// Applies changes after a revision that a peer read.
-pub fn apply_updates<C: Codec>(relay: &Relay<C>, after: u64, updates: &Changes) {
+/// Applies changes that a peer sent with a message: those after the revision `after`, or all keys if that
+/// is 0.
+pub fn apply_updates<C: Codec>(relay: &Relay<C>, after: u64, updates: Changes) {
     let own = relay.changelog(|changelog| changelog.revision());
-    if own == 0 || updates.revision <= own {
+    let restored = relay.changelog(|changelog| changelog.precedes(updates.era));
+    if own.number == 0 || (restored && after > 0) {
+        return;
+    }
+    if restored || after <= own.number {
+        apply_changes(relay, updates);
         return;
     }
+    // Changes before these are missing, but the newest value of each key can be used.
     for change in &updates.changes {
-        apply(relay, change);
+        apply(relay, updates.era, change);
     }
-    if after <= own {
-        relay.changelog(|changelog| changelog.mark_complete(updates.revision));
+}
+
+/// Applies changes that a peer read: those after the known revision, or all keys with their values if the
+/// peer knows a later era.
+pub fn apply_changes<C: Codec>(relay: &Relay<C>, read: Changes) {
+    let Changes {
+        changes,
+        revision: number,
+        era,
+    } = read;
+    let own = relay.changelog(|changelog| changelog.revision());
+    let revision = Revision { era, number }.or_era(own.era);
+    if revision <= own {
+        return;
+    }
+    if !own.is_of_earlier_era(revision) {
+        for change in &changes {
+            apply(relay, era, change);
+        }
+        relay.changelog(|changelog| changelog.mark_complete(revision));
+        return;
     }
+    let items = changes.into_iter().filter_map(|change| {
+        Some(Item {
+            key: change.key,
+            value: change.value?,
+            revision: change.revision,
+        })
+    });
+    let listing = Listing {
+        items: items.collect(),
+        revision: number,
+        era,
+    };
+    apply_listing(relay, listing);
 }
 
 /// Applies the registration of an entry, or its end.
@@ -249,22 +320,29 @@
     relay.record_registration(name, registration);
 }
 
-/// Applies one change.
-pub fn apply<C: Codec>(relay: &Relay<C>, change: &Change) {
-    relay.changelog(|changelog| changelog.insert(change));
+/// Applies one change of an era of the store. A change of another era than the one known is ignored: after a
+/// restore all keys are read anew.
+pub fn apply<C: Codec>(relay: &Relay<C>, era: u64, change: &Change) {
+    if !relay.changelog(|changelog| changelog.insert(era, change)) {
+        return;
+    }
+    let revision = Revision {
+        era,
+        number: change.revision,
+    };
+    let revision = revision.or_era(relay.store_era());
     match relay.codec.decode_record(change) {
         Ok(Record::Configuration(table)) => relay.configure(table),
         Ok(Record::Server { server, warmup }) => {
-            relay.register_server(server, warmup, change.revision);
+            relay.register_server(server, warmup, revision);
         }
         Ok(Record::ServerRemoved { id, problem }) => {
             if let Some(problem) = problem {
                 log::warn!(server = &*id, problem = problem.as_str(); "registration of a server not decoded");
             }
-            relay.remove_server(&id, change.revision);
+            relay.remove_server(&id, revision);
         }
         Ok(Record::Move { service, order }) => {
-            let revision = change.revision;
             let order = order.map(|(version, duration)| Order {
                 version,
                 revision,
@@ -276,7 +354,7 @@
             service,
             version,
             good,
-        }) => relay.record_move_end(&service, &version, good, change.revision),
+        }) => relay.record_move_end(&service, &version, good, revision),
         Ok(Record::Entry { name, value }) => record_entry(relay, &name, value.as_deref()),
         Ok(Record::BlockedPrompt { key, value }) => {
             quarantine::apply(relay, &key, value.as_deref(), change.revision);
--- a/relay/tests/changelog.rs
+++ b/relay/tests/changelog.rs
@@ -1,8 +1,15 @@
 //! The changes of the store that an entry sends to a peer.
 
+use medlarfall_coordination::history::Revision;
 use medlarfall_relay::changelog::Changelog;
 use medlarfall_runtime::store::Change;
 
+const ERA: u64 = 1;
+
+fn at(number: u64) -> Revision {
+    Revision { era: ERA, number }
+}
+
 fn change(key: &str, value: Option<&str>, revision: u64) -> Change {
     Change {
         key: key.to_owned(),
@@ -14,34 +21,37 @@
 #[test]
 fn the_newest_change_of_each_key_is_returned_oldest_first() {
     let mut changelog = Changelog::default();
-    changelog.insert(&change("a", Some("1"), 5));
-    changelog.insert(&change("b", Some("1"), 7));
-    changelog.insert(&change("a", None, 9));
-    changelog.insert(&change("a", Some("old"), 6));
-    changelog.mark_complete(9);
-    let sent = changelog.changes_since(0);
+    changelog.insert(ERA, &change("a", Some("1"), 5));
+    changelog.insert(ERA, &change("b", Some("1"), 7));
+    changelog.insert(ERA, &change("a", None, 9));
+    changelog.insert(ERA, &change("a", Some("old"), 6));
+    changelog.mark_complete(at(9));
+    let sent = changelog.changes_since(at(0));
     assert_eq!(sent.revision, 9);
     assert_eq!(
         sent.changes,
         [change("b", Some("1"), 7), change("a", None, 9)]
     );
-    assert_eq!(changelog.changes_since(7).changes, [change("a", None, 9)]);
+    assert_eq!(
+        changelog.changes_since(at(7)).changes,
+        [change("a", None, 9)]
+    );
 }
 
 #[test]
 fn the_complete_revision_never_decreases() {
     let mut changelog = Changelog::default();
-    changelog.mark_complete(9);
-    changelog.mark_complete(4);
-    assert_eq!(changelog.revision(), 9);
+    changelog.mark_complete(at(9));
+    changelog.mark_complete(at(4));
+    assert_eq!(changelog.revision(), at(9));
 }
 
 #[test]
 fn removed_keys_are_bounded() {
     let mut changelog = Changelog::default();
     for revision in 1..=20_000_u64 {
-        changelog.insert(&change(&format!("k{revision}"), None, revision));
-        changelog.mark_complete(revision);
+        changelog.insert(ERA, &change(&format!("k{revision}"), None, revision));
+        changelog.mark_complete(at(revision));
     }
-    assert!(changelog.changes_since(0).changes.len() <= 4_096);
+    assert!(changelog.changes_since(at(0)).changes.len() <= 4_096);
 }
--- a/relay/tests/datagram.rs
+++ b/relay/tests/datagram.rs
@@ -8,6 +8,7 @@
     Contact, Content, Count, Digest, Message, Prompts, Report, Sender, ServerLimit, Successor,
     Summary,
 };
+use medlarfall_coordination::history::Revision;
 use medlarfall_coordination::quarantine::Loss;
 use medlarfall_coordination::retry_budget::Usage;
 use medlarfall_coordination::server_limit::Named;
@@ -20,7 +21,7 @@
             entry: Arc::from("entry-1"),
             failure_domain: Arc::from("cage-a"),
             link_mbps: 200,
-            revision: 77,
+            revision: Revision { era: 2, number: 77 },
             reads_store: true,
             store_available: true,
             leaving: false,
@@ -85,6 +86,7 @@
                 revision: 77,
             }],
             revision: 77,
+            era: 2,
         },
     }
 }
--- a/serving/src/modules/declarations.rs
+++ b/serving/src/modules/declarations.rs
@@ -204,7 +204,9 @@
 
     /// Lists the declarations and returns the store's revision.
     async fn list(&mut self) -> Result<u64, Error> {
-        let Listing { items, revision } = self.source.store.list(PREFIX).await?;
+        let Listing {
+            items, revision, ..
+        } = self.source.store.list(PREFIX).await?;
         for item in &items {
             self.accept(&item.key, &item.value);
         }
--- a/serving/tests/claims_sweep.rs
+++ b/serving/tests/claims_sweep.rs
@@ -100,6 +100,7 @@
         Ok(Listing {
             items: items.collect(),
             revision: state.revision,
+            era: 0,
         })
     }
 
--- a/serving/tests/configuration/memory.rs
+++ b/serving/tests/configuration/memory.rs
@@ -189,6 +189,7 @@
                 .filter_map(|key| Self::item(&state, key, fault))
                 .collect(),
             revision: state.revision,
+            era: 0,
         })
     }
 
@@ -207,6 +208,7 @@
         Ok(Changes {
             changes: state.changes.iter().filter(newer).cloned().collect(),
             revision: state.revision,
+            era: 0,
         })
     }
 
