fix(coordination): keep servers that left out of use after the store is restored

A server that an entry knew to be leaving or gone was used again once the store came back from a copy in which it was still ready.

Cause: only revisions order a server's registrations, and all those of a copy have a later era than the ones known. A server's start time and the number of its registration since order them across eras; an older registration than the last known one now changes nothing. Removed servers are known for two minutes instead of until the next list.

--- a/coordination/src/registry.rs
+++ b/coordination/src/registry.rs
@@ -17,6 +17,10 @@
 /// specifies.
 pub const LAPSE_GRACE: Duration = Duration::from_secs(2);
 
+/// Time for which the last registration of a removed server is known. A store is restored from copies that
+/// are some seconds old.
+const REMOVED_TIME: Duration = Duration::from_mins(2);
+
 /// The registration of a backend server.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Server {
@@ -42,15 +46,34 @@
 #[derive(Clone, Debug)]
 struct Record {
     server: Arc<Server>,
+    sequence: u64,
     revision: Revision,
     lapsed: bool,
 }
 
+/// The last registration of a server that was removed.
+#[derive(Clone, Copy, Debug, Default)]
+struct Removed {
+    revision: Revision,
+    age: Age,
+    at: Duration,
+}
+
+/// Start time of a server and the number of its registration since, which order a server's registrations
+/// across restores of the store.
+type Age = (Option<u64>, u64);
+
+impl Record {
+    fn age(&self) -> Age {
+        (self.server.started_ms, self.sequence)
+    }
+}
+
 /// The registered servers.
 #[derive(Clone, Debug, Default)]
 pub struct Registry {
     records: HashMap<Arc<str>, Record>,
-    removed: HashMap<Arc<str>, Revision>,
+    removed: HashMap<Arc<str>, Removed>,
     store_down: bool,
     trusted_from: Duration,
 }
@@ -97,11 +120,16 @@
         self.trusted_from = now + LAPSE_GRACE;
     }
 
-    /// Applies a server's registration at a revision of the store.
-    pub fn register(&mut self, server: Server, revision: Revision) -> Effect {
+    /// Applies a server's registration at a revision of the store; `sequence` increases with each
+    /// registration of the server since its start.
+    pub fn register(&mut self, server: Server, sequence: u64, revision: Revision) -> Effect {
+        if self.is_from_copy(&server, sequence, revision) {
+            return Effect::Stale;
+        }
         let known = self.records.get(&server.id);
         let known_revision = known.map_or_else(Revision::default, |record| record.revision);
-        let removed = self.removed.get(&server.id).copied().unwrap_or_default();
+        let removed = self.removed.get(&server.id);
+        let removed = removed.map_or_else(Revision::default, |removed| removed.revision);
         let current = known.is_some_and(|record| !record.lapsed);
         if revision <= removed
             || revision < known_revision
@@ -122,6 +150,7 @@
         self.records
             .retain(|id, other| *id == server.id || other.server.address != server.address);
         let record = Record {
+            sequence,
             revision,
             lapsed: false,
             server: Arc::new(server),
@@ -130,6 +159,23 @@
         effect
     }
 
+    /// Returns whether a registration is older than what was known of the server before the store was
+    /// restored from a copy. A server that was known to be leaving or gone would be used again.
+    fn is_from_copy(&mut self, server: &Server, sequence: u64, revision: Revision) -> bool {
+        let age = (server.started_ms, sequence);
+        if let Some(removed) = self.removed.get(&server.id) {
+            return removed.revision.is_of_earlier_era(revision) && age <= removed.age;
+        }
+        match self.records.get_mut(&server.id) {
+            Some(known) if known.revision.is_of_earlier_era(revision) && age < known.age() => {
+                known.revision = revision;
+                known.lapsed = false;
+                true
+            }
+            _ => false,
+        }
+    }
+
     /// Returns whether a server that started later than `server` is registered at its address.
     fn superseded(&self, server: &Server, revision: Revision) -> bool {
         self.records.iter().any(|(id, other)| {
@@ -150,6 +196,7 @@
         self.records
             .retain(|_, record| record.server.address != server.address);
         let record = Record {
+            sequence: 0,
             revision: Revision::default(),
             lapsed: true,
             server: Arc::new(server),
@@ -170,7 +217,8 @@
         let trusted = !self.store_down && now >= self.trusted_from;
         let Some(record) = self.records.get_mut(id) else {
             let removed = self.removed.entry(Arc::from(id)).or_default();
-            *removed = revision.max(*removed);
+            removed.revision = revision.max(removed.revision);
+            removed.at = now;
             return Effect::Stale;
         };
         if revision < record.revision {
@@ -180,8 +228,13 @@
             record.lapsed = true;
             return Effect::Lapsed;
         }
+        let removed = Removed {
+            revision,
+            age: record.age(),
+            at: now,
+        };
         self.records.remove(id);
-        self.removed.insert(Arc::from(id), revision);
+        self.removed.insert(Arc::from(id), removed);
         Effect::Gone
     }
 
@@ -196,12 +249,13 @@
         for id in missing {
             self.remove(&id, revision, now);
         }
-        self.removed.retain(|_, removed| *removed > revision);
     }
 
     /// Removes the servers that have not registered again within the grace period, and returns their
     /// names.
     pub fn expire(&mut self, now: Duration) -> Vec<Arc<str>> {
+        self.removed
+            .retain(|_, removed| now.saturating_sub(removed.at) < REMOVED_TIME);
         if self.store_down || now < self.trusted_from {
             return Vec::new();
         }
--- a/coordination/tests/registry.rs
+++ b/coordination/tests/registry.rs
@@ -13,6 +13,10 @@
     Revision { era: 1, number }
 }
 
+fn register(registry: &mut Registry, server: Server, revision: Revision) -> Effect {
+    registry.register(server, revision.number, revision)
+}
+
 fn server(id: &str, port: u16) -> Server {
     Server {
         id: Arc::from(id),
@@ -45,8 +49,14 @@
 #[test]
 fn an_older_revision_changes_nothing() {
     let mut registry = Registry::new();
-    assert_eq!(registry.register(leaving("a", 1), at(9)), Effect::Leaving);
-    assert_eq!(registry.register(server("a", 1), at(8)), Effect::Stale);
+    assert_eq!(
+        register(&mut registry, leaving("a", 1), at(9)),
+        Effect::Leaving
+    );
+    assert_eq!(
+        register(&mut registry, server("a", 1), at(8)),
+        Effect::Stale
+    );
     assert!(
         ready(&registry).is_empty(),
         "a server that leaves came back"
@@ -56,23 +66,26 @@
 #[test]
 fn a_server_removed_while_the_store_responds_is_gone_immediately_and_stays_gone() {
     let mut registry = Registry::new();
-    registry.register(server("a", 1), at(5));
+    register(&mut registry, server("a", 1), at(5));
     assert_eq!(registry.remove("a", at(7), NOW), Effect::Gone);
-    assert_eq!(registry.register(server("a", 1), at(6)), Effect::Stale);
+    assert_eq!(
+        register(&mut registry, server("a", 1), at(6)),
+        Effect::Stale
+    );
     assert!(ready(&registry).is_empty());
 }
 
 #[test]
 fn a_registration_that_lapsed_in_an_outage_is_kept_for_the_grace_period() {
     let mut registry = Registry::new();
-    registry.register(server("a", 1), at(5));
-    registry.register(server("b", 2), at(6));
+    register(&mut registry, server("a", 1), at(5));
+    register(&mut registry, server("b", 2), at(6));
     registry.store_lost();
     assert_eq!(registry.remove("a", at(7), NOW), Effect::Lapsed);
     registry.store_responded(NOW);
     assert_eq!(registry.remove("b", at(8), NOW), Effect::Lapsed);
     assert_eq!(ready(&registry), ["a", "b"]);
-    registry.register(server("b", 2), at(9));
+    register(&mut registry, server("b", 2), at(9));
     assert!(registry.expire(NOW + LAPSE_GRACE / 2).is_empty());
     assert_eq!(registry.expire(NOW + LAPSE_GRACE), [Arc::from("a")]);
     assert_eq!(ready(&registry), ["b"]);
@@ -81,7 +94,7 @@
 #[test]
 fn a_server_that_was_leaving_is_not_kept_in_an_outage() {
     let mut registry = Registry::new();
-    registry.register(leaving("a", 1), at(5));
+    register(&mut registry, leaving("a", 1), at(5));
     registry.store_lost();
     assert_eq!(registry.remove("a", at(7), NOW), Effect::Gone);
 }
@@ -89,10 +102,13 @@
 #[test]
 fn a_later_start_at_an_address_replaces_the_earlier_one() {
     let mut registry = Registry::new();
-    registry.register(server("a", 1), at(5));
-    registry.register(server("b", 1), at(6));
+    register(&mut registry, server("a", 1), at(5));
+    register(&mut registry, server("b", 1), at(6));
     assert_eq!(ready(&registry), ["b"]);
-    assert_eq!(registry.register(server("a", 1), at(5)), Effect::Stale);
+    assert_eq!(
+        register(&mut registry, server("a", 1), at(5)),
+        Effect::Stale
+    );
     assert_eq!(
         ready(&registry),
         ["b"],
@@ -107,9 +123,9 @@
         ..server(id, 1)
     };
     let mut registry = Registry::new();
-    registry.register(started("new", 2_000), at(5));
+    register(&mut registry, started("new", 2_000), at(5));
     assert_eq!(
-        registry.register(started("old", 1_000), at(6)),
+        register(&mut registry, started("old", 1_000), at(6)),
         Effect::Stale
     );
     assert_eq!(ready(&registry), ["new"]);
@@ -118,9 +134,9 @@
 #[test]
 fn a_list_removes_the_servers_that_it_does_not_contain() {
     let mut registry = Registry::new();
-    registry.register(server("a", 1), at(5));
-    registry.register(server("b", 2), at(6));
-    registry.register(server("c", 3), at(9));
+    register(&mut registry, server("a", 1), at(5));
+    register(&mut registry, server("b", 2), at(6));
+    register(&mut registry, server("c", 3), at(9));
     registry.retain(&HashSet::from([Arc::from("a")]), at(8), NOW);
     assert_eq!(ready(&registry), ["a", "c"], "c is newer than the list");
 }
@@ -128,7 +144,7 @@
 #[test]
 fn a_server_found_in_an_outage_is_used_and_dropped_unless_it_registers() {
     let mut registry = Registry::new();
-    registry.register(server("a", 1), at(5));
+    register(&mut registry, server("a", 1), at(5));
     registry.store_lost();
     assert_eq!(registry.adopt(server("b", 1)), Effect::Joined);
     assert_eq!(registry.adopt(server("b", 1)), Effect::Stale);
@@ -138,6 +154,55 @@
     assert!(ready(&registry).is_empty());
 }
 
+/// A revision after a restore of the store.
+fn restored(number: u64) -> Revision {
+    Revision { era: 2, number }
+}
+
+#[test]
+fn a_server_that_leaves_is_not_ready_again_after_a_restore() {
+    let mut registry = Registry::new();
+    registry.register(leaving("a", 1), 8, at(9));
+    registry.store_restored(NOW);
+    assert_eq!(
+        registry.register(server("a", 1), 5, restored(6)),
+        Effect::Stale
+    );
+    assert!(ready(&registry).is_empty());
+    assert_eq!(registry.remove("a", restored(7), NOW), Effect::Gone);
+}
+
+#[test]
+fn a_server_that_was_removed_returns_after_a_restore_only_with_a_later_registration() {
+    let mut registry = Registry::new();
+    registry.register(server("a", 1), 8, at(9));
+    assert_eq!(registry.remove("a", at(10), NOW), Effect::Gone);
+    registry.retain(&HashSet::new(), at(11), NOW);
+    registry.store_restored(NOW);
+    assert_eq!(
+        registry.register(server("a", 1), 8, restored(6)),
+        Effect::Stale
+    );
+    assert_eq!(
+        registry.register(server("a", 1), 9, restored(7)),
+        Effect::Joined
+    );
+}
+
+#[test]
+fn a_live_server_that_a_copy_lacks_or_shows_as_it_was_is_kept() {
+    let mut registry = Registry::new();
+    registry.register(server("a", 1), 8, at(9));
+    registry.register(server("b", 2), 3, at(10));
+    registry.store_restored(NOW);
+    registry.register(server("a", 1), 5, restored(6));
+    registry.retain(&HashSet::from([Arc::from("a")]), restored(6), NOW);
+    assert_eq!(ready(&registry), ["a", "b"]);
+    registry.register(server("b", 2), 4, restored(7));
+    registry.expire(NOW + LAPSE_GRACE);
+    assert_eq!(ready(&registry), ["a", "b"]);
+}
+
 /// A change with an older revision must never bring a server back, in whatever order changes arrive.
 #[test]
 fn revisions_never_go_back() {
@@ -154,7 +219,7 @@
                 if *removed {
                     registry.remove(&name, at(revision), NOW);
                 } else {
-                    registry.register(server(&name, port), at(revision));
+                    register(&mut registry, server(&name, port), at(revision));
                 }
                 let (newest_revision, gone) = &mut newest[index];
                 if revision > *newest_revision {
--- a/relay/src/codec.rs
+++ b/relay/src/codec.rs
@@ -117,6 +117,8 @@
         server: Server,
         /// Remaining warm-up time, in which the server is slower than usual.
         warmup: Duration,
+        /// Number of the registration since the server's start, which increases.
+        sequence: u64,
     },
     /// A server's registration was removed, or can't be decoded.
     ServerRemoved {
--- a/relay/src/state/servers.rs
+++ b/relay/src/state/servers.rs
@@ -13,8 +13,15 @@
 use super::{Backend, Relay};
 
 impl<C: Codec> Relay<C> {
-    /// Applies a server's registration; `warmup` is its remaining warm-up time.
-    pub fn register_server(&self, server: Server, warmup: Duration, revision: Revision) {
+    /// Applies a server's registration; `warmup` is its remaining warm-up time, and `sequence` the number of
+    /// the registration since the server's start.
+    pub fn register_server(
+        &self,
+        server: Server,
+        warmup: Duration,
+        sequence: u64,
+        revision: Revision,
+    ) {
         let id = Arc::clone(&server.id);
         let now = self.clock.now();
         let effect = self.view(|view| {
@@ -22,7 +29,7 @@
             if !warmup.is_zero() {
                 view.warmups.insert(Arc::clone(&id), now + warmup);
             }
-            let effect = view.registry.register(server, revision);
+            let effect = view.registry.register(server, sequence, revision);
             if effect != Effect::Stale {
                 view.remove_unlisted();
                 view.update_backends(&self.settings, &id);
--- a/relay/src/store_watch.rs
+++ b/relay/src/store_watch.rs
@@ -333,9 +333,11 @@
     let revision = revision.or_era(relay.store_era());
     match relay.codec.decode_record(change) {
         Ok(Record::Configuration(table)) => relay.configure(table),
-        Ok(Record::Server { server, warmup }) => {
-            relay.register_server(server, warmup, revision);
-        }
+        Ok(Record::Server {
+            server,
+            warmup,
+            sequence,
+        }) => relay.register_server(server, warmup, sequence, revision),
         Ok(Record::ServerRemoved { id, problem }) => {
             if let Some(problem) = problem {
                 log::warn!(server = &*id, problem = problem.as_str(); "registration of a server not decoded");
