fix(coordination): go on with a move after the store is restored

A move began anew when the store came back from a copy without its order and the operators wrote the order again: a version that had been taken back got trial requests once more, the end that operators had been told was gone from the store, and without the order in the copy the service went to both versions at once.

Cause: a revision identifies an order, and the same order has another one after a restore; an order or a recorded end that the copy has may be of an earlier move.

Now an order with the version and duration of the known one is the same order if the store was restored between (canary::Order::compare). An order that differs, or none, is not applied until the operators have had time to write theirs again, and the end of a move is recorded again.

--- a/coordination/src/registry.rs
+++ b/coordination/src/registry.rs
@@ -75,7 +75,7 @@
     records: HashMap<Arc<str>, Record>,
     removed: HashMap<Arc<str>, Removed>,
     store_down: bool,
-    trusted_from: Duration,
+    settled_from: Duration,
 }
 
 /// The effect of a change.
@@ -111,13 +111,13 @@
     pub fn store_responded(&mut self, now: Duration) {
         if self.store_down {
             self.store_down = false;
-            self.trusted_from = now + LAPSE_GRACE;
+            self.settled_from = now + LAPSE_GRACE;
         }
     }
 
     /// Records that the store was restored from a copy, which may lack registrations of live servers.
     pub fn store_restored(&mut self, now: Duration) {
-        self.trusted_from = now + LAPSE_GRACE;
+        self.settled_from = now + LAPSE_GRACE;
     }
 
     /// Applies a server's registration at a revision of the store; `sequence` increases with each
@@ -211,10 +211,17 @@
         !self.store_down
     }
 
+    /// Returns whether the store responds and those that write to it have had time to write again what it
+    /// lost.
+    #[must_use]
+    pub fn settled(&self, now: Duration) -> bool {
+        !self.store_down && now >= self.settled_from
+    }
+
     /// Applies the removal of a registration, or its replacement by content that is not a
     /// registration.
     pub fn remove(&mut self, id: &str, revision: Revision, now: Duration) -> Effect {
-        let trusted = !self.store_down && now >= self.trusted_from;
+        let settled = self.settled(now);
         let Some(record) = self.records.get_mut(id) else {
             let removed = self.removed.entry(Arc::from(id)).or_default();
             removed.revision = revision.max(removed.revision);
@@ -224,7 +231,7 @@
         if revision < record.revision {
             return Effect::Stale;
         }
-        if !trusted && !record.server.leaving {
+        if !settled && !record.server.leaving {
             record.lapsed = true;
             return Effect::Lapsed;
         }
@@ -256,7 +263,7 @@
     pub fn expire(&mut self, now: Duration) -> Vec<Arc<str>> {
         self.removed
             .retain(|_, removed| now.saturating_sub(removed.at) < REMOVED_TIME);
-        if self.store_down || now < self.trusted_from {
+        if !self.settled(now) {
             return Vec::new();
         }
         let expired: Vec<Arc<str>> = self
--- a/coordination/tests/canary.rs
+++ b/coordination/tests/canary.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use medlarfall_coordination::canary::{Bounds, Canary, Order, Verdict};
+use medlarfall_coordination::canary::{Bounds, Canary, Order, Reading, Verdict};
 use medlarfall_coordination::evidence::{Cohort, Observation};
 use medlarfall_coordination::history::Revision;
 use rand::{Rng, SeedableRng};
@@ -316,3 +316,36 @@
         Some(Cohort::Baseline)
     );
 }
+
+#[test]
+fn an_order_that_is_read_after_a_restore_does_not_begin_its_move_anew() {
+    let at = |era, number| Revision { era, number };
+    let read = |version, revision| Order {
+        version: Arc::from(version),
+        revision,
+        duration: DURATION,
+    };
+    let known = read("v2", at(1, 7));
+    let cases = [
+        (Some("v2"), at(2, 3), false, Reading::Repeated),
+        (Some("v2"), at(2, 3), true, Reading::Repeated),
+        (Some("v1"), at(2, 3), false, Reading::Unsettled),
+        (Some("v1"), at(2, 3), true, Reading::Newer),
+        (None, at(2, 3), false, Reading::Unsettled),
+        (None, at(2, 3), true, Reading::Newer),
+        (Some("v2"), at(1, 9), false, Reading::Repeated),
+        (Some("v2"), at(1, 9), true, Reading::Newer),
+        (Some("v3"), at(1, 9), false, Reading::Newer),
+        (None, at(1, 9), true, Reading::Newer),
+        (Some("v3"), at(1, 7), true, Reading::Stale),
+        (None, at(1, 6), true, Reading::Stale),
+    ];
+    for (version, revision, settled, expected) in cases {
+        let read = version.map(|version| read(version, revision));
+        let reading = known.compare(read.as_ref(), revision, settled);
+        assert_eq!(
+            reading, expected,
+            "{version:?} at {revision}, settled: {settled}"
+        );
+    }
+}
--- a/relay/src/state/moves.rs
+++ b/relay/src/state/moves.rs
@@ -1,10 +1,11 @@
 //! Moves of services to another version: which version a request goes to, and the measurements and
 //! peer reports that decide a move.
 
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
-use medlarfall_coordination::canary::{Canary, Order, Verdict};
+use medlarfall_coordination::canary::{Canary, Order, Reading, Verdict};
 use medlarfall_coordination::dissemination::MoveReport;
 use medlarfall_coordination::evidence::{Cohort, Observation};
 use medlarfall_coordination::history::Revision;
@@ -44,43 +45,75 @@
 }
 
 impl<C: Codec> Relay<C> {
-    /// Applies the operators' order to move a service, or its withdrawal (`None`).
-    pub fn apply_move_order(&self, service: &Arc<str>, order: Option<Order>) {
+    /// Applies the operators' order to move a service, or its absence (`None`), as the store has it at a
+    /// revision.
+    pub fn apply_move_order(&self, service: &Arc<str>, order: Option<&Order>, revision: Revision) {
         let now = self.clock.now();
-        let Some(order) = order else {
-            let known = self.view(|view| view.canaries.remove(service));
-            if known.is_some() {
-                log::info!(service = &**service; "the order to move a service is withdrawn");
-            }
-            return;
-        };
         // An order that existed when this entry started may be of any age.
         let given_now = self.changelog(|changelog| changelog.revision().number) > 0;
         let steps = u32::try_from(name_hash(&self.settings.entry) % u64::from(OFFSETS));
         let offset = f64::from(steps.unwrap_or(0)) / f64::from(OFFSETS);
-        let known = self.view(|view| {
-            let known = view.canaries.get(service);
-            let known = known.is_some_and(|canary| canary.order().revision >= order.revision);
-            if !known {
-                let moves = self.settings.moves;
-                let canary = Canary::new(order.clone(), moves, offset, given_now, now);
-                view.canaries.insert(Arc::clone(service), canary);
-                view.recorded_moves.remove(service);
+        let reading = self.view(|view| {
+            let settled = view.registry.settled(now);
+            let known = view.canaries.get_mut(service);
+            let reading = known.as_ref().map_or(Reading::Newer, |canary| {
+                canary.order().compare(order, revision, settled)
+            });
+            if reading != Reading::Stale {
+                view.unsettled_orders.remove(service);
+            }
+            match (reading, order, known) {
+                (Reading::Stale, ..) => {}
+                (Reading::Repeated, Some(order), Some(canary)) => {
+                    canary.repeat(order.clone());
+                    view.recorded_moves.remove(service);
+                }
+                (Reading::Unsettled, ..) => {
+                    let unsettled = (order.cloned(), revision);
+                    view.unsettled_orders.insert(Arc::clone(service), unsettled);
+                }
+                (_, Some(order), _) => {
+                    let moves = self.settings.moves;
+                    let canary = Canary::new(order.clone(), moves, offset, given_now, now);
+                    view.canaries.insert(Arc::clone(service), canary);
+                    view.recorded_moves.remove(service);
+                }
+                (_, None, _) => {
+                    view.canaries.remove(service);
+                    view.recorded_moves.remove(service);
+                }
             }
-            known
+            reading
         });
-        if known {
+        if reading == Reading::Stale {
             return;
         }
+        let effect = format!("{reading:?}").to_lowercase();
         log::info!(
-            service = &**service, version = &*order.version, era = order.revision.era,
-            revision = order.revision.number,
-            lasts_ms = order.duration.as_millis(), given_now;
-            "a move is ordered"
+            service = &**service, version = order.map_or("", |order| &*order.version),
+            era = revision.era, revision = revision.number, given_now, effect = effect.as_str(),
+            lasts_ms = order.map_or(0, |order| order.duration.as_millis());
+            "order to move a service changed"
         );
         self.moves_changed.notify_one();
     }
 
+    /// Applies the orders that were unsettled, if the store is settled now. Returns whether any is left.
+    fn settle_orders(&self) -> bool {
+        let now = self.clock.now();
+        let settled = self.view(|view| {
+            if view.registry.settled(now) {
+                std::mem::take(&mut view.unsettled_orders)
+            } else {
+                HashMap::new()
+            }
+        });
+        for (service, (order, revision)) in settled {
+            self.apply_move_order(&service, order.as_ref(), revision);
+        }
+        self.view(|view| !view.unsettled_orders.is_empty())
+    }
+
     /// Applies the end of a move that is recorded in the store.
     pub fn record_move_end(
         &self,
@@ -91,7 +124,9 @@
     ) {
         self.with_canary(service, |canary, view| {
             let order = canary.order();
-            if *order.version != *version || revision < order.revision {
+            // The end that a copy of the store has is that of an earlier order, unless it has this one too.
+            let earlier = order.revision.is_of_earlier_era(revision) || revision < order.revision;
+            if *order.version != *version || earlier {
                 return;
             }
             view.recorded_moves.insert(Arc::clone(service));
@@ -164,8 +199,9 @@
         });
     }
 
-    /// Ends the moves that are due; returns whether any end is not recorded yet.
+    /// Ends the moves that are due; returns whether any end is not recorded yet, or any order not settled.
     pub fn conclude_moves(&self) -> bool {
+        let unsettled = self.settle_orders();
         let now = self.clock.now();
         let open: Vec<Arc<str>> = self.view(|view| {
             let open = view.canaries.keys();
@@ -177,7 +213,7 @@
                 canary.conclude(now);
             });
         }
-        !open.is_empty()
+        unsettled || !open.is_empty()
     }
 
     /// Returns the ended moves whose end is not recorded.
--- a/relay/src/state/view.rs
+++ b/relay/src/state/view.rs
@@ -1,8 +1,9 @@
 //! This entry's view of the configuration, the servers and the other entries.
 
-use medlarfall_coordination::canary::Canary;
+use medlarfall_coordination::canary::{Canary, Order};
 use medlarfall_coordination::dissemination::Node;
 use medlarfall_coordination::group_outage::Groups;
+use medlarfall_coordination::history::Revision;
 use medlarfall_coordination::quarantine::{self, Part};
 use medlarfall_coordination::registry::Registry;
 use medlarfall_coordination::retry_budget::{Bounds, Window};
@@ -34,6 +35,9 @@
     pub(super) retry_windows: HashMap<Arc<str>, Window>,
     /// Last ordered move of each service.
     pub(super) canaries: HashMap<Arc<str>, Canary>,
+    /// Orders that the store has since a restore and that may be older than the known ones, with their
+    /// revisions; `None` if it has none.
+    pub(super) unsettled_orders: HashMap<Arc<str>, (Option<Order>, Revision)>,
     /// Services whose last move has a recorded end.
     pub(super) recorded_moves: HashSet<Arc<str>>,
     /// End of the warm-up of recently started servers.
@@ -68,6 +72,7 @@
             backends: HashMap::new(),
             retry_windows: HashMap::new(),
             canaries: HashMap::new(),
+            unsettled_orders: HashMap::new(),
             recorded_moves: HashSet::new(),
             warmups: HashMap::new(),
             groups: Groups::default(),
--- a/relay/src/store_watch.rs
+++ b/relay/src/store_watch.rs
@@ -350,7 +350,7 @@
                 revision,
                 duration,
             });
-            relay.apply_move_order(&service, order);
+            relay.apply_move_order(&service, order.as_ref(), revision);
         }
         Ok(Record::MoveEnd {
             service,
