fix(relay): register as a contact again after the store is restored

Entries that start find the others through the contacts in the store. A contact whose lease the store lost with a restore was not registered for up to 9 s, and if the store had granted the lease's number to another, not at all: its renewal was answered with success.

A lease belongs to the era in which it was granted. When another one begins, the entry registers under a new lease, after a random delay.

--- a/relay/src/registration.rs
+++ b/relay/src/registration.rs
@@ -73,11 +73,20 @@
     SLOW_LINK_DELAY.mul_f64(slowness.clamp(0.0, 1.0)) + jitter
 }
 
+/// Waits for a time, or until the store is known to be restored since an era; returns whether it was. An
+/// era of 0 is not known.
+async fn pause_in_era<C: Codec>(relay: &Relay<C>, era: u64, time: Duration) -> bool {
+    let mut changed = relay.changed.subscribe();
+    let restored = changed.wait_for(|_| era != 0 && relay.store_era() != era);
+    timeout(time, restored).await.is_ok()
+}
+
 /// Keeps this entry registered for as long as its failure domain needs it as a contact.
 pub async fn run<C: Codec, S: Store>(relay: Arc<Relay<C>>, store: S, address: SocketAddr) {
     let mut lease = None;
     sleep(first_delay(relay.settings.link_mbps)).await;
     loop {
+        let era = relay.store_era();
         if !relay.must_register() {
             // The lease of an entry that is no longer needed expires.
             lease = None;
@@ -101,7 +110,11 @@
             }
             Err(_) => RETRY_PAUSE,
         };
-        sleep(pause).await;
+        if pause_in_era(&relay, era, pause).await {
+            // The store lost the lease, or grants it to another.
+            lease = None;
+            sleep(first_delay(relay.settings.link_mbps)).await;
+        }
     }
 }
 
