fix(relay): record blocked prompts again after the store is restored

Entries that start learn from the store which prompts crash servers. After a restore the records were gone, and only the entries that had found a combination themselves would write it again, not those that had adopted it.

An entry that reads the store now writes again what it still blocks and whose record the store lost. Removals within an era change nothing: the record's lease has ended.

--- a/relay/src/quarantine.rs
+++ b/relay/src/quarantine.rs
@@ -8,6 +8,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use medlarfall_coordination::history::Revision;
 use medlarfall_coordination::quarantine::{FIRST_TIME, Part};
 use medlarfall_runtime::store::{Change, Error, Store};
 use serde::{Deserialize, Serialize};
@@ -33,7 +34,7 @@
 
 /// Applies a record of the store, or its removal (`None`). A record that can't be decoded is logged and
 /// has no effect.
-pub fn apply<C: Codec>(relay: &Relay<C>, key: &Arc<str>, value: Option<&str>, revision: u64) {
+pub fn apply<C: Codec>(relay: &Relay<C>, key: &Arc<str>, value: Option<&str>, revision: Revision) {
     let parts = match value.map(serde_json::from_str::<Value>).transpose() {
         Ok(value) => value.map(|value| value.parts.into()),
         Err(error) => {
@@ -58,10 +59,15 @@
                 log_written(parts, written);
             }
             for (key, revision) in &ended {
+                let era = relay.store_era();
                 relay.metrics.count_store_call(StoreCall::BlockedPrompt);
                 let deleting = store.delete(key, *revision);
                 if with_timeout(Duration::ZERO, deleting).await.is_ok() {
-                    relay.apply_prompt_record(key, None, *revision);
+                    let revision = Revision {
+                        era,
+                        number: *revision,
+                    };
+                    relay.apply_prompt_record(key, None, revision);
                 }
             }
         }
--- a/relay/src/state/prompts.rs
+++ b/relay/src/state/prompts.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use medlarfall_coordination::dissemination::Prompts;
+use medlarfall_coordination::history::Revision;
 use medlarfall_coordination::placement::name_hash;
 use medlarfall_coordination::quarantine::{self, Combination, Loss, Part, Turn};
 
@@ -15,7 +16,7 @@
 /// How the records of blocked combinations in the store differ from what is blocked.
 #[derive(Clone, Debug, Default)]
 pub struct Due {
-    /// Combinations that this entry found and that have no record.
+    /// Combinations without a record that this entry found, or whose record the store lost.
     pub new: Vec<Arc<[Part]>>,
     /// Records of combinations that an answer has cleared: key and revision.
     pub ended: Vec<(Arc<str>, u64)>,
@@ -133,13 +134,22 @@
     }
 
     /// Applies the record of a blocked combination in the store, or its removal (`None`).
-    pub fn apply_prompt_record(&self, key: &Arc<str>, parts: Option<Arc<[Part]>>, revision: u64) {
+    pub fn apply_prompt_record(
+        &self,
+        key: &Arc<str>,
+        parts: Option<Arc<[Part]>>,
+        revision: Revision,
+    ) {
         let now = self.clock.now();
         self.change_prompts(|view| {
             let Some(parts) = parts else {
-                view.recorded_prompts.remove(key);
+                let known = view.recorded_prompts.remove(key);
+                let lost = known.filter(|(_, known)| known.is_of_earlier_era(revision));
+                view.lost_prompt_records
+                    .extend(lost.map(|(parts, _)| parts));
                 return;
             };
+            view.lost_prompt_records.remove(&parts);
             view.prompts.adopt(&parts, now);
             view.recorded_prompts
                 .insert(Arc::clone(key), (parts, revision));
@@ -147,23 +157,28 @@
         self.prompts_changed.notify_one();
     }
 
-    /// Returns how the records in the store differ from what this entry knows. Only combinations that it
-    /// found itself are due: those that it adopted would be recorded again and again by entries that start
-    /// later than others.
+    /// Returns how the records in the store differ from what this entry knows. Combinations that it adopted
+    /// are due only if the store lost their records: they would be recorded again and again by entries that
+    /// start later than others.
     #[must_use]
     pub fn prompt_records_due(&self) -> Due {
         let now = self.clock.now();
         self.view(|view| {
+            let prompts = &view.prompts;
+            view.lost_prompt_records
+                .retain(|parts| prompts.knows(parts));
             let records = &view.recorded_prompts;
             let recorded = |parts: &Arc<[Part]>| records.values().any(|(known, _)| known == parts);
-            let found = view.prompts.blocked(now).filter(|blocked| blocked.found);
-            let found = found.map(|found| Arc::clone(&found.parts));
+            let lost = &view.lost_prompt_records;
+            let due = view.prompts.blocked(now);
+            let due = due.filter(|blocked| blocked.found || lost.contains(&blocked.parts));
+            let due = due.map(|blocked| Arc::clone(&blocked.parts));
             let ended = records.iter();
             let ended = ended.filter(|(_, (parts, _))| !view.prompts.knows(parts));
             Due {
-                new: found.filter(|parts| !recorded(parts)).collect(),
+                new: due.filter(|parts| !recorded(parts)).collect(),
                 ended: ended
-                    .map(|(key, (_, revision))| (Arc::clone(key), *revision))
+                    .map(|(key, (_, revision))| (Arc::clone(key), revision.number))
                     .collect(),
             }
         })
--- a/relay/src/state/view.rs
+++ b/relay/src/state/view.rs
@@ -47,7 +47,9 @@
     /// Prompts that crash servers.
     pub(super) prompts: quarantine::Tracker,
     /// Blocked combinations that are recorded in the store: their parts and the revision, by key.
-    pub(super) recorded_prompts: HashMap<Arc<str>, (Arc<[Part]>, u64)>,
+    pub(super) recorded_prompts: HashMap<Arc<str>, (Arc<[Part]>, Revision)>,
+    /// Combinations whose records the store lost when it was restored.
+    pub(super) lost_prompt_records: HashSet<Arc<[Part]>>,
     /// When callers that limits refused return, by service.
     pub(super) returns: HashMap<Arc<str>, Returns>,
     /// What this entry shares with the others, and what it knows of them.
@@ -79,6 +81,7 @@
             pending_searches: Vec::new(),
             prompts: quarantine::Tracker::default(),
             recorded_prompts: HashMap::new(),
+            lost_prompt_records: HashSet::new(),
             returns: HashMap::new(),
             node,
         }
--- a/relay/src/store_watch.rs
+++ b/relay/src/store_watch.rs
@@ -359,7 +359,7 @@
         }) => relay.record_move_end(&service, &version, good, revision),
         Ok(Record::Entry { name, value }) => record_entry(relay, &name, value.as_deref()),
         Ok(Record::BlockedPrompt { key, value }) => {
-            quarantine::apply(relay, &key, value.as_deref(), change.revision);
+            quarantine::apply(relay, &key, value.as_deref(), revision);
         }
         Ok(Record::Other) => {}
         Err(invalid) => {
