feat(relay): log why a stream is broken off

A stream that ended early was logged as broken_off, whatever the reason, so a server that broke off could not be told from a resume that was refused, or one that no server took.

--- a/relay/src/stream/forwarding.rs
+++ b/relay/src/stream/forwarding.rs
@@ -88,7 +88,10 @@
                 RunEnd::Caller => self.record_end(status.as_u16(), "caller_left"),
                 RunEnd::Deadline => self.record_end(status.as_u16(), "timed_out"),
                 RunEnd::Blocked => self.record_end(status.as_u16(), "prompt_blocked"),
-                RunEnd::Lost(_) => self.record_end(status.as_u16(), "broken_off"),
+                RunEnd::Lost(cause) => {
+                    self.log_broken_off(cause);
+                    self.record_end(status.as_u16(), "broken_off");
+                }
             }
         });
         let content = Content::Parts {
@@ -166,7 +169,7 @@
             };
             let (parts, body) = opened.answer.response.into_parts();
             if !parts.status.is_success() {
-                return RunEnd::Lost("refused");
+                return RunEnd::Lost("error_response");
             }
             self.ran += 1;
             self.record_arrival();
@@ -281,6 +284,19 @@
         }
     }
 
+    /// Logs that the caller's answer ends before its last event.
+    fn log_broken_off(&self, cause: &'static str) {
+        let now = self.relay.clock.now();
+        log::warn!(
+            request = &*self.job.original.request_id, cause, ran = self.ran,
+            attempts = self.job.route.attempts, resumable = self.resumable(),
+            last_event = self.last_event.unwrap_or(0),
+            silent_ms = now.saturating_sub(self.last_event_at).as_millis(),
+            remaining_ms = self.job.deadline.saturating_sub(now).as_millis();
+            "stream broken off"
+        );
+    }
+
     /// Records the times of a forwarded event.
     fn record_event(&mut self, now: Duration) {
         let pause = now.saturating_sub(self.last_event_at);
