fix(relay): try another server if a resume gets an error response

Callers whose server was lost midway got a stream without its end although other servers could have completed it: if the first server that resumed it answered with an error (a server that fails part of its requests), the stream was broken off, whatever attempts the route had left.

An error response to a resume now counts as a run, and the stream goes on to the next server while the route's attempts and the retry budget last.

Evidence: a_stream_is_not_broken_off_if_a_resume_gets_an_error_response fails before (the caller's body ends after event 5).

--- a/relay/src/stream/forwarding.rs
+++ b/relay/src/stream/forwarding.rs
@@ -151,12 +151,21 @@
             let now = self.relay.clock.now();
             self.record_leave(&failed, cause, now);
             let deadline = self.relay.clock.instant(self.job.deadline);
-            let opened = tokio::select! {
-                opened = self.open() => opened,
+            source = tokio::select! {
+                resumed = self.resume(cause) => match resumed {
+                    Ok(resumed) => resumed,
+                    Err(cause) => return RunEnd::Lost(cause),
+                },
                 () = sender.closed() => return RunEnd::Caller,
                 () = tokio::time::sleep_until(deadline) => return RunEnd::Deadline,
             };
-            let opened = match opened {
+        }
+    }
+
+    /// Opens a run that continues after the last event. `cause` is why the run before it ended.
+    async fn resume(&mut self, cause: &'static str) -> Result<Source<C>, &'static str> {
+        loop {
+            let opened = match self.open().await {
                 Ok(opened) => opened,
                 Err(refusal) => {
                     log::info!(
@@ -164,20 +173,29 @@
                         reason = refusal.reason.name();
                         "stream not resumed"
                     );
-                    return RunEnd::Lost(cause);
+                    return Err(cause);
                 }
             };
-            let (parts, body) = opened.answer.response.into_parts();
-            if !parts.status.is_success() {
-                return RunEnd::Lost("error_response");
-            }
+            let Opened { run, answer } = opened;
+            let (parts, body) = answer.response.into_parts();
             self.ran += 1;
             self.record_arrival();
-            source = Source {
-                run: opened.run,
-                guard: opened.answer.guard,
-                body,
-            };
+            if parts.status.is_success() {
+                return Ok(Source {
+                    run,
+                    guard: answer.guard,
+                    body,
+                });
+            }
+            log::info!(
+                request = &*self.job.original.request_id, server = &*run.backend.server.id,
+                status = parts.status.as_u16();
+                "resume failed"
+            );
+            if !self.may_retry() {
+                return Err("error_response");
+            }
+            self.excluded.push(Arc::clone(&run.backend.server.id));
         }
     }
 
