fix(relay): search again for a server that resumes a stream

Callers whose server was lost midway got a stream without its end when six servers in a row were full or could not be reached, or no server was known for a moment, although seconds of their deadline were left: the search ended, and a caller that has had the head of the answer can't be refused.

The search now starts again for up to three seconds, within the route's attempts and the retry budget. A blocked prompt ends it at once. Longer searches are left to the caller, which can resume through another entry.

Evidence: a_stream_is_not_broken_off_if_several_servers_in_a_row_are_full fails before.

--- a/relay/src/stream.rs
+++ b/relay/src/stream.rs
@@ -30,6 +30,7 @@
 mod meter;
 mod occupancy;
 mod refusals;
+mod resumption;
 
 /// Load, in streams, that is added to servers in another failure domain.
 const REMOTE_PENALTY: f64 = 1.0;
--- a/relay/src/stream/forwarding.rs
+++ b/relay/src/stream/forwarding.rs
@@ -11,12 +11,11 @@
 use tokio::time::Instant;
 
 use crate::answer::{Content, Part, Reason, Refusal};
-use crate::attempt::Guard;
 use crate::codec::Codec;
 use crate::events::Splitter;
-use crate::state::Backend;
 
-use super::{Opened, Run, Stream};
+use super::resumption::Source;
+use super::{Opened, Stream};
 
 /// Events that are queued for a slow caller: a whole generation of usual length.
 const EVENT_QUEUE: usize = 256;
@@ -31,17 +30,6 @@
 /// as it begins to answer.
 const ANSWER_EVENTS: u32 = 3;
 
-/// The run and the connection that a stream's events come from.
-struct Source<C: Codec> {
-    body: Incoming,
-    run: Run<C>,
-    #[expect(
-        dead_code,
-        reason = "dropped with the source, which ends the connection"
-    )]
-    guard: Guard,
-}
-
 /// Why forwarding of a run ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum RunEnd {
@@ -68,11 +56,7 @@
         }
         headers.remove(CONTENT_LENGTH);
         let (sender, events) = mpsc::channel(EVENT_QUEUE);
-        let source = Source {
-            run: opened.run,
-            guard: opened.answer.guard,
-            body,
-        };
+        let source = Source::new(opened.run, opened.answer.guard, body);
         self.ran += 1;
         self.record_arrival();
         tokio::spawn(async move {
@@ -162,69 +146,6 @@
         }
     }
 
-    /// Opens a run that continues after the last event. `cause` is why the run before it ended.
-    async fn resume(&mut self, cause: &'static str) -> Result<Source<C>, &'static str> {
-        loop {
-            let opened = match self.open().await {
-                Ok(opened) => opened,
-                Err(refusal) => {
-                    log::info!(
-                        request = &*self.job.original.request_id, cause,
-                        reason = refusal.reason.name();
-                        "stream not resumed"
-                    );
-                    return Err(cause);
-                }
-            };
-            let Opened { run, answer } = opened;
-            let (parts, body) = answer.response.into_parts();
-            self.ran += 1;
-            self.record_arrival();
-            if parts.status.is_success() {
-                return Ok(Source {
-                    run,
-                    guard: answer.guard,
-                    body,
-                });
-            }
-            log::info!(
-                request = &*self.job.original.request_id, server = &*run.backend.server.id,
-                status = parts.status.as_u16();
-                "resume failed"
-            );
-            if !self.may_retry() {
-                return Err("error_response");
-            }
-            self.excluded.push(Arc::clone(&run.backend.server.id));
-        }
-    }
-
-    /// Records and logs that the stream leaves a server.
-    fn record_leave(&mut self, failed: &Arc<Backend>, cause: &'static str, now: Duration) {
-        self.excluded = vec![Arc::clone(&failed.server.id)];
-        self.avoided_domains = vec![Arc::clone(&failed.server.failure_domain)];
-        self.resumes += 1;
-        self.relay.metrics.count_resume(cause);
-        match cause {
-            "silent" => self.silences += 1,
-            // A run at a lost server does not count against the route's attempts.
-            "server_lost" => self.ran -= 1,
-            _ => {}
-        }
-        if cause != "silent" {
-            self.relay.record_unreachable(failed);
-        }
-        log::info!(
-            request = &*self.job.original.request_id, server = &*failed.server.id,
-            failure_domain = &*failed.server.failure_domain, cause,
-            last_event = self.last_event.unwrap_or(0),
-            silent_ms = now.saturating_sub(self.last_event_at).as_millis(),
-            copy = self.backup.as_ref().map_or("", |backup| &*backup.server.id),
-            run_events = self.run_events, parts = self.job.parts_text().as_str();
-            "stream leaves its server"
-        );
-    }
-
     /// Forwards the events of one run.
     async fn forward_run(&mut self, source: &mut Source<C>, sender: &mpsc::Sender<Part>) -> RunEnd {
         let deadline = self.relay.clock.instant(self.job.deadline);
