fix(relay): keep a silent run while no other server can take the stream

A stream was broken off because its server was silent: after 420 ms without an event, or 180 ms after a silent server had failed two probes, its connection was closed, also if no other server could continue it (none known, the retry budget or the attempts used up, a route that may run once). A sound server that is silent for a second and goes on then completed an answer that nobody received.

Silence now ends a run only if another server can take the stream over, and a retry has been withdrawn for it; else the run is considered again each 100 ms, for three seconds if the caller can resume through another entry, and until the deadline if it can't. A run at a server that was lost and is back is monitored again; a stream that leaves such a server no longer counts as one of those that began since.

Evidence: a_stream_is_not_broken_off_while_the_only_server_is_silent and a_stream_that_may_run_once_is_not_broken_off_while_its_server_is_silent fail before.

Ruled out: longer limits on silence. While another server has a backup, leaving early keeps the pause within what callers accept.

--- a/relay/src/monitor.rs
+++ b/relay/src/monitor.rs
@@ -42,14 +42,22 @@
             std::future::pending::<()>().await;
         }
     }
+
+    /// Returns whether the server is lost.
+    #[must_use]
+    pub fn is_lost(&self) -> bool {
+        *self.lost.borrow()
+    }
 }
 
 impl Drop for Subscription {
     fn drop(&mut self) {
-        self.backend.monitor.with(|watched| {
-            if let Some(watched) = watched {
+        self.backend.monitor.with(|watched| match watched {
+            // After a loss, the monitor counts the streams that began since.
+            Some(watched) if watched.lost.subscribe().same_channel(&self.lost) => {
                 watched.streams = watched.streams.saturating_sub(1);
             }
+            _ => {}
         });
     }
 }
--- a/relay/src/stream.rs
+++ b/relay/src/stream.rs
@@ -62,6 +62,27 @@
     meter: Meter,
 }
 
+impl<C: Codec> Run<C> {
+    /// Waits until the server is lost, or silent at the instant `limit`, but until `check_at` at least.
+    /// Returns which.
+    async fn silence(&mut self, check_at: Instant, limit: Instant) -> &'static str {
+        tokio::time::sleep_until(check_at).await;
+        tokio::select! {
+            () = self.subscription.lost() => "server_lost",
+            () = tokio::time::sleep_until(limit) => "silent",
+        }
+    }
+
+    /// Records that data arrived from the server, also from one that was lost and is back.
+    fn record_activity(&mut self, relay: &Arc<Relay<C>>) {
+        if self.subscription.is_lost() {
+            relay.record_response(&self.backend);
+            self.subscription = monitor::subscribe(relay, &self.backend);
+        }
+        self.backend.monitor.record_activity(relay.clock.now());
+    }
+}
+
 /// State of a stream over its runs.
 struct Stream<C: Codec> {
     relay: Arc<Relay<C>>,
--- a/relay/src/stream/forwarding.rs
+++ b/relay/src/stream/forwarding.rs
@@ -14,7 +14,7 @@
 use crate::codec::Codec;
 use crate::events::Splitter;
 
-use super::resumption::Source;
+use super::resumption::{INTERRUPTION_LIMIT, Source};
 use super::{Opened, Stream};
 
 /// Events that are queued for a slow caller: a whole generation of usual length.
@@ -30,6 +30,9 @@
 /// as it begins to answer.
 const ANSWER_EVENTS: u32 = 3;
 
+/// Pause before a silent run, which no other server could take over, is considered again.
+const SILENCE_CHECK: Duration = Duration::from_millis(100);
+
 /// Why forwarding of a run ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum RunEnd {
@@ -153,6 +156,7 @@
         let mut changed = self.relay.changed.subscribe();
         // Bytes that complete no new event are no progress: a stalled server may send some for ever.
         let mut progress_at = Instant::now();
+        let mut check_silence_at = progress_at;
         loop {
             if self.run_events == 0 && self.relay.prompt_blocked(&self.job.head.prompt_parts) {
                 return RunEnd::Blocked;
@@ -162,12 +166,19 @@
             } else {
                 self.first_event_timeout()
             };
+            let resumable = self.resumable();
             let frame = tokio::select! {
                 biased;
                 frame = source.body.frame() => frame,
-                () = source.run.subscription.lost() => return RunEnd::Lost("server_lost"),
+                cause = source.run.silence(check_silence_at, progress_at + bound), if resumable => {
+                    let silent = progress_at.elapsed();
+                    if silent >= INTERRUPTION_LIMIT || self.can_move(&source.run.backend) {
+                        return RunEnd::Lost(cause);
+                    }
+                    check_silence_at = Instant::now() + SILENCE_CHECK;
+                    continue;
+                }
                 () = sender.closed() => return RunEnd::Caller,
-                () = tokio::time::sleep_until(progress_at + bound) => return RunEnd::Lost("silent"),
                 () = tokio::time::sleep_until(deadline) => return RunEnd::Deadline,
                 _ = changed.changed() => {
                     self.maintain_backup(&source.run.backend);
@@ -184,7 +195,7 @@
                 }
             }
             let now = self.relay.clock.now();
-            source.run.backend.monitor.record_activity(now);
+            source.run.record_activity(&self.relay);
             while let Some(event) = splitter.next_event() {
                 match (event.id, self.last_event) {
                     (Some(id), Some(last)) if id <= last => continue,
--- a/relay/src/stream/resumption.rs
+++ b/relay/src/stream/resumption.rs
@@ -7,13 +7,14 @@
 
 use crate::attempt::Guard;
 use crate::codec::Codec;
-use crate::state::Backend;
+use crate::state::{Backend, Criteria};
 
 use super::{Opened, Run, Stream};
 
-/// Longest search for a server that resumes a stream. Servers that are full or restart take requests again
-/// within a second or so; if only this entry can't reach them, the caller can resume through another one.
-const SEARCH_TIME: Duration = Duration::from_secs(3);
+/// Longest time without events that an entry bridges while no other server takes a stream. Sound servers
+/// that are silent, full or restarting go on within a second or so; if only this entry can't reach them, the
+/// caller can resume through another one.
+pub(super) const INTERRUPTION_LIMIT: Duration = Duration::from_secs(3);
 
 /// Pause before the search starts again.
 const SEARCH_PAUSE: Duration = Duration::from_millis(200);
@@ -41,7 +42,7 @@
 impl<C: Codec> Stream<C> {
     /// Opens a run that continues after the last event. `cause` is why the run before it ended.
     pub(super) async fn resume(&mut self, cause: &'static str) -> Result<Source<C>, &'static str> {
-        let search_until = self.relay.clock.now() + SEARCH_TIME;
+        let search_until = self.relay.clock.now() + INTERRUPTION_LIMIT;
         loop {
             let opened = match self.open().await {
                 Ok(opened) => opened,
@@ -77,6 +78,22 @@
         }
     }
 
+    /// Returns whether a server other than `from`, which is silent, can take over the stream. Then a retry
+    /// has been withdrawn for it.
+    pub(super) fn can_move(&mut self, from: &Arc<Backend>) -> bool {
+        let blocked = self.relay.prompt_refused_for(&self.job.head.prompt_parts);
+        if !self.may_retry() || blocked.is_some() {
+            return false;
+        }
+        let now = self.relay.clock.now();
+        let excluded = [Arc::clone(&from.server.id)];
+        let other = self.relay.choose(Criteria {
+            excluded: &excluded,
+            ..self.criteria(&[])
+        });
+        other.is_some_and(|other| !other.load(|load| load.suspect(now))) && self.withdraw_retry()
+    }
+
     /// Returns whether a further search for a server can find one. The caller has had the head of the
     /// answer, so that it can't be refused.
     fn may_search_again(&self, search_until: Duration) -> bool {
