fix(relay): apply the limits in force to callers' connections

Callers saw a connection close under a request beside a change of the configuration. hyper got its time for heads and its buffer size once, when a connection was opened. After the operators had raised idle_timeout_ms, callers reused connections within the new time, and the entry closed them at the old one; a head that a newer max_header_bytes allows got 431. The idle time was also the time for a head: a head sent in time was cut by a short idle time, and a head without end held its connection for 30 s. header_timeout_ms was not read.

The entry now follows the use of each connection itself: requests under way until their responses have been sent, the first byte of an incomplete head, and the last use. The deadline comes from the limits in force; a change of the limits wakes the connections, other changes do not. The connection is polled before its timer, so that a request that has arrived is served. The buffer has a constant bound of 64 KiB; ingress refuses a whole head of more than twice the configured size with 431.

--- a/coordination/src/routing.rs
+++ b/coordination/src/routing.rs
@@ -116,6 +116,8 @@
     pub header_bytes: usize,
     /// Largest body, in bytes.
     pub body_bytes: usize,
+    /// Longest time that a caller may take to send a head once it has begun.
+    pub header_time: Duration,
     /// Longest time for which a connection may be idle.
     pub idle_time: Duration,
 }
@@ -126,6 +128,7 @@
         Self {
             header_bytes: 16 << 10,
             body_bytes: 4 << 20,
+            header_time: Duration::from_secs(15),
             idle_time: Duration::from_secs(15),
         }
     }
--- a/relay/src/answer.rs
+++ b/relay/src/answer.rs
@@ -93,6 +93,8 @@
 pub enum Reason {
     /// The head is invalid.
     Malformed,
+    /// The head is larger than the configuration allows.
+    HeadTooLarge,
     /// The API key is missing or unknown.
     UnknownKey,
     /// No route matches.
@@ -133,6 +135,7 @@
     pub fn status(self) -> StatusCode {
         match self {
             Self::Malformed | Self::BodyBroken => StatusCode::BAD_REQUEST,
+            Self::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
@@ -156,6 +159,7 @@
     pub fn name(self) -> &'static str {
         match self {
             Self::Malformed => "malformed",
+            Self::HeadTooLarge => "head_too_large",
             Self::UnknownKey => "unknown_key",
             Self::NoRoute => "no_route",
             Self::BodyTooLarge => "body_too_large",
--- a/relay/src/ingress.rs
+++ b/relay/src/ingress.rs
@@ -7,6 +7,7 @@
 
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, CONTENT_LENGTH, HOST, HeaderValue, TRANSFER_ENCODING};
+use hyper::http::request::Parts;
 use hyper::{HeaderMap, Request, Response, Uri};
 use medlarfall_coordination::evidence::Cohort;
 use medlarfall_coordination::routing::{Account, Route, Table};
@@ -33,6 +34,10 @@
 /// Retry delay of a request that another entry can serve immediately.
 const ELSEWHERE_PAUSE: Duration = Duration::from_millis(5);
 
+/// Factor on the configured size of a head. A caller may follow a newer configuration than this entry,
+/// and does not try again after this refusal.
+const HEAD_MARGIN: usize = 2;
+
 /// Usual duration of a stream: prefill of one or two seconds and some 130 events of 40 ms.
 const STREAM_TIME: Duration = Duration::from_secs(7);
 
@@ -135,6 +140,9 @@
     let head = head.map_err(|_| Refusal::new(Reason::Malformed))?;
     let table = table(relay).await?;
     let (parts, body) = request.into_parts();
+    if head_bytes(&parts) > table.limits.header_bytes * HEAD_MARGIN {
+        return Err(Refusal::new(Reason::HeadTooLarge));
+    }
     let host = host(&parts.uri, &parts.headers).ok_or(Refusal::new(Reason::Malformed))?;
     if parts.headers.get_all(HOST).iter().count() > 1
         || parts.headers.get_all(CONTENT_LENGTH).iter().count() > 1
@@ -192,6 +200,14 @@
     })
 }
 
+/// Returns the least number of bytes that a head took.
+fn head_bytes(parts: &Parts) -> usize {
+    let headers = parts.headers.iter();
+    let headers = headers.map(|(name, value)| name.as_str().len() + value.len() + ":\r\n".len());
+    let target = parts.uri.path_and_query().map_or("", |path| path.as_str());
+    headers.sum::<usize>() + target.len()
+}
+
 /// Returns the longest usual duration of a request of a route.
 fn usual_time(route: &Route) -> Duration {
     if route.kind.is_stream() {
--- a/relay/src/listener.rs
+++ b/relay/src/listener.rs
@@ -1,23 +1,37 @@
 //! Accepts callers' connections, serves each on its own task, and closes them gracefully at a stop.
 
+use std::future::poll_fn;
 use std::io;
+use std::pin::Pin;
 use std::sync::Arc;
+use std::task::Poll;
 use std::time::Duration;
 
+use futures::TryFutureExt;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
+use medlarfall_coordination::routing::Limits;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::time::Sleep;
 use tokio_util::task::TaskTracker;
 
 use crate::codec::Codec;
 use crate::ingress;
 use crate::state::Relay;
 
-/// Factor on the configured idle time. Callers reuse a connection until shortly before the idle
-/// limit; the server keeps it longer, so that it does not close a connection while a new
-/// request is on its way.
-const IDLE_MARGIN: u32 = 2;
+pub mod activity;
+mod body;
+mod socket;
+
+use activity::Excess;
+use body::Tracked;
+use socket::{Socket, Tracker};
+
+/// Largest head that is read, and bound on the bytes that a connection buffers. It can't change with the
+/// configuration while a connection is open; requests whose heads the configuration does not allow are
+/// refused when they have been read.
+const BUFFER_BYTES: usize = 64 << 10;
 
 /// Pause after a failed accept, usually for lack of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
@@ -42,22 +56,42 @@
     if let Err(error) = set_options(&stream) {
         log::debug!(reason = error.to_string().as_str(); "socket options of a caller's connection not set");
     }
-    let limits = relay.table().map(|table| table.limits).unwrap_or_default();
+    let tracker = Tracker::new(relay.clock);
+    let mut limits = relay.limits.subscribe();
     let mut draining = relay.draining.subscribe();
-    let service = {
-        let relay = Arc::clone(&relay);
-        service_fn(move |request| ingress::handle(Arc::clone(&relay), request))
-    };
+    let service = service_fn(|request| {
+        let guard = tracker.begin();
+        let handling = ingress::handle(Arc::clone(&relay), request);
+        handling.map_ok(|response| response.map(|content| Tracked::new(content, guard)))
+    });
+    let socket = Socket::new(stream, tracker.clone());
+    // Limits change while the connection is open, which this server's own timer can't follow.
     let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(limits.idle_time * IDLE_MARGIN)
-        .max_buf_size(limits.header_bytes.max(8 << 10) * 2)
-        .serve_connection(TokioIo::new(stream), service);
-    tokio::pin!(connection);
+        .header_read_timeout(None)
+        .max_buf_size(BUFFER_BYTES)
+        .serve_connection(TokioIo::new(socket), service);
     let closing = async { draining.wait_for(|draining| *draining).await.map(drop) };
-    let ended = tokio::select! {
-        ended = &mut connection => Some(ended),
-        _ = closing => None,
+    let timer = tokio::time::sleep(Duration::ZERO);
+    tokio::pin!(connection, closing, timer);
+    let ended = loop {
+        let current = *limits.borrow_and_update();
+        // Reads what has arrived before it looks at the limits.
+        tokio::select! {
+            biased;
+            ended = &mut connection => break Some(ended),
+            _ = &mut closing => break None,
+            Ok(()) = limits.changed() => {
+                let now = tracker.clock.now();
+                tracker.with(|activity| activity.change_limits(now));
+            }
+            excess = exceeded(&tracker, &current, timer.as_mut()) => match excess {
+                Excess::Idle => break None,
+                Excess::Head => {
+                    log::debug!("head of a request not complete in time");
+                    return;
+                }
+            },
+        }
     };
     let ended = if let Some(ended) = ended {
         ended
@@ -70,6 +104,30 @@
     }
 }
 
+/// Waits until a connection exceeds a limit. It is polled after the connection, in the same task.
+async fn exceeded(tracker: &Tracker, limits: &Limits, mut timer: Pin<&mut Sleep>) -> Excess {
+    poll_fn(|context| {
+        loop {
+            let Some((deadline, excess)) = tracker.with(|activity| activity.deadline(limits))
+            else {
+                return Poll::Pending;
+            };
+            if deadline <= tracker.clock.now() {
+                return Poll::Ready(excess);
+            }
+            // A timer that fires too early is cheaper than one that is set with every request.
+            let deadline = tracker.clock.instant(deadline);
+            if timer.is_elapsed() || deadline < timer.deadline() {
+                timer.as_mut().reset(deadline);
+            }
+            if timer.as_mut().poll(context).is_pending() {
+                return Poll::Pending;
+            }
+        }
+    })
+    .await
+}
+
 /// Sets the socket options of a caller's connection.
 fn set_options(stream: &TcpStream) -> io::Result<()> {
     stream.set_nodelay(true)
--- a/relay/src/state.rs
+++ b/relay/src/state.rs
@@ -8,7 +8,7 @@
 
 use medlarfall_coordination::dissemination::{Contact, Identity, Node};
 use medlarfall_coordination::retry_budget::Bounds;
-use medlarfall_coordination::routing::Table;
+use medlarfall_coordination::routing::{Limits, Table};
 use medlarfall_coordination::{canary, liveness};
 use medlarfall_runtime::budget;
 use medlarfall_runtime::clock::Clock;
@@ -82,6 +82,8 @@
     pub ends_at: OnceLock<Duration>,
     /// Whether callers' connections are being closed.
     pub draining: watch::Sender<bool>,
+    /// Limits on callers that are in force.
+    pub limits: watch::Sender<Limits>,
     /// Notifies of each change of configuration or servers.
     pub changed: watch::Sender<u64>,
     /// Wakes the task that sends this entry's state to the others.
@@ -123,6 +125,7 @@
             stopping: watch::Sender::new(false),
             ends_at: OnceLock::new(),
             draining: watch::Sender::new(false),
+            limits: watch::Sender::new(Limits::default()),
             changed: watch::Sender::new(0),
             streams_changed: Notify::new(),
             search_requested: Notify::new(),
@@ -183,6 +186,9 @@
         let known = self.view(|view| {
             let known = view.table.as_ref().map(|table| table.version);
             if known.is_none_or(|known| version > known) {
+                let limits = table.limits;
+                self.limits
+                    .send_if_modified(|known| std::mem::replace(known, limits) != limits);
                 view.table = Some(Arc::new(table));
                 view.table_at = now;
             }
