fix(relay): answer a body that stops with 408 at the deadline

A caller that stopped in the middle of a body got no answer, and the entry kept its request, connection and memory until the caller left: the body was read without a deadline. A few such callers use up the memory for bodies, and other callers get 503.

The request's deadline, which the operators' timeout_ms bounds, now holds for its body too. The caller gets 408, which is true, as nothing is sent before the body is complete, and the connection closes, since the rest of the body may still arrive. A slow body that is complete in time is served.

Evidence: a_body_that_stops_is_refused_at_the_deadline_and_frees_its_memory in platform/tests/callers.rs failed before (no answer within 5 s) and passes now, with a length and in chunks; the test of a slow body was green before and is green now.

--- a/relay/src/answer.rs
+++ b/relay/src/answer.rs
@@ -103,6 +103,8 @@
     BodyTooLarge,
     /// The body was truncated.
     BodyBroken,
+    /// The body was not complete at the deadline.
+    BodyTooSlow,
     /// No configuration is known yet.
     NoConfiguration,
     /// No server of the service can be reached.
@@ -130,7 +132,7 @@
 }
 
 impl Reason {
-    /// Returns the HTTP status. 429 and 503 state that the request has not run.
+    /// Returns the HTTP status. 408, 429 and 503 state that the request has not run.
     #[must_use]
     pub fn status(self) -> StatusCode {
         match self {
@@ -138,6 +140,7 @@
             Self::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::NoRoute => StatusCode::NOT_FOUND,
+            Self::BodyTooSlow => StatusCode::REQUEST_TIMEOUT,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::NoConfiguration
             | Self::NoServer
@@ -164,6 +167,7 @@
             Self::NoRoute => "no_route",
             Self::BodyTooLarge => "body_too_large",
             Self::BodyBroken => "body_broken",
+            Self::BodyTooSlow => "body_too_slow",
             Self::NoConfiguration => "no_configuration",
             Self::NoServer => "no_server",
             Self::Full => "full",
--- a/relay/src/ingress.rs
+++ b/relay/src/ingress.rs
@@ -103,7 +103,9 @@
     let head = relay.codec.decode_request(request.headers());
     let id = head.as_ref().ok();
     let id = id.map(|head| Arc::clone(&head.request_id));
-    let mut response = match receive(&relay, request, head, began).await {
+    let received = receive(&relay, request, head, began).await;
+    let slow = matches!(&received, Err(refusal) if refusal.reason == Reason::BodyTooSlow);
+    let mut response = match received {
         Ok(job) if job.route.kind.is_stream() => stream::answer(&relay, job).await,
         Ok(job) => call::answer(&relay, job).await,
         Err(refusal) => {
@@ -111,8 +113,9 @@
             refusal.response(&relay.codec, id.as_deref())
         }
     };
-    // Closes the connection after a chunked body, as a guard against request smuggling.
-    if chunked || *relay.stopping.borrow() {
+    // Closes the connection after a chunked body, as a guard against request smuggling, and where the
+    // rest of a body may still arrive.
+    if chunked || slow || *relay.stopping.borrow() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
     }
@@ -160,8 +163,10 @@
         return Err(Refusal::with_retry(Reason::Stopping, ELSEWHERE_PAUSE));
     }
     let timeout = head.timeout.unwrap_or(route.timeout);
-    let body = read_body(body, table.limits.body_bytes, &relay.memory).await;
-    let (body, reservation) = match body {
+    let deadline = began + timeout.min(route.timeout);
+    let body = read_body(body, table.limits.body_bytes, &relay.memory);
+    let body = tokio::time::timeout_at(relay.clock.instant(deadline), body).await;
+    let (body, reservation) = match body.map_err(|_| Refusal::new(Reason::BodyTooSlow))? {
         Ok(Some(body)) => body,
         Ok(None) if relay.memory.available() < table.limits.body_bytes => {
             return Err(Refusal::with_retry(Reason::Memory, CONFIGURATION_PAUSE));
@@ -188,7 +193,7 @@
             headers: parts.headers,
             body,
         },
-        deadline: began + timeout.min(route.timeout),
+        deadline,
         head,
         route,
         table,
