fix(relay): pass over a server from its first answer that says it leaves

Callers' requests were sent to servers that had said with `Server-Leaving: 1` in their answers that they leave, as long as the store listed them as ready: while the store is down, behind, or restored from a copy. Such a server ends after its drain time and takes the requests with it.

The header was not decoded. The entry now records the departure of a server's start (name and start time) from any answer of the addressed server: calls, heads of streams, refusals, reports, health checks and cache queries. Whatever the store has of that start, it is not ready again, holds no backup and gets no returning caller; running streams go on. A later start under the name or address is used. An answer with 421 is another server's and counts for nothing.

Ruled out: marking the address, which a later server takes over; changing the registration's revision, which would make the entry ignore the store's next word; telling other entries, as each is bound by the answers that it got itself.

`list of servers changed` has a new field `source`. The header is still forwarded like others that this system does not set.

--- a/coordination/src/registry.rs
+++ b/coordination/src/registry.rs
@@ -1,8 +1,8 @@
 //! This entry's view of the registered backend servers, from a list in the store that lags and is
 //! unavailable during outages of the store.
 //!
-//! A server that has registered as leaving, or whose registration was removed while the store was
-//! available, gets no new requests. A registration that lapsed during an outage does not mean that
+//! A server that has registered as leaving, that says in an answer that it leaves, or whose
+//! registration was removed while the store was available, gets no new requests. A registration that lapsed during an outage does not mean that
 //! its server has failed: the server is kept until [`LAPSE_GRACE`] after the store has recovered, by
 //! which time a live server has registered again.
 
@@ -17,8 +17,8 @@
 /// specifies.
 pub const LAPSE_GRACE: Duration = Duration::from_secs(2);
 
-/// Time for which the last registration of a removed server is known. A store is restored from copies that
-/// are some seconds old.
+/// Time for which the last registration of a removed server is known, and that an unregistered server said
+/// that it leaves. A store is restored from copies that are some seconds old.
 const REMOVED_TIME: Duration = Duration::from_mins(2);
 
 /// The registration of a backend server.
@@ -59,6 +59,23 @@
     at: Duration,
 }
 
+/// What a server said of its leaving.
+#[derive(Clone, Copy, Debug)]
+struct Departure {
+    started_ms: Option<u64>,
+    at: Duration,
+}
+
+impl Departure {
+    /// Returns whether it holds for the start of the server at `started_ms`: that start or an earlier one.
+    fn applies_to(self, started_ms: Option<u64>) -> bool {
+        match (started_ms, self.started_ms) {
+            (Some(started_ms), Some(left)) => started_ms <= left,
+            _ => true,
+        }
+    }
+}
+
 /// Start time of a server and the number of its registration since, which order a server's registrations
 /// across restores of the store.
 type Age = (Option<u64>, u64);
@@ -74,6 +91,7 @@
 pub struct Registry {
     records: HashMap<Arc<str>, Record>,
     removed: HashMap<Arc<str>, Removed>,
+    departures: HashMap<Arc<str>, Departure>,
     store_down: bool,
     settled_from: Duration,
 }
@@ -122,7 +140,8 @@
 
     /// Applies a server's registration at a revision of the store; `sequence` increases with each
     /// registration of the server since its start.
-    pub fn register(&mut self, server: Server, sequence: u64, revision: Revision) -> Effect {
+    pub fn register(&mut self, mut server: Server, sequence: u64, revision: Revision) -> Effect {
+        server.leaving |= self.said_to_leave(&server.id, server.started_ms);
         if self.is_from_copy(&server, sequence, revision) {
             return Effect::Stale;
         }
@@ -176,6 +195,38 @@
         }
     }
 
+    /// Records that a server that started at `started_ms` said itself that it leaves. Whatever the store has
+    /// of this start, the server is not ready again.
+    pub fn record_departure(
+        &mut self,
+        id: &Arc<str>,
+        started_ms: Option<u64>,
+        now: Duration,
+    ) -> Effect {
+        let known = self.departures.get(id);
+        let known = known.and_then(|departure| departure.started_ms);
+        let departure = Departure {
+            started_ms: started_ms.max(known),
+            at: now,
+        };
+        self.departures.insert(Arc::clone(id), departure);
+        match self.records.get_mut(id) {
+            Some(record)
+                if !record.server.leaving && departure.applies_to(record.server.started_ms) =>
+            {
+                Arc::make_mut(&mut record.server).leaving = true;
+                Effect::Leaving
+            }
+            _ => Effect::Stale,
+        }
+    }
+
+    /// Returns whether a server that started at `started_ms` said that it leaves.
+    fn said_to_leave(&self, id: &str, started_ms: Option<u64>) -> bool {
+        let departure = self.departures.get(id);
+        departure.is_some_and(|departure| departure.applies_to(started_ms))
+    }
+
     /// Returns whether a server that started later than `server` is registered at its address.
     fn superseded(&self, server: &Server, revision: Revision) -> bool {
         self.records.iter().any(|(id, other)| {
@@ -190,7 +241,8 @@
     /// Adds a server that was discovered at the address of a known one while the store does not
     /// respond. It is removed unless it registers within the grace period after the store's recovery.
     pub fn adopt(&mut self, server: Server) -> Effect {
-        if self.records.contains_key(&server.id) || self.removed.contains_key(&server.id) {
+        let known = self.records.contains_key(&server.id) || self.removed.contains_key(&server.id);
+        if known || self.said_to_leave(&server.id, server.started_ms) {
             return Effect::Stale;
         }
         self.records
@@ -263,6 +315,10 @@
     pub fn expire(&mut self, now: Duration) -> Vec<Arc<str>> {
         self.removed
             .retain(|_, removed| now.saturating_sub(removed.at) < REMOVED_TIME);
+        let records = &self.records;
+        self.departures.retain(|id, departure| {
+            records.contains_key(id) || now.saturating_sub(departure.at) < REMOVED_TIME
+        });
         if !self.settled(now) {
             return Vec::new();
         }
--- a/coordination/tests/registry.rs
+++ b/coordination/tests/registry.rs
@@ -1,6 +1,6 @@
 //! The known servers when their list lags, lapses or contains an address twice.
 
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -203,6 +203,100 @@
     assert_eq!(ready(&registry), ["a", "b"]);
 }
 
+/// Returns a server's start.
+fn started(id: &str, port: u16, started_ms: u64) -> Server {
+    Server {
+        started_ms: Some(started_ms),
+        ..server(id, port)
+    }
+}
+
+#[test]
+fn a_server_that_said_it_leaves_is_not_ready_again_whatever_the_store_has() {
+    let id = Arc::from("a");
+    let mut registry = Registry::new();
+    registry.register(started("a", 1, 1_000), 3, at(5));
+    let said = |registry: &mut Registry| registry.record_departure(&id, Some(1_000), NOW);
+    assert_eq!(said(&mut registry), Effect::Leaving);
+    assert_eq!(said(&mut registry), Effect::Stale, "known");
+    registry.register(started("a", 1, 1_000), 4, at(6));
+    assert!(ready(&registry).is_empty(), "registered again");
+    registry.store_restored(NOW);
+    registry.register(started("a", 1, 1_000), 4, restored(3));
+    assert!(ready(&registry).is_empty(), "ready in a copy");
+    assert_eq!(registry.remove("a", restored(4), NOW), Effect::Gone);
+    registry.register(started("a", 1, 1_000), 5, restored(5));
+    assert!(ready(&registry).is_empty(), "registered after its removal");
+    registry.remove("a", restored(6), NOW);
+    assert_eq!(registry.adopt(started("a", 1, 1_000)), Effect::Stale);
+}
+
+#[test]
+fn a_new_start_of_a_server_that_said_it_leaves_is_ready() {
+    let id = Arc::from("a");
+    let mut registry = Registry::new();
+    registry.register(started("a", 1, 1_000), 3, at(5));
+    registry.record_departure(&id, Some(1_000), NOW);
+    registry.register(started("b", 1, 2_000), 1, at(6));
+    assert_eq!(ready(&registry), ["b"], "at its address");
+    registry.register(started("a", 2, 2_000), 1, at(7));
+    assert_eq!(ready(&registry), ["a", "b"], "under its name");
+    assert_eq!(
+        registry.record_departure(&id, Some(1_000), NOW),
+        Effect::Stale,
+        "an answer of the earlier start"
+    );
+    assert_eq!(ready(&registry), ["a", "b"]);
+}
+
+#[test]
+fn no_order_of_changes_makes_a_start_ready_that_said_it_leaves() {
+    bolero::check!()
+        .with_type::<Vec<(u8, u8, u8)>>()
+        .for_each(|changes| {
+            let mut registry = Registry::new();
+            let mut left: HashMap<String, u64> = HashMap::new();
+            let mut now = NOW;
+            let (mut era, mut number) = (1, 1);
+            for (operation, server, age) in changes {
+                let id: Arc<str> = Arc::from(format!("s{}", server % 3));
+                let start = u64::from(age % 3) + 1;
+                let start = started(&id, u16::from(server % 4), start);
+                number += 1;
+                let revision = Revision { era, number };
+                match operation % 8 {
+                    0 | 1 => {
+                        registry.register(start, u64::from(*age), revision);
+                    }
+                    2 => {
+                        registry.adopt(start);
+                    }
+                    3 => {
+                        registry.remove(&id, revision, now);
+                    }
+                    4 => {
+                        registry.record_departure(&id, start.started_ms, now);
+                        let latest = left.entry(id.to_string()).or_default();
+                        *latest = start.started_ms.expect("known").max(*latest);
+                    }
+                    5 => {
+                        registry.store_restored(now);
+                        (era, number) = (era + 1, 1);
+                    }
+                    6 => registry.retain(&HashSet::from([id]), revision, now),
+                    _ => {
+                        now += Duration::from_millis(50);
+                        registry.expire(now);
+                    }
+                }
+                for ready in registry.ready("briefs") {
+                    let left = left.get(&*ready.id).copied();
+                    assert!(ready.started_ms > left, "{} is ready again", ready.id);
+                }
+            }
+        });
+}
+
 /// A change with an older revision must never bring a server back, in whatever order changes arrive.
 #[test]
 fn revisions_never_go_back() {
--- a/relay/src/attempt.rs
+++ b/relay/src/attempt.rs
@@ -15,13 +15,13 @@
 use hyper::client::conn::http1;
 use hyper::header::HOST;
 use hyper::http::response::Parts;
-use hyper::{HeaderMap, Method, Request, Response, Uri};
+use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri};
 use hyper_util::rt::TokioIo;
 use snafu::Snafu;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
-use crate::codec::{Codec, Command, Dispatch, Reply, Report};
+use crate::codec::{Codec, Command, Dispatch, Health, Reply, Report};
 use crate::state::{Backend, Relay};
 
 /// Longest time to connect. A connection within a region takes a few milliseconds. If the first
@@ -183,15 +183,19 @@
     if reply.matches {
         relay.record_limit(backend, reply.limit);
     }
+    // Misdirected: another server has the address now.
+    let misdirected = parts.status == StatusCode::MISDIRECTED_REQUEST;
+    if reply.matches && !misdirected && relay.codec.decode_leaving(&parts.headers) {
+        relay.record_departure(&backend.server.id, backend.server.started_ms);
+    }
     if reply.not_run {
-        let status = parts.status.as_u16();
-        match status {
-            // Misdirected: another server has the address now.
-            421 => relay.record_unreachable(backend),
-            _ => backend.load(|load| load.record_outcome(true, now)),
+        if misdirected {
+            relay.record_unreachable(backend);
+        } else {
+            backend.load(|load| load.record_outcome(true, now));
         }
         return Err(Failure::NotRun {
-            status,
+            status: parts.status.as_u16(),
             retry_after: reply.retry_after,
         });
     }
@@ -252,21 +256,21 @@
 ) -> Result<Report, String> {
     relay.metrics.count_probe("report");
     let (parts, body) = fetch(address, get(relay.codec.report_path())).await?;
-    let report = relay.codec.decode_report(parts.status, &body);
+    let report = relay.codec.decode_report(&parts, &body);
     report.ok_or_else(|| format!("status {} without a valid report", parts.status))
 }
 
-/// Fetches the name of the server at an address.
+/// Fetches the response of the server at an address to a health check, with its name.
 ///
 /// # Errors
 ///
 /// Returns why there is no valid response.
-pub async fn fetch_name<C: Codec>(
+pub async fn fetch_health<C: Codec>(
     relay: &Relay<C>,
     address: SocketAddr,
-) -> Result<Arc<str>, String> {
+) -> Result<Health, String> {
     relay.metrics.count_probe("name");
     let (parts, _) = fetch(address, get(relay.codec.health_path())).await?;
-    let name = relay.codec.decode_health(&parts);
-    name.ok_or_else(|| format!("status {}", parts.status))
+    let health = relay.codec.decode_health(&parts);
+    health.ok_or_else(|| format!("status {}", parts.status))
 }
--- a/relay/src/codec.rs
+++ b/relay/src/codec.rs
@@ -93,6 +93,17 @@
     pub started_ms: Option<u64>,
     /// Models that are loaded.
     pub models: Vec<Arc<str>>,
+    /// Whether the server says that it leaves.
+    pub leaving: bool,
+}
+
+/// Decoded response of a server to a health check.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Health {
+    /// Name of the server.
+    pub id: Arc<str>,
+    /// Whether the server says that it leaves.
+    pub leaving: bool,
 }
 
 /// A control request to a server or to another entry, apart from callers' requests.
@@ -196,14 +207,16 @@
     fn report_path(&self) -> &'static str;
 
     /// Decodes a server's status report.
-    fn decode_report(&self, status: StatusCode, body: &[u8]) -> Option<Report>;
+    fn decode_report(&self, parts: &Parts, body: &[u8]) -> Option<Report>;
 
     /// Returns the path of a server's health check, whose response carries the server's name.
     fn health_path(&self) -> &'static str;
 
-    /// Decodes the server's name from the response to a health check; `None` if the server is not
-    /// healthy.
-    fn decode_health(&self, parts: &Parts) -> Option<Arc<str>>;
+    /// Decodes the response to a health check; `None` if the server is neither healthy nor leaving.
+    fn decode_health(&self, parts: &Parts) -> Option<Health>;
+
+    /// Returns whether the headers of any response of a server say that it leaves.
+    fn decode_leaving(&self, headers: &HeaderMap) -> bool;
 
     /// Returns the command to copy the KV cache of the run `request_id` to the server at `target`.
     fn copy_command(&self, request_id: &str, target: SocketAddr) -> Command;
--- a/relay/src/monitor.rs
+++ b/relay/src/monitor.rs
@@ -159,6 +159,9 @@
         Ok(Ok(report)) if same_incarnation(backend, &report) => {
             relay.record_response(backend);
             backend.load(|load| load.record_report(report.requests, now));
+            if report.leaving {
+                relay.record_departure(&backend.server.id, backend.server.started_ms);
+            }
         }
         // The connection was refused, or another incarnation responded: no need to wait for the
         // time-out.
--- a/relay/src/prompt_cache.rs
+++ b/relay/src/prompt_cache.rs
@@ -69,12 +69,16 @@
 }
 
 /// Returns how many tokens of `part` a server has in its cache, or `None` if it does not respond in
-/// time.
+/// time or leaves.
 async fn cached_tokens<C: Codec>(relay: &Relay<C>, backend: &Backend, part: &str) -> Option<u64> {
     relay.metrics.count_probe("cache");
     let command = relay.codec.cache_command();
     let query = attempt::fetch(backend.server.address, command);
     let answer = timeout(RESPONSE_TIMEOUT, query).await.ok()?;
     let (parts, body) = answer.ok()?;
+    if relay.codec.decode_leaving(&parts.headers) {
+        relay.record_departure(&backend.server.id, backend.server.started_ms);
+        return None;
+    }
     Some(relay.codec.decode_cached_tokens(parts.status, &body, part))
 }
--- a/relay/src/rediscover.rs
+++ b/relay/src/rediscover.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use crate::attempt;
-use crate::codec::Codec;
+use crate::codec::{Codec, Health};
 use crate::state::{Backend, Relay};
 
 /// Time between the first probes.
@@ -76,12 +76,14 @@
     Vacant,
     /// The server that is known there.
     Same,
+    /// The server that is known there, which leaves.
+    Leaving,
     /// Another server.
     Other,
 }
 
 /// Returns the server to send a stream to instead of `backend`: itself, its successor if the store
-/// is unavailable, or `None` if no server responds.
+/// is unavailable, or `None` if no server responds or the server leaves.
 ///
 /// If a failure domain's servers crash during an outage of the store, they have other names by the
 /// time the next failure domain crashes and its streams move there. A request under the old name is
@@ -96,6 +98,7 @@
             Some(Arc::clone(backend))
         }
         Occupant::Other => relay.successor(backend),
+        Occupant::Leaving => None,
         Occupant::Vacant => {
             relay.record_unreachable(backend);
             None
@@ -106,11 +109,16 @@
 /// Probes the address of a server once, and adopts a successor of the same service.
 async fn probe<C: Codec>(relay: &Relay<C>, backend: &Backend) -> Occupant {
     let address = backend.server.address;
-    let name = tokio::time::timeout(PROBE_TIMEOUT, attempt::fetch_name(relay, address)).await;
-    let Ok(Ok(name)) = name else {
+    let health = attempt::fetch_health(relay, address);
+    let health = tokio::time::timeout(PROBE_TIMEOUT, health).await;
+    let Ok(Ok(Health { id, leaving })) = health else {
         return Occupant::Vacant;
     };
-    if name == backend.server.id {
+    if id == backend.server.id && leaving {
+        relay.record_departure(&id, backend.server.started_ms);
+        return Occupant::Leaving;
+    }
+    if id == backend.server.id {
         return Occupant::Same;
     }
     let report = tokio::time::timeout(PROBE_TIMEOUT, attempt::fetch_report(relay, address)).await;
@@ -122,12 +130,16 @@
         .as_ref()
         .and_then(|table| table.service_of(&report.models));
     let same = service == Some(&backend.server.service);
+    let leaving = leaving || report.leaving;
     log::info!(
-        server = &*backend.server.id, found = &*name, used = same;
+        server = &*backend.server.id, found = &*id, used = same && !leaving;
         "another server answers at the address of a lost one"
     );
+    if leaving {
+        relay.record_departure(&id, report.started_ms);
+    }
     if same {
-        relay.adopt(&backend.server, &name, report.started_ms, false);
+        relay.adopt(&backend.server, &id, report.started_ms, false);
     }
     Occupant::Other
 }
--- a/relay/src/state/servers.rs
+++ b/relay/src/state/servers.rs
@@ -12,6 +12,17 @@
 
 use super::{Backend, Relay};
 
+/// Where a change of the list of servers comes from.
+#[derive(Clone, Copy, Debug)]
+enum Source {
+    /// A server's registration, or its end.
+    Store,
+    /// An answer of the server.
+    Answer,
+    /// Another entry.
+    Peer,
+}
+
 impl<C: Codec> Relay<C> {
     /// Applies a server's registration; `warmup` is its remaining warm-up time, and `sequence` the number of
     /// the registration since the server's start.
@@ -36,7 +47,7 @@
             }
             effect
         });
-        self.registry_changed(effect, &id, revision);
+        self.registry_changed(effect, &id, Source::Store, revision);
     }
 
     /// Applies the removal of a server's registration.
@@ -47,7 +58,20 @@
             view.update_backends(&self.settings, id);
             effect
         });
-        self.registry_changed(effect, id, revision);
+        self.registry_changed(effect, id, Source::Store, revision);
+    }
+
+    /// Records that a server said in an answer that it leaves. It gets no new requests from then on.
+    pub fn record_departure(&self, id: &Arc<str>, started_ms: Option<u64>) {
+        let now = self.clock.now();
+        let effect = self.view(|view| {
+            let effect = view.registry.record_departure(id, started_ms, now);
+            if effect != Effect::Stale {
+                view.update_backends(&self.settings, id);
+            }
+            effect
+        });
+        self.registry_changed(effect, id, Source::Answer, Revision::default());
     }
 
     /// Applies a complete listing: `listed` are the servers registered at `revision`.
@@ -102,16 +126,21 @@
             expired
         });
         for id in &expired {
-            self.registry_changed(Effect::Gone, id, Revision::default());
+            self.registry_changed(Effect::Gone, id, Source::Store, Revision::default());
         }
     }
 
-    pub(super) fn registry_changed(&self, effect: Effect, id: &str, revision: Revision) {
+    fn registry_changed(&self, effect: Effect, id: &str, source: Source, revision: Revision) {
         if effect == Effect::Stale {
             return;
         }
         let effect = format!("{effect:?}").to_lowercase();
-        log::info!(server = id, era = revision.era, revision = revision.number, effect = effect.as_str(); "list of servers changed");
+        let source = format!("{source:?}").to_lowercase();
+        log::info!(
+            server = id, source = source.as_str(), era = revision.era, revision = revision.number,
+            effect = effect.as_str();
+            "list of servers changed"
+        );
         self.notify_changed();
     }
 
@@ -148,7 +177,12 @@
         if !from_peer {
             self.streams_changed.notify_one();
         }
-        self.registry_changed(effect, id, Revision::default());
+        let source = if from_peer {
+            Source::Peer
+        } else {
+            Source::Answer
+        };
+        self.registry_changed(effect, id, source, Revision::default());
     }
 
     /// Returns the server that has replaced `lost` at its address.
