fix(relay): keep the pauses that servers ask for

Entries went on sending requests to servers that had turned them away with 503 and `Retry-After`, and told callers to return after 100 ms when every server had asked for seconds. Servers that were shedding load got the same requests again.

The header was decoded and unused. The entry now passes over such a server until the end of its pause: for calls, streams, backups, resumes and the choice of a cache holder. The pause is a further reason for the wait that limits know, so that callers are refused at once, with the time of the server that is ready soonest, when none is ready within the short wait. After a pause they return at the pace at which they come, at least one a second. A pause belongs to a start of a server; it outlasts a changed registration and ends with a new start. Only a 503 of the addressed server to a request that it did not run counts.

Ruled out: a trial request within the pause, as the server wants none; keeping the pause with the backend, which a changed registration replaces; clearing it at an answer to an earlier request, which may have been on its way.

--- a/coordination/src/lib.rs
+++ b/coordination/src/lib.rs
@@ -35,3 +35,4 @@
 pub mod routing;
 pub mod schedule;
 pub mod server_limit;
+pub mod server_pause;
--- a/relay/src/answer.rs
+++ b/relay/src/answer.rs
@@ -111,7 +111,7 @@
     NoServer,
     /// Every server is at capacity.
     Full,
-    /// Every server has got as many requests as the limit that it names allows.
+    /// Every server has got as many requests as the limit that it names allows, or has asked for a pause.
     Limited,
     /// The prompt exceeds the KV-cache capacity of the service's engines.
     PromptTooLarge,
--- a/relay/src/attempt.rs
+++ b/relay/src/attempt.rs
@@ -189,6 +189,12 @@
         relay.record_departure(&backend.server.id, backend.server.started_ms);
     }
     if reply.not_run {
+        match reply.retry_after {
+            Some(pause) if reply.matches && parts.status == StatusCode::SERVICE_UNAVAILABLE => {
+                relay.record_pause(backend, pause);
+            }
+            _ => {}
+        }
         if misdirected {
             relay.record_unreachable(backend);
         } else {
--- a/relay/src/call.rs
+++ b/relay/src/call.rs
@@ -244,10 +244,17 @@
     );
 }
 
-/// Returns the refusal of a call that has not run and that no server takes within its limit; `None` if
-/// that is not the reason.
+/// Returns the refusal of a call that has not run and that no server takes within its limit or during its
+/// pause; `None` if that is not the reason.
 fn refuse_limited<C: Codec>(relay: &Relay<C>, job: &Job, progress: &Progress) -> Option<Refusal> {
-    let wait = relay.limit_wait(criteria(relay, job, progress))?;
+    let criteria = criteria(relay, job, progress);
+    let waits = [criteria.excluded, &[]].map(|excluded| {
+        relay.limit_wait(Criteria {
+            excluded,
+            ..criteria
+        })
+    });
+    let wait = waits.into_iter().flatten().min()?;
     (progress.ran == 0).then(|| {
         let pause = relay.limit_pause(&job.service, wait);
         Refusal::with_retry(Reason::Limited, pause)
--- a/relay/src/state/backend.rs
+++ b/relay/src/state/backend.rs
@@ -9,6 +9,7 @@
 use medlarfall_coordination::placement::{Proximity, name_hash};
 use medlarfall_coordination::registry::Server;
 use medlarfall_coordination::server_limit::Limit;
+use medlarfall_coordination::server_pause::Start;
 
 use crate::monitor::Monitor;
 
@@ -64,6 +65,14 @@
         self.limited.load(Ordering::Relaxed)
     }
 
+    /// Returns which start of the server this is.
+    pub(super) fn start(&self) -> Start<'_> {
+        Start {
+            id: &self.server.id,
+            started_ms: self.server.started_ms,
+        }
+    }
+
     /// Reads or changes what is known of the server's limit.
     pub(super) fn limit<T>(&self, act: impl FnOnce(&mut Limit) -> T) -> T {
         let mut limit = self.limit.lock().unwrap_or_else(PoisonError::into_inner);
--- a/relay/src/state/limits.rs
+++ b/relay/src/state/limits.rs
@@ -1,4 +1,5 @@
-//! Limits that servers name: what this entry and the others hear of them, and its share.
+//! Limits that servers name: what this entry and the others hear of them, and its share. Pauses that
+//! servers ask this entry for.
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -7,6 +8,7 @@
 use medlarfall_coordination::dissemination::{ServerLimit, Tag};
 use medlarfall_coordination::placement::name_hash;
 use medlarfall_coordination::server_limit::{self, Named};
+use medlarfall_coordination::server_pause::LONGEST_PAUSE;
 
 use crate::codec::Codec;
 
@@ -14,6 +16,9 @@
 use super::view::View;
 use super::{Backend, Relay};
 
+/// Least pace, in requests a second, at which callers return after a pause.
+const MIN_RETURN_PACE: f64 = 1.0;
+
 /// Steps between 0 and 1 of the part of a request that an entry may send at once.
 const START_STEPS: u32 = 1_024;
 
@@ -88,8 +93,28 @@
         backend.limit(|limit| limit.take(share, now));
     }
 
-    /// Returns the time until some server may get a request, if the limits of all that are not excluded
-    /// forbid it now.
+    /// Records that a server turned a request away and asked for a pause.
+    pub fn record_pause(&self, backend: &Backend, pause: Duration) {
+        let now = self.clock.now();
+        let began = self.view(|view| view.pauses.record(backend.start(), pause, now));
+        if began {
+            log::info!(
+                server = &*backend.server.id, service = &*backend.server.service,
+                pause_ms = pause.min(LONGEST_PAUSE).as_millis();
+                "server asks for a pause"
+            );
+        }
+    }
+
+    /// Returns whether a server is paused.
+    #[must_use]
+    pub fn is_paused(&self, backend: &Backend) -> bool {
+        let now = self.clock.now();
+        self.view(|view| !view.pauses.wait(backend.start(), now).is_zero())
+    }
+
+    /// Returns the time until some server may get a request, if the limits or pauses of all that are not
+    /// excluded forbid it now.
     #[must_use]
     pub fn limit_wait(&self, criteria: Criteria) -> Option<Duration> {
         let now = self.clock.now();
@@ -99,20 +124,30 @@
             let usable = backends
                 .iter()
                 .filter(|backend| !criteria.excluded.contains(&backend.server.id));
-            let waits = usable.map(|backend| backend.limit(|limit| limit.wait(share, now)));
+            let waits = usable.map(|backend| view.wait(backend, share, now));
             waits.min().filter(|wait| !wait.is_zero())
         })
     }
 
-    /// Returns the pause after which a caller that limits refuse may return.
+    /// Returns the pause after which a caller that limits or pauses refuse may return. After the pause of a
+    /// server without a limit, callers return at the pace at which they come.
     #[must_use]
     pub fn limit_pause(&self, service: &Arc<str>, wait: Duration) -> Duration {
         let now = self.clock.now();
         self.view(|view| {
             let share = view.limit_share(service, now);
+            let (own, _) = view.requests(service, now);
+            let arrivals = f64::from(own) / self.settings.retries.window.as_secs_f64();
             let backends = view.backends.get(service).into_iter().flatten();
-            let rates = backends.filter_map(|backend| backend.limit(|limit| limit.named().rate()));
-            let pace = rates.sum::<f64>() * share;
+            let (limited, unlimited): (Vec<_>, Vec<_>) = backends
+                .map(|backend| backend.limit(|limit| limit.named().rate()))
+                .partition(Option::is_some);
+            let limits = limited.into_iter().flatten().sum::<f64>() * share;
+            let pace = if unlimited.is_empty() {
+                limits
+            } else {
+                limits + arrivals.max(MIN_RETURN_PACE)
+            };
             let returns = view.returns.entry(Arc::clone(service)).or_default();
             returns.next(wait, pace, now)
         })
@@ -120,6 +155,16 @@
 }
 
 impl View {
+    /// Returns the time until a server may get a request of this entry, whose share of its limit is `share`.
+    pub(super) fn wait(&self, backend: &Backend, share: f64, now: Duration) -> Duration {
+        let pause = self.pauses.wait(backend.start(), now);
+        if backend.is_limited() {
+            pause.max(backend.limit(|limit| limit.wait(share, now)))
+        } else {
+            pause
+        }
+    }
+
     /// Returns this entry's share of the limits of a service's servers.
     pub(super) fn limit_share(&mut self, service: &str, now: Duration) -> f64 {
         let (own, all) = self.requests(service, now);
--- a/relay/src/state/placement.rs
+++ b/relay/src/state/placement.rs
@@ -101,8 +101,8 @@
         self.view(|view| view.groups.record_response(&group));
     }
 
-    /// Returns up to `count` servers of a service that are not suspect and probably received
-    /// earlier requests with the hash `request_hash`.
+    /// Returns up to `count` servers of a service that are neither suspect nor paused and probably
+    /// received earlier requests with the hash `request_hash`.
     #[must_use]
     pub fn likely_servers(
         &self,
@@ -113,7 +113,10 @@
         let now = self.clock.now();
         let usable: Vec<Arc<Backend>> = self.view(|view| {
             let backends = view.backends.get(service).into_iter().flatten();
-            let usable = backends.filter(|backend| !backend.load(|load| load.suspect(now)));
+            let usable = backends.filter(|backend| {
+                let paused = !view.pauses.wait(backend.start(), now).is_zero();
+                !paused && !backend.load(|load| load.suspect(now))
+            });
             usable.cloned().collect()
         });
         let servers = usable.iter().map(|backend| backend.hash_and_proximity());
@@ -134,9 +137,7 @@
                 1.0
             };
             let backends = view.backends.get(criteria.service)?;
-            let within_limit = |backend: &Backend| {
-                !backend.is_limited() || backend.limit(|limit| limit.wait(share, now)).is_zero()
-            };
+            let within_limit = |backend: &Backend| view.wait(backend, share, now).is_zero();
             let moves_to = view.canaries.get(criteria.service);
             let moves_to = moves_to.map(|canary| Arc::clone(&canary.order().version));
             let allowed = |backend: &&Arc<Backend>, cohort: Option<Cohort>| {
--- a/relay/src/state/view.rs
+++ b/relay/src/state/view.rs
@@ -9,6 +9,7 @@
 use medlarfall_coordination::retry_budget::{Bounds, Window};
 use medlarfall_coordination::routing::Table;
 use medlarfall_coordination::server_limit::Returns;
+use medlarfall_coordination::server_pause::Pauses;
 use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
@@ -50,7 +51,9 @@
     pub(super) recorded_prompts: HashMap<Arc<str>, (Arc<[Part]>, Revision)>,
     /// Combinations whose records the store lost when it was restored.
     pub(super) lost_prompt_records: HashSet<Arc<[Part]>>,
-    /// When callers that limits refused return, by service.
+    /// Pauses that servers asked for.
+    pub(super) pauses: Pauses,
+    /// When callers that limits or pauses refused return, by service.
     pub(super) returns: HashMap<Arc<str>, Returns>,
     /// What this entry shares with the others, and what it knows of them.
     pub(super) node: Node,
@@ -82,6 +85,7 @@
             prompts: quarantine::Tracker::default(),
             recorded_prompts: HashMap::new(),
             lost_prompt_records: HashSet::new(),
+            pauses: Pauses::default(),
             returns: HashMap::new(),
             node,
         }
--- a/relay/src/stream.rs
+++ b/relay/src/stream.rs
@@ -233,7 +233,7 @@
     }
 
     /// Returns the server to send to instead of `chosen`: itself or its successor. Returns `None`
-    /// if no server responds, or if a successor lacks the backup to resume from.
+    /// if no server responds, if it is paused, or if a successor lacks the backup to resume from.
     async fn confirm_server(
         &mut self,
         chosen: &Arc<Backend>,
@@ -242,6 +242,7 @@
         let confirmed = rediscover::confirm(&self.relay, chosen).await;
         let same = |confirmed: &Arc<Backend>| confirmed.server.id == chosen.server.id;
         let confirmed = confirmed.filter(|confirmed| same(confirmed) || resume_from.is_none());
+        let confirmed = confirmed.filter(|confirmed| !self.relay.is_paused(confirmed));
         if confirmed.is_none() {
             self.excluded.push(Arc::clone(&chosen.server.id));
         }
--- a/relay/src/stream/backups.rs
+++ b/relay/src/stream/backups.rs
@@ -9,22 +9,22 @@
 use super::Stream;
 
 impl<C: Codec> Stream<C> {
-    /// Removes and returns the run's backup and its holder, if the holder is still listed. A run
-    /// that has sent no event has no usable backup.
+    /// Removes and returns the run's backup and its holder, if the holder is still listed and not paused.
+    /// A run that has sent no event has no usable backup.
     pub(super) fn take_backup(&mut self) -> Option<(Arc<Backend>, Option<Backup>)> {
         let replacement = self.replacement.take();
         let server = self.backup.take();
         if self.run_events == 0 {
             return None;
         }
-        if let Some(replacement) =
-            replacement.filter(|replacement| self.relay.is_listed(&replacement.holder))
-        {
+        let usable =
+            |holder: &Arc<Backend>| self.relay.is_listed(holder) && !self.relay.is_paused(holder);
+        if let Some(replacement) = replacement.filter(|replacement| usable(&replacement.holder)) {
             let backup = replacement.backup();
             let holder = Arc::clone(&replacement.holder);
             return backup.map(|backup| (holder, Some(backup)));
         }
-        let server = server.filter(|server| self.relay.is_listed(server))?;
+        let server = server.filter(usable)?;
         let backup = Backup {
             address: server.server.address,
             handle: Arc::clone(&self.job.original.request_id),
