fix(coordination): compare versions over the same time at the last stage of a move

Cause: at the last stage all requests went to the new version, whose times were compared with times of the old one from earlier stages. The bound on false alarms holds only for answers over the same time, so noise that began in between counted against a good version.

Ruled out: a wider bound (no width tells common noise from a slow version) and failures only (a version that is slow only under full load gets through); docs/decisions/moves.md weighs them.

Change: each stage leaves a tenth of the requests to the old version, also the last one, where the new version's durations must be worse than the old one's over the same time. Failures there still count by the absolute bound alone. The slowness bounds don't fall below those of earlier stages. Without a server of the old version the last stage sends all to the new one.

--- a/coordination/src/evidence.rs
+++ b/coordination/src/evidence.rs
@@ -187,15 +187,12 @@
 /// The same for each of up to a thousand looks during a move.
 const REPEATED_SIGNIFICANCE: f64 = FINAL_SIGNIFICANCE / 1_000.0;
 
-/// [`SLOW_SHARE`] at a stage without requests to the baseline.
-const SLOW_SHARE_WITHOUT_BASELINE: f64 = 0.4;
-
 /// The evidence that one entry has collected at a stage of a move.
 #[derive(Clone, Debug)]
 pub struct Evidence {
     tolerance: Tolerance,
     threshold: f64,
-    without_baseline: bool,
+    last_stage: bool,
     requests: u64,
     comparisons: BTreeMap<(Arc<str>, Measure), Comparison>,
     routes: Vec<Arc<str>>,
@@ -209,7 +206,7 @@
         Self {
             tolerance,
             threshold: tests * f64::from(stages.max(1)) / tolerance.false_alarm,
-            without_baseline: false,
+            last_stage: false,
             requests: 0,
             comparisons: BTreeMap::new(),
             routes: Vec::new(),
@@ -218,12 +215,17 @@
 
     /// Begins the next stage: restarts the tests and keeps the statistics of the baseline.
     ///
-    /// `without_baseline` says that the baseline receives no more requests.
-    pub fn begin_stage(&mut self, without_baseline: bool) {
-        self.without_baseline = without_baseline;
+    /// At the last stage the canary's failures count by the absolute bound alone, since the baseline gets
+    /// too few requests to compare them soon. Its durations depend on the load, which both versions
+    /// share, and count only if they are worse than the baseline's over the same time.
+    pub fn begin_stage(&mut self, last: bool) {
+        self.last_stage = last;
         self.requests = 0;
         for comparison in self.comparisons.values_mut() {
             comparison.restart();
+            if last {
+                comparison.keep_bounds();
+            }
         }
     }
 
@@ -248,11 +250,6 @@
     /// Adds an observation to the tests of one route, or to the overall tests (empty route).
     fn add(&mut self, route: &Arc<str>, observation: &Observation) {
         let tolerance = self.tolerance;
-        let slow_share = if self.without_baseline {
-            SLOW_SHARE_WITHOUT_BASELINE
-        } else {
-            SLOW_SHARE
-        };
         for measure in Measure::ALL {
             let key = || (Arc::clone(route), measure);
             match (measure, observation.failed, observation.duration(measure)) {
@@ -266,7 +263,7 @@
                         observation.cohort,
                         duration,
                         tolerance.limits_of(measure),
-                        slow_share,
+                        SLOW_SHARE,
                     );
                 }
                 _ => {}
@@ -325,11 +322,11 @@
             .comparisons
             .iter()
             .map(|((route, measure), comparison)| {
-                (
-                    route,
-                    *measure,
-                    comparison.value(self.threshold, self.without_baseline),
-                )
+                let value = match measure {
+                    Measure::Failure if self.last_stage => comparison.bound_value(self.threshold),
+                    _ => comparison.value(self.threshold),
+                };
+                (route, *measure, value)
             });
         values.max_by(|left, right| left.2.total_cmp(&right.2))
     }
--- a/coordination/src/evidence/comparison.rs
+++ b/coordination/src/evidence/comparison.rs
@@ -28,6 +28,8 @@
     sample: Sample,
     recent: VecDeque<Duration>,
     slow_bounds: Option<[Duration; QUANTILES.len()]>,
+    /// Lower limits of the slowness bounds.
+    floors: [Duration; QUANTILES.len()],
     since_recompute: usize,
 }
 
@@ -67,12 +69,22 @@
     fn recompute_bounds(&mut self, limits: SlowLimits) {
         let mut durations: Vec<Duration> = self.recent.iter().copied().collect();
         durations.sort_unstable();
-        self.slow_bounds = Some(QUANTILES.map(|quantile| {
+        let mut bounds = QUANTILES.map(|quantile| {
             let reference = durations[(durations.len() - 1) * quantile / 100];
             reference
                 .mul_f64(limits.slowness)
                 .max(reference + limits.slack)
-        }));
+        });
+        for (bound, floor) in bounds.iter_mut().zip(self.floors) {
+            *bound = (*bound).max(floor);
+        }
+        self.slow_bounds = Some(bounds);
+    }
+
+    /// Keeps the slowness bounds from falling below those of the stages so far, since the baseline servers
+    /// may answer sooner once they have lost most of their requests.
+    pub(super) fn keep_bounds(&mut self) {
+        self.floors = self.slow_bounds.unwrap_or_default();
     }
 
     /// Restarts the tests and keeps the baseline durations.
@@ -82,19 +94,15 @@
     }
 
     /// Returns the evidence against the canary as a share of what its rejection requires.
-    ///
-    /// Without a concurrent baseline only the first quantile counts: noise that begins later raises
-    /// half of all durations above the earlier median.
-    pub(super) fn value(&self, threshold: f64, without_baseline: bool) -> f64 {
-        let counted = if without_baseline {
-            1
-        } else {
-            self.tests.len()
-        };
-        let values = self.tests[..counted].iter();
-        values
-            .map(|test| test.value(threshold, without_baseline))
-            .fold(0.0, f64::max)
+    pub(super) fn value(&self, threshold: f64) -> f64 {
+        let values = self.tests.iter().map(|test| test.value(threshold));
+        values.fold(0.0, f64::max)
+    }
+
+    /// Returns the same by the absolute bounds alone.
+    pub(super) fn bound_value(&self, threshold: f64) -> f64 {
+        let values = self.tests.iter().map(|test| test.bound_value(threshold));
+        values.fold(0.0, f64::max)
     }
 
     /// Returns whether the canary's durations are slower than the baseline's by one look at all of them.
--- a/coordination/src/evidence/process.rs
+++ b/coordination/src/evidence/process.rs
@@ -138,14 +138,14 @@
     }
 
     /// Returns the evidence against the canary as a share of what its rejection requires.
-    ///
-    /// `without_baseline` says that there is no concurrent baseline to compare with.
-    pub(super) fn value(&self, threshold: f64, without_baseline: bool) -> f64 {
-        let bound = self.bound.value() / threshold;
-        if without_baseline {
-            return bound;
-        }
-        bound.min(self.compared.value() / COMPARED_THRESHOLD)
+    pub(super) fn value(&self, threshold: f64) -> f64 {
+        let compared = self.compared.value() / COMPARED_THRESHOLD;
+        self.bound_value(threshold).min(compared)
+    }
+
+    /// Returns the same by the absolute bound alone.
+    pub(super) fn bound_value(&self, threshold: f64) -> f64 {
+        self.bound.value() / threshold
     }
 
     /// Bets that bad attempts are more frequent than the absolute bound.
--- a/coordination/src/rollout.rs
+++ b/coordination/src/rollout.rs
@@ -26,6 +26,10 @@
 /// All of a service's requests, in thousandths.
 pub const FULL_SHARE: u64 = 1_000;
 
+/// Share of requests that each stage leaves to the old version, so that both versions are measured over
+/// the same time.
+const BASELINE_SHARE: u64 = 100;
+
 /// The phase of a move.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case")]
@@ -173,11 +177,20 @@
         replaces.then(|| self.recorded())
     }
 
+    /// Returns whether the move is at the last stage of its plan.
+    #[must_use]
+    pub fn at_last_stage(&self) -> bool {
+        matches!(self.phase, Phase::Stage(index) if index + 1 >= self.plan.shares.len())
+    }
+
     /// Returns the share of requests that the new version gets, in thousandths.
     #[must_use]
     pub fn share(&self) -> u64 {
         match &self.phase {
-            Phase::Stage(index) => self.plan.shares.get(*index).copied().unwrap_or(0),
+            Phase::Stage(index) => {
+                let share = self.plan.shares.get(*index).copied().unwrap_or(0);
+                share.min(FULL_SHARE - BASELINE_SHARE)
+            }
             Phase::Done => FULL_SHARE,
             Phase::Braked { .. } | Phase::TakenBack { .. } => 0,
         }
--- a/serving/src/modules/moves.rs
+++ b/serving/src/modules/moves.rs
@@ -116,7 +116,8 @@
 
 /// Returns the version that a new request is sent to.
 ///
-/// The declared version is used while no backend server of the new version is known.
+/// The declared version is used while no backend server of the new version is known. At the last stage,
+/// which needs no server of the old version, the new version is used while none is known.
 #[must_use]
 pub fn version(context: &Context, service: &Service, request_id: &str) -> Arc<str> {
     let declared = || Arc::from(service.version.as_str());
@@ -125,10 +126,13 @@
         return declared();
     };
     let chosen = record.version(request_id);
-    if has_server(context, &service.name, chosen) {
-        return Arc::clone(chosen);
+    match chosen {
+        chosen if has_server(context, &service.name, chosen) => Arc::clone(chosen),
+        _ if record.at_last_stage() && has_server(context, &service.name, &record.to) => {
+            Arc::clone(&record.to)
+        }
+        _ => declared(),
     }
-    declared()
 }
 
 /// Returns the version that needs no further evidence: that of a completed move, or else the
--- a/serving/src/modules/moves/driver.rs
+++ b/serving/src/modules/moves/driver.rs
@@ -7,7 +7,7 @@
 
 use medlarfall_coordination::evidence::{Cohort, Evidence};
 use medlarfall_coordination::membership::Member;
-use medlarfall_coordination::rollout::{FULL_SHARE, Phase, Record};
+use medlarfall_coordination::rollout::{Phase, Record};
 use medlarfall_coordination::schedule::{Decision, Progress};
 use rand::seq::IndexedRandom;
 use tokio::sync::mpsc;
@@ -151,7 +151,7 @@
             return;
         }
         if joined.number == tracked.record.number {
-            tracked.evidence.begin_stage(joined.share() == FULL_SHARE);
+            tracked.evidence.begin_stage(joined.at_last_stage());
             tracked.stage_started = now;
             tracked.record = joined;
         } else {
@@ -172,7 +172,7 @@
     fn track(&self, record: Record, now: Duration) -> Tracked {
         let stages = u32::try_from(record.plan.shares.len()).unwrap_or(u32::MAX);
         let mut evidence = Evidence::new(self.context.settings.moves.tolerance, stages);
-        evidence.begin_stage(record.share() == FULL_SHARE);
+        evidence.begin_stage(record.at_last_stage());
         Tracked {
             record,
             evidence,
