test(coordination): show that noise in the final shift takes a good version back

Cause: the final shift of coordination::canary leaves no requests to the old version, and the look before the verdict pools its durations with those of the trial.

Tried and dropped: leaving out the durations of the shift. All good versions are done then, but none of those that turn slow in it is taken back. A second test, which passes, guards that.

--- a/coordination/tests/canary.rs
+++ b/coordination/tests/canary.rs
@@ -38,6 +38,18 @@
     slowness: f64,
     /// Share of the new version's responses that are slower.
     slow_share: f64,
+    /// Factor on the durations of both versions after `noise_from`.
+    noise: f64,
+    noise_from: Duration,
+}
+
+impl Case {
+    fn noise_at(&self, now: Duration) -> f64 {
+        if now < START + self.noise_from {
+            return 1.0;
+        }
+        self.noise
+    }
 }
 
 const GOOD: Case = Case {
@@ -48,6 +60,8 @@
     from: Duration::ZERO,
     slowness: 1.0,
     slow_share: 1.0,
+    noise: 1.0,
+    noise_from: Duration::ZERO,
 };
 
 /// The outcome of a simulated move.
@@ -132,7 +146,7 @@
                     fiftieth = Some(now);
                 }
             }
-            let took = 60.0 * factor * random.random_range(0.6..1.6);
+            let took = 60.0 * factor * case.noise_at(now) * random.random_range(0.6..1.6);
             let cohort = if is_new {
                 Cohort::Canary
             } else {
@@ -282,6 +296,31 @@
     }
 }
 
+/// The shift leaves no requests to the old version, so noise that begins then looks like a slow version.
+#[test]
+fn noise_that_begins_in_the_final_shift_takes_no_good_version_back() {
+    let noisy = Case {
+        noise: 3.0,
+        noise_from: DURATION.saturating_sub(Duration::from_secs(1)),
+        ..GOOD
+    };
+    let good = (0..20).filter(|seed| simulate(noisy, *seed).good()).count();
+    assert!(good >= 19, "{good} of 20 done");
+}
+
+#[test]
+fn a_version_that_turns_slow_in_the_final_shift_is_taken_back() {
+    let slow = Case {
+        slowness: 8.0,
+        from: DURATION.saturating_sub(Duration::from_secs(1)),
+        ..GOOD
+    };
+    for seed in 0..20 {
+        let outcome = simulate(slow, seed);
+        assert!(outcome.bad(), "seed {seed}: {outcome:?}");
+    }
+}
+
 #[test]
 fn an_entry_that_does_not_know_the_age_of_the_order_sends_nothing_to_the_canary() {
     let mut entry = Canary::new(order(), BOUNDS, 0.0, false, START);
