fix(relay): know the age of an order given while the store was restored

An order to move a service that the operators gave between a restore and the list that entries read after it counted as one of unknown age: all traffic stayed at the old version, and 3 s later the new one was rejected, good or not.

Cause: an order is known to be new if the entry had read the store before. That was read from the known revision, which a new era sets back to 0 until the list has been applied. The log of changes now remembers across eras that it was complete once.

an_order_given_before_a_restored_store_is_read_is_not_taken_for_one_of_unknown_age fails before.

--- a/relay/src/changelog.rs
+++ b/relay/src/changelog.rs
@@ -48,6 +48,8 @@
 pub struct Changelog {
     changes: HashMap<Arc<str>, Change>,
     revision: Revision,
+    /// Whether all keys were read once, in this era or an earlier one.
+    complete: bool,
     /// The last response to a peer, with the revisions that it covers: entries that are behind are
     /// mostly behind by the same changes.
     response: Option<(Revision, Revision, Bytes)>,
@@ -97,6 +99,7 @@
         if restored {
             *self = Self {
                 revision: Revision { era, number: 0 },
+                complete: self.complete,
                 ..Self::default()
             };
         }
@@ -108,6 +111,7 @@
         self.revision = self.revision.or_era(revision.era);
         let revision = revision.or_era(self.revision.era);
         self.revision = self.revision.max(revision);
+        self.complete |= self.revision.number > 0;
         let removed = |change: &Change| change.value.is_none();
         let mut revisions: Vec<u64> = self
             .changes
@@ -129,6 +133,12 @@
         self.revision
     }
 
+    /// Returns whether all keys were read once, in this era or an earlier one: what appears later is new.
+    #[must_use]
+    pub fn is_complete(&self) -> bool {
+        self.complete
+    }
+
     /// Returns the changes after a revision, oldest first; for one of another era, all keys with their
     /// values.
     #[must_use]
--- a/relay/src/state/moves.rs
+++ b/relay/src/state/moves.rs
@@ -50,7 +50,7 @@
     pub fn apply_move_order(&self, service: &Arc<str>, order: Option<&Order>, revision: Revision) {
         let now = self.clock.now();
         // An order that existed when this entry started may be of any age.
-        let given_now = self.changelog(|changelog| changelog.revision().number) > 0;
+        let given_now = self.changelog(|changelog| changelog.is_complete());
         let steps = u32::try_from(name_hash(&self.settings.entry) % u64::from(OFFSETS));
         let offset = f64::from(steps.unwrap_or(0)) / f64::from(OFFSETS);
         let reading = self.view(|view| {
