fix(relay): keep removals when a peer sends all keys in the same era

A server, contact or record that was removed shortly after a restore stayed known to entries that had entered the new era before: they went on using it.

Cause: all keys are sent to a peer of an earlier era, and such a message holds no removals. An entry that was of the new era already took it for the changes since the beginning and marked itself as up to date. It now takes it for a list, as an entry of the earlier era does: keys that it lacks have been removed. The same holds for changes that were asked for before the era was known.

a_removal_before_a_peer_sends_all_keys_is_known_to_an_entry_of_the_same_era fails before.

--- a/relay/src/changelog.rs
+++ b/relay/src/changelog.rs
@@ -235,7 +235,7 @@
                 revision = changes.revision, changes = changes.changes.len();
                 "caught up from a peer"
             );
-            store_watch::apply_changes(&relay, changes);
+            store_watch::apply_fetched(&relay, after, changes);
         }
         Err(reason) => {
             log::info!(peer = peer.as_str(), reason = reason.as_str(); "catching up from a peer failed");
