fix(relay): drop a lease that was granted before the era was known

The first entries of a fleet register before they have read the store. If it was restored before the first renewal, they renewed a lease of the lost history. If the store had granted its number to another, the renewal succeeded and the entry stayed unregistered.

Cause: the era was compared from the start of the loop, and an unknown one was never left. A lease now keeps the era that was known when it was granted, and is replaced as soon as another is known. The first contacts of a fleet that starts register twice.

--- a/relay/src/registration.rs
+++ b/relay/src/registration.rs
@@ -43,6 +43,13 @@
 /// Jitter, so that each entry sees the registrations of those before it.
 const JITTER: Duration = Duration::from_millis(200);
 
+/// A lease, and the era of the store that was known when it was granted; 0 if none was.
+#[derive(Clone, Copy, Debug)]
+struct Granted {
+    lease: Lease,
+    era: u64,
+}
+
 /// Value of a registration.
 #[derive(Debug, Deserialize, Serialize)]
 struct Value {
@@ -73,20 +80,18 @@
     SLOW_LINK_DELAY.mul_f64(slowness.clamp(0.0, 1.0)) + jitter
 }
 
-/// Waits for a time, or until the store is known to be restored since an era; returns whether it was. An
-/// era of 0 is not known.
+/// Waits for a time, or until an era other than `era` is known; returns whether one is.
 async fn pause_in_era<C: Codec>(relay: &Relay<C>, era: u64, time: Duration) -> bool {
     let mut changed = relay.changed.subscribe();
-    let restored = changed.wait_for(|_| era != 0 && relay.store_era() != era);
+    let restored = changed.wait_for(|_| relay.store_era() != era);
     timeout(time, restored).await.is_ok()
 }
 
 /// Keeps this entry registered for as long as its failure domain needs it as a contact.
 pub async fn run<C: Codec, S: Store>(relay: Arc<Relay<C>>, store: S, address: SocketAddr) {
-    let mut lease = None;
+    let mut lease: Option<Granted> = None;
     sleep(first_delay(relay.settings.link_mbps)).await;
     loop {
-        let era = relay.store_era();
         if !relay.must_register() {
             // The lease of an entry that is no longer needed expires.
             lease = None;
@@ -110,6 +115,7 @@
             }
             Err(_) => RETRY_PAUSE,
         };
+        let era = lease.map_or_else(|| relay.store_era(), |lease| lease.era);
         if pause_in_era(&relay, era, pause).await {
             // The store lost the lease, or grants it to another.
             lease = None;
@@ -124,12 +130,12 @@
     relay: &Relay<C>,
     store: &S,
     address: SocketAddr,
-    lease: Option<Lease>,
-) -> Result<Option<Lease>, Error> {
-    if let Some(lease) = lease {
+    lease: Option<Granted>,
+) -> Result<Option<Granted>, Error> {
+    if let Some(granted) = lease {
         relay.metrics.count_store_call(StoreCall::Renewal);
-        store.renew(lease).await?;
-        return Ok(Some(lease));
+        store.renew(granted.lease).await?;
+        return Ok(Some(granted));
     }
     let key = relay.codec.entry_key(&relay.settings.entry);
     let prefix = relay.codec.entry_key("");
@@ -143,6 +149,7 @@
     if !relay.must_register() {
         return Ok(None);
     }
+    let granted_in = relay.store_era();
     relay.metrics.count_store_call(StoreCall::Lease);
     let lease = store.grant(LEASE_TIME).await?;
     let value = Value {
@@ -166,7 +173,10 @@
                     revision: written?,
                 };
                 store_watch::apply(relay, era, &change);
-                return Ok(Some(lease));
+                return Ok(Some(Granted {
+                    lease,
+                    era: granted_in,
+                }));
             }
         }
     }
