fix(relay): read the store anew if the era of what is known is not known

An entry that had learned all from processes without eras took the first era that was named for its own. After a restore its revision was ahead of the store's, and changes up to it were skipped: the fault that eras mend, during an upgrade.

Now a revision of no known era is of an earlier one than any that is named, and all keys are read anew. Nothing changes where the store or all processes name none. An answer without an era still counts as of the known one.

--- a/coordination/src/history.rs
+++ b/coordination/src/history.rs
@@ -30,10 +30,11 @@
         }
     }
 
-    /// Returns whether this is a revision of a history that had ended when `other` was given out.
+    /// Returns whether this may be a revision of a history that had ended when `other` was given out: its era
+    /// is an earlier one or not known.
     #[must_use]
     pub fn is_of_earlier_era(self, other: Self) -> bool {
-        self.era != 0 && self.era < other.era
+        self != Self::default() && self.era < other.era
     }
 }
 
--- a/relay/src/changelog.rs
+++ b/relay/src/changelog.rs
@@ -59,7 +59,9 @@
     /// Adds a change of an era, unless a newer one of its key is known. Returns whether the log is of that
     /// era; a change of another one is not added.
     pub fn insert(&mut self, era: u64, change: &Change) -> bool {
-        self.revision = self.revision.or_era(era);
+        if self.revision == Revision::default() {
+            self.revision.era = era;
+        }
         if era != 0 && era != self.revision.era {
             return false;
         }
@@ -108,7 +110,6 @@
 
     /// Records that all changes up to `revision` have been added.
     pub fn mark_complete(&mut self, revision: Revision) {
-        self.revision = self.revision.or_era(revision.era);
         let revision = revision.or_era(self.revision.era);
         self.revision = self.revision.max(revision);
         self.complete |= self.revision.number > 0;
@@ -139,16 +140,16 @@
         self.complete
     }
 
-    /// Returns the changes after a revision, oldest first; for one of another era, all keys with their
+    /// Returns the changes after a revision, oldest first; for one of an earlier era, all keys with their
     /// values.
     #[must_use]
     pub fn changes_since(&self, after: Revision) -> Changes {
-        let same_era = after.or_era(self.revision.era).era == self.revision.era;
+        let all = after.is_of_earlier_era(self.revision);
         let is_sent = |change: &&Change| {
-            if same_era {
-                change.revision > after.number
-            } else {
+            if all {
                 change.value.is_some()
+            } else {
+                change.revision > after.number
             }
         };
         let mut changes: Vec<Change> = self.changes.values().filter(is_sent).cloned().collect();
@@ -188,8 +189,9 @@
     let after = after.and_then(|after| after.parse().ok());
     let era = request.uri().query();
     let era = era.and_then(|query| query.strip_prefix(ERA_QUERY)?.parse().ok());
+    // An entry that knows no eras is taken to mean the one known here.
     let after = after.map(|number| Revision {
-        era: era.unwrap_or(0),
+        era: era.unwrap_or_else(|| relay.store_era()),
         number,
     });
     let body = after.map(|after| relay.changelog(|changelog| changelog.encoded_since(after)));
--- a/relay/src/state/servers.rs
+++ b/relay/src/state/servers.rs
@@ -95,9 +95,10 @@
     pub fn enter_era(&self, era: u64, revision: u64) {
         let known = self.changelog(|changelog| changelog.revision());
         let restored = self.changelog(|changelog| changelog.enter(era));
+        let current = self.store_era().max(era);
         self.metrics
             .store_era
-            .set(i64::try_from(era).unwrap_or(i64::MAX));
+            .set(i64::try_from(current).unwrap_or(i64::MAX));
         if !restored {
             return;
         }
--- a/relay/src/store_watch.rs
+++ b/relay/src/store_watch.rs
@@ -167,11 +167,13 @@
                 relay.metrics.count_store_call(StoreCall::List);
                 with_timeout(LIST_TIME, store.list("")).await?
             };
+            let known = relay.changelog(|changelog| changelog.revision());
             let read = Revision {
                 era: listing.era,
                 number: listing.revision,
             };
-            if read.is_of_earlier_era(relay.changelog(|changelog| changelog.revision())) {
+            let read = read.or_era(known.era);
+            if read.is_of_earlier_era(known) {
                 return Err(outdated());
             }
             apply_listing(relay, listing);
@@ -185,7 +187,7 @@
                 revision: number,
                 era,
             } = with_timeout(WATCH_TIME, watching).await?;
-            let read = Revision { era, number };
+            let read = Revision { era, number }.or_era(revision.era);
             if read.is_of_earlier_era(revision) {
                 return Err(outdated());
             }
@@ -199,7 +201,7 @@
                 apply(relay, era, change);
             }
             relay.changelog(|changelog| changelog.mark_complete(read));
-            Ok(Position::At(read.or_era(revision.era)))
+            Ok(Position::At(read))
         }
     }
 }
