fix(relay): keep a pause that a server asks for in any 503

A server that answered 503 with Retry-After, but did not mark the request as not run, got further requests in the pause that it had asked for: the pause was read only from marked answers.

a_server_that_asks_for_a_pause_in_an_error_response_gets_no_call_before_its_end fails before.

--- a/relay/src/attempt.rs
+++ b/relay/src/attempt.rs
@@ -188,13 +188,13 @@
     if reply.matches && !misdirected && relay.codec.decode_leaving(&parts.headers) {
         relay.record_departure(&backend.server.id, backend.server.started_ms);
     }
-    if reply.not_run {
-        match reply.retry_after {
-            Some(pause) if reply.matches && parts.status == StatusCode::SERVICE_UNAVAILABLE => {
-                relay.record_pause(backend, pause);
-            }
-            _ => {}
+    match reply.retry_after {
+        Some(pause) if reply.matches && parts.status == StatusCode::SERVICE_UNAVAILABLE => {
+            relay.record_pause(backend, pause);
         }
+        _ => {}
+    }
+    if reply.not_run {
         if misdirected {
             relay.record_unreachable(backend);
         } else {
