fix(relay): tell a call that all servers refused the end of their pauses

A call that four servers had turned away with Retry-After was told to return after 100 ms, although all servers of the service had asked for a longer pause. It spent its few retries on refusals within the pause.

The pauses were considered only where no server was left to choose, not where the number of refusals ends the search. Both now give the same refusal.

Evidence: a_call_that_every_server_has_refused_is_told_the_end_of_their_pauses failed before, with a Retry-After of 0.1 s.

Ruled out: the pauses themselves; all four were recorded, and the next call was told their end.

--- a/relay/src/call.rs
+++ b/relay/src/call.rs
@@ -125,8 +125,7 @@
             return failed.ok_or(refused);
         }
         let Some(backend) = next(relay, job, progress).await else {
-            let refused = || refuse_limited(relay, job, progress);
-            return failed.ok_or_else(|| refused().unwrap_or_else(|| refusal(progress)));
+            return failed.ok_or_else(|| refusal(relay, job, progress));
         };
         let is_retry = progress.arrivals > progress.retries_withdrawn;
         if is_retry && !relay.take_retry(&job.service) {
@@ -184,7 +183,7 @@
             return failed.ok_or(Refusal::new(Reason::Lost));
         }
         if progress.refusals >= REFUSAL_LIMIT {
-            return failed.ok_or_else(|| refusal(progress));
+            return failed.ok_or_else(|| refusal(relay, job, progress));
         }
     }
 }
@@ -262,11 +261,12 @@
 }
 
 /// Returns the refusal of a call that no server accepted.
-fn refusal(progress: &Progress) -> Refusal {
-    match progress {
-        progress if progress.ran > 0 => Refusal::new(Reason::Lost),
-        progress if progress.full => Refusal::with_retry(Reason::Full, FULL_PAUSE),
-        _ => Refusal::with_retry(Reason::NoServer, NO_SERVER_PAUSE),
+fn refusal<C: Codec>(relay: &Relay<C>, job: &Job, progress: &Progress) -> Refusal {
+    match refuse_limited(relay, job, progress) {
+        Some(limited) => limited,
+        None if progress.ran > 0 => Refusal::new(Reason::Lost),
+        None if progress.full => Refusal::with_retry(Reason::Full, FULL_PAUSE),
+        None => Refusal::with_retry(Reason::NoServer, NO_SERVER_PAUSE),
     }
 }
 
