fix(relay): do not hold callers off for a pause while other servers are only full

Where one server had asked for a pause and the others were full or out of reach for a moment, callers were told to return at the end of that pause, seconds later, and not after 100 ms or 300 ms, when the others can have capacity again.

A call's refusal took the shortest wait among the servers that it had not tried, and a stream's left out the excluded ones: the paused server was the only one left. The wait of the pauses and limits now counts if it holds for all servers. A call also takes that of the untried ones if it is shorter than the usual pause.

Evidence: callers_whom_a_full_server_refuses_are_not_held_off_by_the_pause_of_another and streams_that_reach_no_server_are_not_held_off_by_the_pause_of_another failed before, with a Retry-After of almost 20 s.

Ruled out: passing over the wait of untried servers altogether; with named limits it gives the order in which callers return.

--- a/relay/src/call.rs
+++ b/relay/src/call.rs
@@ -243,30 +243,26 @@
     );
 }
 
-/// Returns the refusal of a call that has not run and that no server takes within its limit or during its
-/// pause; `None` if that is not the reason.
-fn refuse_limited<C: Codec>(relay: &Relay<C>, job: &Job, progress: &Progress) -> Option<Refusal> {
+/// Returns the refusal of a call that no server accepted. Servers that have refused it can have capacity
+/// before the pause of another one ends.
+fn refusal<C: Codec>(relay: &Relay<C>, job: &Job, progress: &Progress) -> Refusal {
+    let (reason, pause) = match progress {
+        progress if progress.ran > 0 => return Refusal::new(Reason::Lost),
+        progress if progress.full => (Reason::Full, FULL_PAUSE),
+        _ => (Reason::NoServer, NO_SERVER_PAUSE),
+    };
     let criteria = criteria(relay, job, progress);
-    let waits = [criteria.excluded, &[]].map(|excluded| {
-        relay.limit_wait(Criteria {
-            excluded,
-            ..criteria
-        })
+    let untried = relay.limit_wait(criteria);
+    let all = relay.limit_wait(Criteria {
+        excluded: &[],
+        ..criteria
     });
-    let wait = waits.into_iter().flatten().min()?;
-    (progress.ran == 0).then(|| {
-        let pause = relay.limit_pause(&job.service, wait);
-        Refusal::with_retry(Reason::Limited, pause)
-    })
-}
-
-/// Returns the refusal of a call that no server accepted.
-fn refusal<C: Codec>(relay: &Relay<C>, job: &Job, progress: &Progress) -> Refusal {
-    match refuse_limited(relay, job, progress) {
-        Some(limited) => limited,
-        None if progress.ran > 0 => Refusal::new(Reason::Lost),
-        None if progress.full => Refusal::with_retry(Reason::Full, FULL_PAUSE),
-        None => Refusal::with_retry(Reason::NoServer, NO_SERVER_PAUSE),
+    match all.or(untried.filter(|wait| *wait < pause)) {
+        Some(wait) => {
+            let pause = relay.limit_pause(&job.service, wait);
+            Refusal::with_retry(Reason::Limited, pause)
+        }
+        None => Refusal::with_retry(reason, pause),
     }
 }
 
--- a/relay/src/stream/refusals.rs
+++ b/relay/src/stream/refusals.rs
@@ -2,14 +2,17 @@
 
 use crate::answer::{Reason, Refusal};
 use crate::codec::Codec;
-use crate::state::Backend;
+use crate::state::{Backend, Criteria};
 
 use super::{NO_SERVER_PAUSE, Stream};
 
 impl<C: Codec> Stream<C> {
     /// Returns the refusal of a stream that no server accepted, or takes within its limit.
     pub(super) fn refusal(&self) -> Refusal {
-        let criteria = self.criteria(&[]);
+        let criteria = Criteria {
+            excluded: &[],
+            ..self.criteria(&[])
+        };
         let limit_wait = self.relay.limit_wait(criteria);
         if let Some(wait) = limit_wait.filter(|_| self.ran == 0) {
             let pause = self.relay.limit_pause(&self.job.service, wait);
