fix(relay): tell the end of a pause to callers that may not use another version

While a service moves, or after a version was rejected, callers of the old version whose servers had all asked for a pause were held for an eighth of the target latency, refused for lack of a server and told to return after 300 ms (calls: 35 ms and 250 ms), again and again until the end of the pause.

The wait of limits and pauses looked at the servers of all versions, so that a server that the request may not use counted as free. It now looks at the versions that the choice of a server allows, with the same rule.

Ruled out: sending these callers to the new version; its share is bounded.

--- a/relay/src/state/limits.rs
+++ b/relay/src/state/limits.rs
@@ -113,17 +113,18 @@
         self.view(|view| !view.pauses.wait(backend.start(), now).is_zero())
     }
 
-    /// Returns the time until some server may get a request, if the limits or pauses of all that are not
-    /// excluded forbid it now.
+    /// Returns the time until some server may get a request, if the limits or pauses of all that could serve
+    /// it forbid it now.
     #[must_use]
     pub fn limit_wait(&self, criteria: Criteria) -> Option<Duration> {
         let now = self.clock.now();
         self.view(|view| {
             let share = view.limit_share(criteria.service, now);
             let backends = view.backends.get(criteria.service)?;
+            let target = view.target_version(criteria.service);
             let usable = backends
                 .iter()
-                .filter(|backend| !criteria.excluded.contains(&backend.server.id));
+                .filter(|backend| criteria.may_serve(&backend.server, target));
             let waits = usable.map(|backend| view.wait(backend, share, now));
             waits.min().filter(|wait| !wait.is_zero())
         })
--- a/relay/src/state/placement.rs
+++ b/relay/src/state/placement.rs
@@ -5,6 +5,7 @@
 
 use medlarfall_coordination::balance::{self, Candidate};
 use medlarfall_coordination::evidence::Cohort;
+use medlarfall_coordination::registry::Server;
 
 use crate::codec::Codec;
 
@@ -48,6 +49,25 @@
     pub request_hash: u64,
 }
 
+impl Criteria<'_> {
+    /// Returns whether a version serves requests of `cohort` while the service moves to the version `target`.
+    fn fits_version(&self, version: &str, target: Option<&str>, cohort: Option<Cohort>) -> bool {
+        match (target, cohort, self.version) {
+            (None, ..) | (Some(_), None, None) => true,
+            (Some(_), _, Some(only)) => version == only,
+            (Some(target), Some(cohort), _) => (version == target) == (cohort == Cohort::Canary),
+        }
+    }
+
+    /// Returns whether a server could serve the request, now or later. The old version also serves requests
+    /// of the new one's cohort.
+    pub(super) fn may_serve(&self, server: &Server, target: Option<&str>) -> bool {
+        let fits = |cohort| self.fits_version(&server.version, target, cohort);
+        let falls_back = self.cohort == Some(Cohort::Canary) && fits(Some(Cohort::Baseline));
+        (fits(self.cohort) || falls_back) && !self.excluded.contains(&server.id)
+    }
+}
+
 impl<C: Codec> Relay<C> {
     /// Records that a server could not be reached or was lost, and starts a search for its
     /// successor. If its whole group is unreachable, the other members are searched for as well.
@@ -138,18 +158,12 @@
             };
             let backends = view.backends.get(criteria.service)?;
             let within_limit = |backend: &Backend| view.wait(backend, share, now).is_zero();
-            let moves_to = view.canaries.get(criteria.service);
-            let moves_to = moves_to.map(|canary| Arc::clone(&canary.order().version));
+            let target = view.target_version(criteria.service);
             let allowed = |backend: &&Arc<Backend>, cohort: Option<Cohort>| {
                 let version = &backend.server.version;
-                let fits = match (&moves_to, cohort, criteria.version) {
-                    (None, ..) | (Some(_), None, None) => true,
-                    (Some(_), _, Some(only)) => **version == *only,
-                    (Some(target), Some(cohort), _) => {
-                        (version == target) == (cohort == Cohort::Canary)
-                    }
-                };
-                fits && !criteria.excluded.contains(&backend.server.id) && within_limit(backend)
+                criteria.fits_version(version, target, cohort)
+                    && !criteria.excluded.contains(&backend.server.id)
+                    && within_limit(backend)
             };
             // Falls back to the old version if no server of the new one is available.
             let new_serves = || {
--- a/relay/src/state/view.rs
+++ b/relay/src/state/view.rs
@@ -112,6 +112,12 @@
         part.max(MIN_RESERVE)
     }
 
+    /// Returns the version that a service moves to, if it moves.
+    pub(super) fn target_version(&self, service: &str) -> Option<&str> {
+        let canary = self.canaries.get(service)?;
+        Some(&canary.order().version)
+    }
+
     /// Updates the backends from the registration of one server.
     pub(super) fn update_backends(&mut self, settings: &Settings, id: &Arc<str>) {
         let known = self.registry.get(id).filter(|server| !server.leaving);
