fix(relay): let callers return soon after a short pause

Callers that were refused in a pause of 50 ms or 200 ms were told to return a second apart: on an entry with few requests the second one waited for more than a second for a server that was ready long before.

After a pause callers return at the pace at which they come, at least one a second. That floor fits pauses of seconds. They now return no further apart than the pause is long.

Evidence: callers_who_are_refused_in_a_short_pause_return_soon_after_it failed before, with 1.2 s after a pause of 0.2 s.

Ruled out: letting all return at the end of the pause, where they would be turned away together; a bound on the whole spread, which bunches the callers of a long pause at its end.

--- a/relay/src/state/limits.rs
+++ b/relay/src/state/limits.rs
@@ -16,7 +16,7 @@
 use super::view::View;
 use super::{Backend, Relay};
 
-/// Least pace, in requests a second, at which callers return after a pause.
+/// Least pace, in requests a second, at which callers return after a pause of a second or more.
 const MIN_RETURN_PACE: f64 = 1.0;
 
 /// Steps between 0 and 1 of the part of a request that an entry may send at once.
@@ -131,7 +131,8 @@
     }
 
     /// Returns the pause after which a caller that limits or pauses refuse may return. After the pause of a
-    /// server without a limit, callers return at the pace at which they come.
+    /// server without a limit, callers return at the pace at which they come, and no further apart than the
+    /// pause.
     #[must_use]
     pub fn limit_pause(&self, service: &Arc<str>, wait: Duration) -> Duration {
         let now = self.clock.now();
@@ -147,7 +148,8 @@
             let pace = if unlimited.is_empty() {
                 limits
             } else {
-                limits + arrivals.max(MIN_RETURN_PACE)
+                let per_wait = wait.as_secs_f64().recip();
+                limits + arrivals.max(MIN_RETURN_PACE).max(per_wait)
             };
             let returns = view.returns.entry(Arc::clone(service)).or_default();
             returns.next(wait, pace, now)
