fix(relay): do not take a server that refuses a health check for lost

In an outage of the store, a server that had been out of reach once and was then busy was reported as lost: its streams were refused for lack of a server with 300 ms to return, the other entries were told that it can't be reached, and a pause that it had asked for was not kept.

A health check is refused like any other request while a server is full. The check before a stream is sent took every answer but a success for that of no server. An answer of 503 under the server's own name now says that it is there: it gets no request now, its Retry-After counts as a pause, and it is not searched for. Under another name such an answer changes nothing, as before.

Ruled out: sending the stream nevertheless, which would cost a retry and be refused.

--- a/relay/src/codec.rs
+++ b/relay/src/codec.rs
@@ -104,6 +104,10 @@
     pub id: Arc<str>,
     /// Whether the server says that it leaves.
     pub leaving: bool,
+    /// Whether the server takes requests.
+    pub accepting: bool,
+    /// Pause that the server asks for, if it takes none.
+    pub pause: Option<Duration>,
 }
 
 /// A control request to a server or to another entry, apart from callers' requests.
--- a/relay/src/rediscover.rs
+++ b/relay/src/rediscover.rs
@@ -78,12 +78,14 @@
     Same,
     /// The server that is known there, which leaves.
     Leaving,
+    /// The server that is known there, which takes no requests now.
+    Refusing,
     /// Another server.
     Other,
 }
 
 /// Returns the server to send a stream to instead of `backend`: itself, its successor if the store
-/// is unavailable, or `None` if no server responds or the server leaves.
+/// is unavailable, or `None` if no server responds or the server leaves or refuses.
 ///
 /// If a failure domain's servers crash during an outage of the store, they have other names by the
 /// time the next failure domain crashes and its streams move there. A request under the old name is
@@ -97,6 +99,10 @@
             relay.record_response(backend);
             Some(Arc::clone(backend))
         }
+        Occupant::Refusing => {
+            relay.record_response(backend);
+            None
+        }
         Occupant::Other => relay.successor(backend),
         Occupant::Leaving => None,
         Occupant::Vacant => {
@@ -111,15 +117,29 @@
     let address = backend.server.address;
     let health = attempt::fetch_health(relay, address);
     let health = tokio::time::timeout(PROBE_TIMEOUT, health).await;
-    let Ok(Ok(Health { id, leaving })) = health else {
+    let Ok(Ok(Health {
+        id,
+        leaving,
+        accepting,
+        pause,
+    })) = health
+    else {
         return Occupant::Vacant;
     };
-    if id == backend.server.id && leaving {
-        relay.record_departure(&id, backend.server.started_ms);
-        return Occupant::Leaving;
-    }
-    if id == backend.server.id {
-        return Occupant::Same;
+    match id == backend.server.id {
+        true if leaving => {
+            relay.record_departure(&id, backend.server.started_ms);
+            return Occupant::Leaving;
+        }
+        true if accepting => return Occupant::Same,
+        true => {
+            if let Some(pause) = pause {
+                relay.record_pause(backend, pause);
+            }
+            return Occupant::Refusing;
+        }
+        false if !accepting && !leaving => return Occupant::Vacant,
+        false => {}
     }
     let report = tokio::time::timeout(PROBE_TIMEOUT, attempt::fetch_report(relay, address)).await;
     let Ok(Ok(report)) = report else {
