fix(relay): forget the callers of a pause that has ended

After a pause of all servers, callers that were refused in the next one, of 50 ms, were told to return seconds later, up to a minute.

Callers refused in a pause return one after the other, and the order was kept when the pause had ended and the servers had taken requests again. The callers of the next pause were put behind those of the earlier one. The order now begins anew once the pause has ended. Servers with a limit keep it, as the limit goes on.

Ruled out: bounding the time by the rest of the pause; callers late in a long pause would return together at its end.

--- a/coordination/src/server_limit.rs
+++ b/coordination/src/server_limit.rs
@@ -165,6 +165,8 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Returns {
     last: Duration,
+    /// When the last pause ends.
+    pause_end: Duration,
 }
 
 impl Returns {
@@ -176,4 +178,14 @@
         self.last = next.min(now + LONGEST_WAIT);
         self.last.saturating_sub(now)
     }
+
+    /// Returns when the next caller that is refused in a pause may return, like [`Returns::next`]. Callers
+    /// of an earlier pause that has ended don't count: their servers have had time to serve them.
+    pub fn next_in_pause(&mut self, wait: Duration, pace: f64, now: Duration) -> Duration {
+        if now >= self.pause_end {
+            self.last = Duration::ZERO;
+        }
+        self.pause_end = now + wait;
+        self.next(wait, pace, now)
+    }
 }
--- a/coordination/tests/server_limit.rs
+++ b/coordination/tests/server_limit.rs
@@ -145,3 +145,13 @@
     assert_eq!(pauses, [at(100), at(350), at(600), at(850)]);
     assert_eq!(returns.next(at(100), 4.0, at(5_000)), at(100));
 }
+
+#[test]
+fn callers_of_a_pause_that_has_ended_do_not_delay_those_of_the_next() {
+    let mut returns = Returns::default();
+    let mut next = |wait, now| returns.next_in_pause(at(wait), 1.0, at(now));
+    assert_eq!(next(5_000, 1_000), at(5_000));
+    assert_eq!(next(4_000, 2_000), at(5_000));
+    assert_eq!(next(1_000, 5_000), at(3_000));
+    assert_eq!(next(50, 6_000), at(50));
+}
--- a/relay/src/state/limits.rs
+++ b/relay/src/state/limits.rs
@@ -145,14 +145,13 @@
                 .map(|backend| backend.limit(|limit| limit.named().rate()))
                 .partition(Option::is_some);
             let limits = limited.into_iter().flatten().sum::<f64>() * share;
-            let pace = if unlimited.is_empty() {
-                limits
-            } else {
-                let per_wait = wait.as_secs_f64().recip();
-                limits + arrivals.max(MIN_RETURN_PACE).max(per_wait)
-            };
             let returns = view.returns.entry(Arc::clone(service)).or_default();
-            returns.next(wait, pace, now)
+            if unlimited.is_empty() {
+                return returns.next(wait, limits, now);
+            }
+            let per_wait = wait.as_secs_f64().recip();
+            let pace = limits + arrivals.max(MIN_RETURN_PACE).max(per_wait);
+            returns.next_in_pause(wait, pace, now)
         })
     }
 }
