fix(relay): send the head of a stream with its first event

Callers got a broken-off answer of a stream in which no event had come: the entry passed the head (200) on as soon as the server had sent it. A run that failed between its head and its first event (connection reset, server lost, silence, prompt blocked, deadline) could then only be continued elsewhere or broken off; a stream that may run once, or whose attempts or servers were used up, ended without an answer.

Cause: the head, which is final for the caller, was sent while the run had made nothing. It is now sent with the first event, or with the proper end of a stream without events, and is the head of the run whose event follows. A run that fails before leads to another attempt, or to 502 (504 at the deadline); never to 503, since it may have run. The search for a server is repeated only for callers that have had the head: the others can be refused. A caller that leaves drops the receiver of the body as before, which ends the run.

Ruled out: buffering more than the first event. Events are forwarded as they arrive.

--- a/relay/src/stream.rs
+++ b/relay/src/stream.rs
@@ -26,6 +26,7 @@
 use self::occupancy::Occupancy;
 
 mod backups;
+mod caller;
 mod forwarding;
 mod meter;
 mod occupancy;
--- a/relay/src/stream/forwarding.rs
+++ b/relay/src/stream/forwarding.rs
@@ -4,22 +4,20 @@
 use std::time::Duration;
 
 use http_body_util::{BodyExt, Limited};
+use hyper::Response;
 use hyper::body::Incoming;
 use hyper::header::CONTENT_LENGTH;
-use hyper::{HeaderMap, Response, StatusCode};
-use tokio::sync::mpsc;
+use hyper::http::response::Parts;
 use tokio::time::Instant;
 
 use crate::answer::{Content, Part, Reason, Refusal};
 use crate::codec::Codec;
 use crate::events::Splitter;
 
+use super::caller::Caller;
 use super::resumption::{INTERRUPTION_LIMIT, Source};
 use super::{Opened, Stream};
 
-/// Events that are queued for a slow caller: a whole generation of usual length.
-const EVENT_QUEUE: usize = 256;
-
 /// Largest body of a server's error response, in bytes.
 const ERROR_BODY_LIMIT: usize = 64 << 10;
 
@@ -48,56 +46,83 @@
     Lost(&'static str),
 }
 
+impl RunEnd {
+    /// Returns the name in logs and metrics, of a response whose head has been sent.
+    fn name(self) -> &'static str {
+        match self {
+            Self::Complete => "answered",
+            Self::Caller => "caller_left",
+            Self::Deadline => "timed_out",
+            Self::Blocked => "prompt_blocked",
+            Self::Lost(_) => "broken_off",
+        }
+    }
+
+    /// Returns the reason of the refusal of a stream that ends without an event. A server may have run
+    /// the request.
+    fn refusal(self) -> Option<Reason> {
+        match self {
+            Self::Complete | Self::Caller => None,
+            Self::Deadline => Some(Reason::TimedOut),
+            Self::Blocked | Self::Lost(_) => Some(Reason::Lost),
+        }
+    }
+}
+
 impl<C: Codec> Stream<C> {
-    /// Starts the response to the caller, and forwards the events on a separate task.
+    /// Forwards the events on a separate task, and returns the response to the caller with the first one.
     pub(super) async fn respond(mut self, opened: Opened<C>) -> Response<Content> {
-        let (parts, body) = opened.answer.response.into_parts();
-        let mut headers = self.relay.codec.response_headers(&parts.headers);
-        let status = parts.status;
-        if !status.is_success() {
-            return self.respond_with_error(status, headers, body).await;
+        let (head, body) = opened.answer.response.into_parts();
+        if !head.status.is_success() {
+            return self.respond_with_error(&head, body).await;
         }
-        headers.remove(CONTENT_LENGTH);
-        let (sender, events) = mpsc::channel(EVENT_QUEUE);
-        let source = Source::new(opened.run, opened.answer.guard, body);
+        let relay = Arc::clone(&self.relay);
+        let request_id = Arc::clone(&self.job.original.request_id);
+        let source = Source::new(opened.run, opened.answer.guard, head, body);
         self.ran += 1;
         self.record_arrival();
-        tokio::spawn(async move {
-            let end = self.forward_all(source, &sender).await;
-            match end {
-                RunEnd::Complete => {
-                    let _ = sender.send(Part::End).await;
-                    if let Some(replacement) = self.replacement.take() {
-                        replacement.free(&self.relay);
-                    }
-                    self.record_end(status.as_u16(), "answered");
-                }
-                RunEnd::Caller => self.record_end(status.as_u16(), "caller_left"),
-                RunEnd::Deadline => self.record_end(status.as_u16(), "timed_out"),
-                RunEnd::Blocked => self.record_end(status.as_u16(), "prompt_blocked"),
-                RunEnd::Lost(cause) => {
-                    self.log_broken_off(cause);
-                    self.record_end(status.as_u16(), "broken_off");
-                }
+        let (caller, head, parts) = Caller::new();
+        tokio::spawn(self.forward_to(caller, source));
+        let head = head.await.unwrap_or(Err(Refusal::new(Reason::Lost)));
+        match head {
+            Ok(head) => {
+                let content = Content::Parts {
+                    parts,
+                    length: None,
+                };
+                let mut headers = relay.codec.response_headers(&head.headers);
+                headers.remove(CONTENT_LENGTH);
+                let mut response = Response::new(content);
+                *response.status_mut() = head.status;
+                *response.headers_mut() = headers;
+                response
             }
-        });
-        let content = Content::Parts {
-            parts: events,
-            length: None,
-        };
-        let mut response = Response::new(content);
-        *response.status_mut() = status;
-        *response.headers_mut() = headers;
-        response
+            Err(refusal) => refusal.response(&relay.codec, Some(&request_id)),
+        }
+    }
+
+    /// Forwards events until the stream ends, and ends the response accordingly.
+    async fn forward_to(mut self, mut caller: Caller, source: Source<C>) {
+        let end = self.forward_all(source, &mut caller).await;
+        if let RunEnd::Lost(cause) = end {
+            self.log_lost(cause, caller.has_head());
+        }
+        if let Some(reason) = end.refusal().filter(|_| !caller.has_head()) {
+            self.record_end(reason.status().as_u16(), reason.name());
+            caller.refuse(Refusal::new(reason));
+            return;
+        }
+        if end == RunEnd::Complete {
+            let _ = caller.send(Part::End).await;
+            if let Some(replacement) = self.replacement.take() {
+                replacement.free(&self.relay);
+            }
+        }
+        self.record_end(caller.status().as_u16(), end.name());
     }
 
     /// Returns a server's error response, unless its body exceeds the limits on size and time.
-    async fn respond_with_error(
-        self,
-        status: StatusCode,
-        mut headers: HeaderMap,
-        body: Incoming,
-    ) -> Response<Content> {
+    async fn respond_with_error(self, head: &Parts, body: Incoming) -> Response<Content> {
         let deadline = self.relay.clock.instant(self.job.deadline);
         let deadline = deadline.min(Instant::now() + ERROR_BODY_TIMEOUT);
         let body = Limited::new(body, ERROR_BODY_LIMIT).collect();
@@ -108,18 +133,19 @@
             return Refusal::new(Reason::Lost).response(&self.relay.codec, id);
         };
         let body = body.to_bytes();
+        let mut headers = self.relay.codec.response_headers(&head.headers);
         headers.insert(CONTENT_LENGTH, body.len().into());
-        self.record_end(status.as_u16(), "answered");
+        self.record_end(head.status.as_u16(), "answered");
         let mut response = Response::new(Content::Whole(Some(body)));
-        *response.status_mut() = status;
+        *response.status_mut() = head.status;
         *response.headers_mut() = headers;
         response
     }
 
     /// Forwards events until the stream ends, and resumes at other servers if runs fail.
-    async fn forward_all(&mut self, mut source: Source<C>, sender: &mpsc::Sender<Part>) -> RunEnd {
+    async fn forward_all(&mut self, mut source: Source<C>, caller: &mut Caller) -> RunEnd {
         loop {
-            let cause = match self.forward_run(&mut source, sender).await {
+            let cause = match self.forward_run(&mut source, caller).await {
                 RunEnd::Lost(cause) => cause,
                 end => return end,
             };
@@ -143,14 +169,14 @@
                     Ok(resumed) => resumed,
                     Err(cause) => return RunEnd::Lost(cause),
                 },
-                () = sender.closed() => return RunEnd::Caller,
+                () = caller.closed() => return RunEnd::Caller,
                 () = tokio::time::sleep_until(deadline) => return RunEnd::Deadline,
             };
         }
     }
 
     /// Forwards the events of one run.
-    async fn forward_run(&mut self, source: &mut Source<C>, sender: &mpsc::Sender<Part>) -> RunEnd {
+    async fn forward_run(&mut self, source: &mut Source<C>, caller: &mut Caller) -> RunEnd {
         let deadline = self.relay.clock.instant(self.job.deadline);
         let mut splitter = Splitter::default();
         let mut changed = self.relay.changed.subscribe();
@@ -178,7 +204,7 @@
                     check_silence_at = Instant::now() + SILENCE_CHECK;
                     continue;
                 }
-                () = sender.closed() => return RunEnd::Caller,
+                () = caller.closed() => return RunEnd::Caller,
                 () = tokio::time::sleep_until(deadline) => return RunEnd::Deadline,
                 _ = changed.changed() => {
                     self.maintain_backup(&source.run.backend);
@@ -191,6 +217,7 @@
                 None if splitter.has_partial() => return RunEnd::Lost("cut_event"),
                 None => {
                     self.record_answered();
+                    caller.send_head(&mut source.head);
                     return RunEnd::Complete;
                 }
             }
@@ -221,10 +248,11 @@
                         .record_measurement(backend, &self.job.route.name, measurement);
                 }
                 // A caller that stops reading occupies the run until the deadline at most.
-                let sending = sender.send(Part::Data(event.bytes));
+                caller.send_head(&mut source.head);
+                let sending = caller.send(Part::Data(event.bytes));
                 match tokio::time::timeout_at(deadline, sending).await {
-                    Ok(Ok(())) => {}
-                    Ok(Err(_)) => return RunEnd::Caller,
+                    Ok(true) => {}
+                    Ok(false) => return RunEnd::Caller,
                     Err(_) => return RunEnd::Deadline,
                 }
             }
@@ -234,16 +262,21 @@
         }
     }
 
-    /// Logs that the caller's answer ends before its last event.
-    fn log_broken_off(&self, cause: &'static str) {
+    /// Logs that the caller's answer ends before its last event, or before its head.
+    fn log_lost(&self, cause: &'static str, has_head: bool) {
         let now = self.relay.clock.now();
+        let message = if has_head {
+            "stream broken off"
+        } else {
+            "stream lost before its first event"
+        };
         log::warn!(
             request = &*self.job.original.request_id, cause, ran = self.ran,
             attempts = self.job.route.attempts, resumable = self.resumable(),
             last_event = self.last_event.unwrap_or(0),
             silent_ms = now.saturating_sub(self.last_event_at).as_millis(),
             remaining_ms = self.job.deadline.saturating_sub(now).as_millis();
-            "stream broken off"
+            "{message}"
         );
     }
 
--- a/relay/src/stream/resumption.rs
+++ b/relay/src/stream/resumption.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use hyper::body::Incoming;
+use hyper::http::response::Parts;
 
 use crate::attempt::Guard;
 use crate::codec::Codec;
@@ -21,6 +22,8 @@
 
 /// The run and the connection that a stream's events come from.
 pub(super) struct Source<C: Codec> {
+    /// Head of the response, until it has been sent to the caller.
+    pub(super) head: Option<Parts>,
     /// Rest of the response.
     pub(super) body: Incoming,
     /// The run.
@@ -34,8 +37,13 @@
 
 impl<C: Codec> Source<C> {
     /// Returns a source of events.
-    pub(super) fn new(run: Run<C>, guard: Guard, body: Incoming) -> Self {
-        Self { body, run, guard }
+    pub(super) fn new(run: Run<C>, guard: Guard, head: Parts, body: Incoming) -> Self {
+        Self {
+            head: Some(head),
+            body,
+            run,
+            guard,
+        }
     }
 }
 
@@ -60,15 +68,15 @@
                 }
             };
             let Opened { run, answer } = opened;
-            let (parts, body) = answer.response.into_parts();
+            let (head, body) = answer.response.into_parts();
             self.ran += 1;
             self.record_arrival();
-            if parts.status.is_success() {
-                return Ok(Source::new(run, answer.guard, body));
+            if head.status.is_success() {
+                return Ok(Source::new(run, answer.guard, head, body));
             }
             log::info!(
                 request = &*self.job.original.request_id, server = &*run.backend.server.id,
-                status = parts.status.as_u16();
+                status = head.status.as_u16();
                 "resume failed"
             );
             if !self.may_retry() {
@@ -94,11 +102,12 @@
         other.is_some_and(|other| !other.load(|load| load.suspect(now))) && self.withdraw_retry()
     }
 
-    /// Returns whether a further search for a server can find one. The caller has had the head of the
-    /// answer, so that it can't be refused.
+    /// Returns whether a further search for a server can find one. A caller that has had the head of the
+    /// answer can't be refused; another one may do better through another entry.
     fn may_search_again(&self, search_until: Duration) -> bool {
         let blocked = self.relay.prompt_refused_for(&self.job.head.prompt_parts);
-        self.may_retry() && blocked.is_none() && self.relay.clock.now() < search_until
+        let begun = self.first_event_at.is_some();
+        begun && self.may_retry() && blocked.is_none() && self.relay.clock.now() < search_until
     }
 
     /// Records and logs that the stream leaves a server.
