fix(relay): take one retry of the budget for a stream that leaves a server

A stream that left a silent server used up two retries of its service's budget for one further request, as did an attempt after one that could not be sent. The budget was used up early, and then streams that a server could have taken over were broken off or refused with `retry_budget`.

Cause: `a |= b` evaluates `b` also if `a` is true, so a retry that had been withdrawn already (by `can_move`, or for the attempt before) was withdrawn again.

Evidence: a_stream_that_leaves_a_silent_server_takes_one_retry_of_the_budget fails before (1 retry left instead of 2).

--- a/relay/src/stream.rs
+++ b/relay/src/stream.rs
@@ -270,7 +270,8 @@
     /// Withdraws a retry from the budget for each arrival at a server after the first. Returns false
     /// if the budget is used up.
     fn withdraw_retry(&mut self) -> bool {
-        self.retry_withdrawn |= self.arrivals == 0 || self.relay.take_retry(&self.job.service);
+        self.retry_withdrawn =
+            self.retry_withdrawn || self.arrivals == 0 || self.relay.take_retry(&self.job.service);
         self.retry_withdrawn
     }
 
