fix(relay): keep a silent run also before the head of its response

Callers got 502 for a stream whose server was silent for half a second before the head of its response, and the run that would have gone on was cancelled: with a single server, with the retry budget used up, or on a route that may run once.

Cause: silence ends a run only if another server can take the stream over, but that rule held only after the head. Before it, the loss of the server or the time-out of the first event ended the run at once. Both phases now wait for the same end of a silent run (stream/silence.rs). For that, the arrival and the run of a request are counted when it is sent, and taken back if it was not sent or not run: else the last run that the route allows would count as one that can be repeated, and the retry of a move as the first arrival. The interruption by a lost server is measured from its loss, since a prefill may take longer than the three seconds that are bridged.

A stream without another server that may run again now gets its 502 three seconds after its server is lost; one that may run once is answered at its deadline, or as soon as its connection ends.

Evidence, platform/tests/interrupted_streams.rs: three tests of a silence of 1.3 s before the head (one server, a route that may run once, no retry budget) fail before with 502. The one of a silence late in a long prefill fails if the interruption is measured from the last event. That a stream that leaves such a server takes one retry was green and is kept.

--- a/relay/src/stream.rs
+++ b/relay/src/stream.rs
@@ -24,6 +24,7 @@
 
 use self::meter::Meter;
 use self::occupancy::Occupancy;
+use self::silence::Silence;
 
 mod backups;
 mod caller;
@@ -32,19 +33,11 @@
 mod occupancy;
 mod refusals;
 mod resumption;
+mod silence;
 
 /// Load, in streams, that is added to servers in another failure domain.
 const REMOTE_PENALTY: f64 = 1.0;
 
-/// Shortest time that a live server has for the first event of an attempt; after its time the
-/// connection counts as dead. Prefill of a short prompt takes one or two seconds, and prefill of queued
-/// prompts as long again.
-const FIRST_EVENT_TIMEOUT: Duration = Duration::from_secs(5);
-
-/// Additional time for each token of the prompt. A sound server that is five times slower than usual
-/// reads a token in this time.
-const TIME_PER_PROMPT_TOKEN: Duration = Duration::from_micros(625);
-
 /// Retry delay when no server is available or all are at capacity.
 const NO_SERVER_PAUSE: Duration = Duration::from_millis(300);
 
@@ -58,28 +51,21 @@
 struct Run<C: Codec> {
     backend: Arc<Backend>,
     subscription: Subscription,
+    /// When the server was lost, if no data has arrived since.
+    lost_at: Option<Instant>,
     occupancy: Occupancy<C>,
     /// Measures the run, for the comparison of versions.
     meter: Meter,
 }
 
 impl<C: Codec> Run<C> {
-    /// Waits until the server is lost, or silent at the instant `limit`, but until `check_at` at least.
-    /// Returns which.
-    async fn silence(&mut self, check_at: Instant, limit: Instant) -> &'static str {
-        tokio::time::sleep_until(check_at).await;
-        tokio::select! {
-            () = self.subscription.lost() => "server_lost",
-            () = tokio::time::sleep_until(limit) => "silent",
-        }
-    }
-
     /// Records that data arrived from the server, also from one that was lost and is back.
     fn record_activity(&mut self, relay: &Arc<Relay<C>>) {
         if self.subscription.is_lost() {
             relay.record_response(&self.backend);
             self.subscription = monitor::subscribe(relay, &self.backend);
         }
+        self.lost_at = None;
         self.backend.monitor.record_activity(relay.clock.now());
     }
 }
@@ -87,7 +73,7 @@
 /// State of a stream over its runs.
 struct Stream<C: Codec> {
     relay: Arc<Relay<C>>,
-    job: Job,
+    job: Arc<Job>,
     last_event: Option<u64>,
     excluded: Vec<Arc<str>>,
     /// Failure domains in which the stream lost a server or could not reach one.
@@ -98,10 +84,10 @@
     run_events: u32,
     /// Whether a server has begun to answer the prompt.
     answered: bool,
-    /// Whether an attempt's outcome is unknown: a server may be processing it.
-    in_flight: bool,
     retry_withdrawn: bool,
+    /// Requests that servers got, or may have got.
     arrivals: u32,
+    /// Requests that servers ran, or may have run.
     ran: u32,
     resumes: u32,
     silences: u32,
@@ -124,7 +110,7 @@
     let mut stream = Stream::new(Arc::clone(relay), job);
     let opened = tokio::time::timeout_at(deadline, stream.open()).await;
     let opened = opened.unwrap_or_else(|_| {
-        let reason = if stream.ran > 0 || stream.in_flight {
+        let reason = if stream.ran > 0 {
             Reason::TimedOut
         } else {
             Reason::TooLate
@@ -150,7 +136,6 @@
             replacement: None,
             run_events: 0,
             answered: false,
-            in_flight: false,
             retry_withdrawn: false,
             arrivals: 0,
             ran: 0,
@@ -161,7 +146,7 @@
             longest_pause: Duration::ZERO,
             _open: relay.metrics.open("stream"),
             relay,
-            job,
+            job: Arc::new(job),
         }
     }
 
@@ -275,13 +260,6 @@
         self.retry_withdrawn
     }
 
-    /// Returns how long a live server has for the first event of an attempt.
-    fn first_event_timeout(&self) -> Duration {
-        let tokens = self.job.head.prompt_tokens.unwrap_or_default();
-        let tokens = u32::try_from(tokens).unwrap_or(u32::MAX);
-        FIRST_EVENT_TIMEOUT + TIME_PER_PROMPT_TOKEN.saturating_mul(tokens)
-    }
-
     /// Prefers servers outside a failure domain for the next attempts. If this entry is cut off from
     /// the others, it would otherwise try one unreachable server after another before its own ones.
     fn avoid(&mut self, failure_domain: &Arc<str>) {
@@ -290,9 +268,10 @@
         }
     }
 
-    /// Records that the request arrived at a server.
-    fn record_arrival(&mut self) {
+    /// Records that the request is sent to a server, which may run it.
+    fn record_sending(&mut self) {
         self.arrivals += 1;
+        self.ran += 1;
         self.retry_withdrawn = false;
     }
 
@@ -303,16 +282,18 @@
     /// Records and logs a failed attempt.
     fn record_failed_attempt(&mut self, backend: &Arc<Backend>, failure: &Failure) {
         self.excluded.push(Arc::clone(&backend.server.id));
-        self.in_flight = false;
         match failure {
-            Failure::NotSent { .. } => self.avoid(&backend.server.failure_domain),
-            Failure::NotRun { .. } => self.record_arrival(),
+            Failure::NotSent { .. } => {
+                self.arrivals -= 1;
+                self.ran -= 1;
+                self.retry_withdrawn = true;
+                self.avoid(&backend.server.failure_domain);
+            }
+            Failure::NotRun { .. } => self.ran -= 1,
             Failure::Lost { disconnected, .. } => {
                 if *disconnected {
                     self.record_unanswered(backend);
                 }
-                self.record_arrival();
-                self.ran += 1;
                 self.avoid(&backend.server.failure_domain);
             }
         }
@@ -389,38 +370,36 @@
             "stream sent"
         );
         let prefilling = !cached && dispatch.resume_from.is_none();
-        let occupancy = Occupancy::start(&self.relay, backend, prefilling);
-        let mut subscription = monitor::subscribe(&self.relay, backend);
-        let relay = Arc::clone(&self.relay);
-        let timeout = Instant::now() + self.first_event_timeout();
-        self.in_flight = true;
+        let mut run = Run {
+            backend: Arc::clone(backend),
+            subscription: monitor::subscribe(&self.relay, backend),
+            lost_at: None,
+            occupancy: Occupancy::start(&self.relay, backend, prefilling),
+            meter: Meter::new(began),
+        };
+        let (relay, job) = (Arc::clone(&self.relay), Arc::clone(&self.job));
+        self.run_events = 0;
+        self.record_sending();
         let answer = tokio::select! {
-            answer = attempt::send(&relay, backend, &self.job.original, &dispatch) => answer,
-            () = subscription.lost() => lost_answer("the server was lost", true),
-            () = relay.prompt_to_be_blocked(&self.job.head.prompt_parts) => {
+            biased;
+            answer = attempt::send(&relay, backend, &job.original, &dispatch) => answer,
+            silence = self.final_silence(&mut run, Instant::now()) => match silence {
+                Silence::Server => lost_answer("the server was lost", true),
+                Silence::Run => {
+                    self.record_server_failure(backend);
+                    lost_answer("no response from a live server in time", false)
+                }
+            },
+            () = relay.prompt_to_be_blocked(&job.head.prompt_parts) => {
                 lost_answer("prompts with parts of this one crash servers", false)
             }
-            () = tokio::time::sleep_until(timeout) => {
-                self.record_server_failure(backend);
-                lost_answer("no response from a live server in time", false)
-            }
-        };
-        if let Ok(answer) = &answer {
-            if answer.response.status().is_server_error() {
-                self.record_server_failure(backend);
-            }
-            self.backup = backup;
-            self.run_events = 0;
+        }?;
+        if answer.response.status().is_server_error() {
+            self.record_server_failure(backend);
         }
-        Ok(Opened {
-            answer: answer?,
-            run: Run {
-                backend: Arc::clone(backend),
-                subscription,
-                occupancy,
-                meter: Meter::new(began),
-            },
-        })
+        run.record_activity(&relay);
+        self.backup = backup;
+        Ok(Opened { run, answer })
     }
 }
 
--- a/relay/src/stream/forwarding.rs
+++ b/relay/src/stream/forwarding.rs
@@ -15,7 +15,7 @@
 use crate::events::Splitter;
 
 use super::caller::Caller;
-use super::resumption::{INTERRUPTION_LIMIT, Source};
+use super::resumption::Source;
 use super::{Opened, Stream};
 
 /// Largest body of a server's error response, in bytes.
@@ -28,9 +28,6 @@
 /// as it begins to answer.
 const ANSWER_EVENTS: u32 = 3;
 
-/// Pause before a silent run, which no other server could take over, is considered again.
-const SILENCE_CHECK: Duration = Duration::from_millis(100);
-
 /// Why forwarding of a run ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum RunEnd {
@@ -71,7 +68,7 @@
 
 impl<C: Codec> Stream<C> {
     /// Forwards the events on a separate task, and returns the response to the caller with the first one.
-    pub(super) async fn respond(mut self, opened: Opened<C>) -> Response<Content> {
+    pub(super) async fn respond(self, opened: Opened<C>) -> Response<Content> {
         let (head, body) = opened.answer.response.into_parts();
         if !head.status.is_success() {
             return self.respond_with_error(&head, body).await;
@@ -79,8 +76,6 @@
         let relay = Arc::clone(&self.relay);
         let request_id = Arc::clone(&self.job.original.request_id);
         let source = Source::new(opened.run, opened.answer.guard, head, body);
-        self.ran += 1;
-        self.record_arrival();
         let (caller, head, parts) = Caller::new();
         tokio::spawn(self.forward_to(caller, source));
         let head = head.await.unwrap_or(Err(Refusal::new(Reason::Lost)));
@@ -182,27 +177,15 @@
         let mut changed = self.relay.changed.subscribe();
         // Bytes that complete no new event are no progress: a stalled server may send some for ever.
         let mut progress_at = Instant::now();
-        let mut check_silence_at = progress_at;
         loop {
             if self.run_events == 0 && self.relay.prompt_blocked(&self.job.head.prompt_parts) {
                 return RunEnd::Blocked;
             }
-            let bound = if self.run_events > 0 {
-                self.relay.settings.liveness.stream_silence_limit * 2_u32.pow(self.silences.min(3))
-            } else {
-                self.first_event_timeout()
-            };
-            let resumable = self.resumable();
             let frame = tokio::select! {
                 biased;
                 frame = source.body.frame() => frame,
-                cause = source.run.silence(check_silence_at, progress_at + bound), if resumable => {
-                    let silent = progress_at.elapsed();
-                    if silent >= INTERRUPTION_LIMIT || self.can_move(&source.run.backend) {
-                        return RunEnd::Lost(cause);
-                    }
-                    check_silence_at = Instant::now() + SILENCE_CHECK;
-                    continue;
+                silence = self.final_silence(&mut source.run, progress_at) => {
+                    return RunEnd::Lost(silence.cause());
                 }
                 () = caller.closed() => return RunEnd::Caller,
                 () = tokio::time::sleep_until(deadline) => return RunEnd::Deadline,
--- a/relay/src/stream/resumption.rs
+++ b/relay/src/stream/resumption.rs
@@ -8,15 +8,11 @@
 
 use crate::attempt::Guard;
 use crate::codec::Codec;
-use crate::state::{Backend, Criteria};
+use crate::state::Backend;
 
+use super::silence::INTERRUPTION_LIMIT;
 use super::{Opened, Run, Stream};
 
-/// Longest time without events that an entry bridges while no other server takes a stream. Sound servers
-/// that are silent, full or restarting go on within a second or so; if only this entry can't reach them, the
-/// caller can resume through another one.
-pub(super) const INTERRUPTION_LIMIT: Duration = Duration::from_secs(3);
-
 /// Pause before the search starts again.
 const SEARCH_PAUSE: Duration = Duration::from_millis(200);
 
@@ -69,8 +65,6 @@
             };
             let Opened { run, answer } = opened;
             let (head, body) = answer.response.into_parts();
-            self.ran += 1;
-            self.record_arrival();
             if head.status.is_success() {
                 return Ok(Source::new(run, answer.guard, head, body));
             }
@@ -86,22 +80,6 @@
         }
     }
 
-    /// Returns whether a server other than `from`, which is silent, can take over the stream. Then a retry
-    /// has been withdrawn for it.
-    pub(super) fn can_move(&mut self, from: &Arc<Backend>) -> bool {
-        let blocked = self.relay.prompt_refused_for(&self.job.head.prompt_parts);
-        if !self.may_retry() || blocked.is_some() {
-            return false;
-        }
-        let now = self.relay.clock.now();
-        let excluded = [Arc::clone(&from.server.id)];
-        let other = self.relay.choose(Criteria {
-            excluded: &excluded,
-            ..self.criteria(&[])
-        });
-        other.is_some_and(|other| !other.load(|load| load.suspect(now))) && self.withdraw_retry()
-    }
-
     /// Returns whether a further search for a server can find one. A caller that has had the head of the
     /// answer can't be refused; another one may do better through another entry.
     fn may_search_again(&self, search_until: Duration) -> bool {
