--- a/relay/src/stream/resumption.rs
+++ b/relay/src/stream/resumption.rs
@@ -4,23 +4,22 @@
 use std::time::Duration;
 
 use hyper::body::Incoming;
+use hyper::http::response::Parts;
 
 use crate::attempt::Guard;
 use crate::codec::Codec;
-use crate::state::{Backend, Criteria};
+use crate::state::Backend;
 
+use super::silence::INTERRUPTION_LIMIT;
 use super::{Opened, Run, Stream};
 
-/// Longest time without events that an entry bridges while no other server takes a stream. Sound servers
-/// that are silent, full or restarting go on within a second or so; if only this entry can't reach them, the
-/// caller can resume through another one.
-pub(super) const INTERRUPTION_LIMIT: Duration = Duration::from_secs(3);
-
 /// Pause before the search starts again.
 const SEARCH_PAUSE: Duration = Duration::from_millis(200);
 
 /// The run and the connection that a stream's events come from.
 pub(super) struct Source<C: Codec> {
+    /// Head of the response, until it has been sent to the caller.
+    pub(super) head: Option<Parts>,
     /// Rest of the response.
     pub(super) body: Incoming,
     /// The run.
@@ -34,8 +33,13 @@
 
 impl<C: Codec> Source<C> {
     /// Returns a source of events.
-    pub(super) fn new(run: Run<C>, guard: Guard, body: Incoming) -> Self {
-        Self { body, run, guard }
+    pub(super) fn new(run: Run<C>, guard: Guard, head: Parts, body: Incoming) -> Self {
+        Self {
+            head: Some(head),
+            body,
+            run,
+            guard,
+        }
     }
 }
 
@@ -60,15 +64,13 @@
                 }
             };
             let Opened { run, answer } = opened;
-            let (parts, body) = answer.response.into_parts();
-            self.ran += 1;
-            self.record_arrival();
-            if parts.status.is_success() {
-                return Ok(Source::new(run, answer.guard, body));
+            let (head, body) = answer.response.into_parts();
+            if head.status.is_success() {
+                return Ok(Source::new(run, answer.guard, head, body));
             }
             log::info!(
                 request = &*self.job.original.request_id, server = &*run.backend.server.id,
-                status = parts.status.as_u16();
+                status = head.status.as_u16();
                 "resume failed"
             );
             if !self.may_retry() {
@@ -78,27 +80,12 @@
         }
     }
 
-    /// Returns whether a server other than `from`, which is silent, can take over the stream. Then a retry
-    /// has been withdrawn for it.
-    pub(super) fn can_move(&mut self, from: &Arc<Backend>) -> bool {
-        let blocked = self.relay.prompt_refused_for(&self.job.head.prompt_parts);
-        if !self.may_retry() || blocked.is_some() {
-            return false;
-        }
-        let now = self.relay.clock.now();
-        let excluded = [Arc::clone(&from.server.id)];
-        let other = self.relay.choose(Criteria {
-            excluded: &excluded,
-            ..self.criteria(&[])
-        });
-        other.is_some_and(|other| !other.load(|load| load.suspect(now))) && self.withdraw_retry()
-    }
-
-    /// Returns whether a further search for a server can find one. The caller has had the head of the
-    /// answer, so that it can't be refused.
+    /// Returns whether a further search for a server can find one. A caller that has had the head of the
+    /// answer can't be refused; another one may do better through another entry.
     fn may_search_again(&self, search_until: Duration) -> bool {
         let blocked = self.relay.prompt_refused_for(&self.job.head.prompt_parts);
-        self.may_retry() && blocked.is_none() && self.relay.clock.now() < search_until
+        let begun = self.first_event_at.is_some();
+        begun && self.may_retry() && blocked.is_none() && self.relay.clock.now() < search_until
     }
 
     /// Records and logs that the stream leaves a server.
