fix(relay): read the rest of a body that is refused before it has arrived

Callers that were still sending a body when it was refused (404, 401, 413, 431, 503 without a configuration, without memory, or at a stop) had their connection reset: the body was dropped with the refusal, so the connection was closed at once, with the rest of the body unread or still on its way. The next write of the caller failed, and a reset may discard the refusal before it is read.

Cause: the end of the connection was decided from what had arrived of the body by the time of the refusal.

Evidence: of tests/refused_bodies.rs, a_caller_that_is_still_sending_its_body_is_not_reset_by_a_refusal, ..._before_the_first_configuration and ..._by_an_entry_that_stops failed before ("Broken pipe" while the body was being sent).

The refusal is sent at once, as before, and the rest of the body is then read and discarded, without being counted as memory, since no more than one read buffer of it is kept: up to twice the largest body that is allowed, and for two seconds. A body that is complete by then leaves the connection usable; otherwise the connection is closed. The framing stays that of the HTTP parser, so nothing of the body can become a request. The request stays under way until then, so that its bytes are not taken for a slow head. A caller that waits for `100 Continue` may leave the body out, and is told that the connection ends.

Ruled out: sending the refusal only after the body. It would hold up callers that could go elsewhere.

--- a/relay/src/ingress.rs
+++ b/relay/src/ingress.rs
@@ -1,12 +1,11 @@
 //! Receives a caller's request: finds its route and account, reads its body, and passes it to
 //! [`call`] or [`stream`].
 
-use std::convert::Infallible;
 use std::sync::Arc;
 use std::time::Duration;
 
-use hyper::body::Incoming;
-use hyper::header::{CONNECTION, CONTENT_LENGTH, HOST, HeaderValue, TRANSFER_ENCODING};
+use hyper::body::{Body as _, Incoming};
+use hyper::header::{CONNECTION, CONTENT_LENGTH, EXPECT, HOST, HeaderValue, TRANSFER_ENCODING};
 use hyper::http::request::Parts;
 use hyper::{HeaderMap, Request, Response, Uri};
 use medlarfall_coordination::evidence::Cohort;
@@ -89,22 +88,23 @@
     }
 }
 
-/// Handles a request.
-///
-/// # Errors
-///
-/// Never fails: every error becomes a response to the caller.
+/// Handles a request. Every error becomes a response to the caller. With a refusal that is given before
+/// the whole body has arrived, the body is returned too.
 pub async fn handle<C: Codec>(
     relay: Arc<Relay<C>>,
     request: Request<Incoming>,
-) -> Result<Response<Content>, Infallible> {
+) -> (Response<Content>, Option<Incoming>) {
     let began = relay.clock.now();
     let chunked = request.headers().contains_key(TRANSFER_ENCODING);
+    let expects = request.headers().contains_key(EXPECT);
     let head = relay.codec.decode_request(request.headers());
     let id = head.as_ref().ok();
     let id = id.map(|head| Arc::clone(&head.request_id));
-    let received = receive(&relay, request, head, began).await;
+    let (parts, mut body) = request.into_parts();
+    let received = receive(&relay, parts, &mut body, head, began).await;
     let slow = matches!(&received, Err(refusal) if refusal.reason == Reason::BodyTooSlow);
+    let refused = received.is_err();
+    let unread = (refused && !body.is_end_stream()).then_some(body);
     let mut response = match received {
         Ok(job) if job.route.kind.is_stream() => stream::answer(&relay, job).await,
         Ok(job) => call::answer(&relay, job).await,
@@ -114,12 +114,13 @@
         }
     };
     // Closes the connection after a chunked body, as a guard against request smuggling, and where the
-    // rest of a body may still arrive.
-    if chunked || slow || *relay.stopping.borrow() {
+    // rest of a body may never arrive.
+    let incomplete = unread.is_some() && (slow || expects);
+    if chunked || incomplete || *relay.stopping.borrow() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
     }
-    Ok(response)
+    (response, unread)
 }
 
 fn log_refusal<C: Codec>(relay: &Relay<C>, refusal: &Refusal, request_id: &str) {
@@ -133,16 +134,16 @@
     );
 }
 
-/// Validates a request and reads its body.
+/// Validates a request and reads its body, which a refusal may leave unread.
 async fn receive<C: Codec>(
     relay: &Arc<Relay<C>>,
-    request: Request<Incoming>,
+    parts: Parts,
+    body: &mut Incoming,
     head: Result<Head, Invalid>,
     began: Duration,
 ) -> Result<Job, Refusal> {
     let head = head.map_err(|_| Refusal::new(Reason::Malformed))?;
     let table = table(relay).await?;
-    let (parts, body) = request.into_parts();
     if head_bytes(&parts) > table.limits.header_bytes * HEAD_MARGIN {
         return Err(Refusal::new(Reason::HeadTooLarge));
     }
--- a/relay/src/listener.rs
+++ b/relay/src/listener.rs
@@ -1,5 +1,6 @@
 //! Accepts callers' connections, serves each on its own task, and closes them gracefully at a stop.
 
+use std::convert::Infallible;
 use std::future::poll_fn;
 use std::io;
 use std::pin::Pin;
@@ -7,12 +8,13 @@
 use std::task::Poll;
 use std::time::Duration;
 
-use futures::TryFutureExt;
+use futures::FutureExt;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use medlarfall_coordination::routing::Limits;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
 use tokio::time::Sleep;
 use tokio_util::task::TaskTracker;
 
@@ -22,6 +24,7 @@
 
 pub mod activity;
 mod body;
+mod discard;
 mod socket;
 
 use activity::Excess;
@@ -59,10 +62,19 @@
     let tracker = Tracker::new(relay.clock);
     let mut limits = relay.limits.subscribe();
     let mut draining = relay.draining.subscribe();
+    let discarded = Arc::new(Notify::new());
     let service = service_fn(|request| {
         let guard = tracker.begin();
         let handling = ingress::handle(Arc::clone(&relay), request);
-        handling.map_ok(|response| response.map(|content| Tracked::new(content, guard)))
+        handling.map(|(response, unread)| {
+            if let Some(body) = unread {
+                let limit = relay.limits.borrow().body_bytes;
+                let discarding = discard::run(body, limit, tracker.begin());
+                let discarded = Arc::clone(&discarded);
+                tokio::spawn(discarding.map(move |()| discarded.notify_one()));
+            }
+            Ok::<_, Infallible>(response.map(|content| Tracked::new(content, guard)))
+        })
     });
     let socket = Socket::new(stream, tracker.clone());
     // Limits change while the connection is open, which this server's own timer can't follow.
@@ -80,6 +92,8 @@
             biased;
             ended = &mut connection => break Some(ended),
             _ = &mut closing => break None,
+            // The idle time begins anew.
+            () = discarded.notified() => {}
             Ok(()) = limits.changed() => {
                 let now = tracker.clock.now();
                 tracker.with(|activity| activity.change_limits(now));
--- a/runtime/src/http.rs
+++ b/runtime/src/http.rs
@@ -133,7 +133,7 @@
 ///
 /// Fails if the body is incomplete.
 pub async fn read_body(
-    mut body: Incoming,
+    body: &mut Incoming,
     limit: usize,
     budget: &Budget,
 ) -> Result<Option<(Bytes, Reservation)>, Failure> {
--- a/serving/src/backend/http.rs
+++ b/serving/src/backend/http.rs
@@ -162,13 +162,13 @@
         }
         let request =
             http::body(request, call.body.clone()).map_err(|error| not_run(error.to_string()))?;
-        let (parts, body) = self.pool.send(request).await?.into_parts();
+        let (parts, mut body) = self.pool.send(request).await?.into_parts();
         let matches = text(&parts.headers, REQUEST_ID) == Some(call.request_id.as_ref())
             && text(&parts.headers, ATTEMPT) == Some(call.attempt.to_string().as_str());
         if !matches {
             return Err(lost("the answer belongs to another request".to_owned()));
         }
-        let body = http::read_body(body, call.answer_limit, &call.budget).await?;
+        let body = http::read_body(&mut body, call.answer_limit, &call.budget).await?;
         let oversized = body.is_none();
         let (body, reservation) = body.map_or((Bytes::new(), None), |(body, reservation)| {
             (body, Some(reservation))
