fix(relay): answer a request whose head is arriving as the entry stops

At a planned stop, callers on a kept connection lost a request without an answer if only a part of its head had arrived as idle connections were closed.

Cause: the connection counted as idle until a head was complete, and the HTTP library's graceful shutdown closes an idle connection at once, with what it has buffered.

The close now waits while a head is arriving: the request is then under way, is answered with `Connection: close`, and the connection ends after it. A head that does not arrive in time ends as before, at the time for a head or with the grace period. The close after the idle time was sound: it is not due while a head is arriving.

--- a/relay/src/listener.rs
+++ b/relay/src/listener.rs
@@ -82,7 +82,10 @@
         .header_read_timeout(None)
         .max_buf_size(BUFFER_BYTES)
         .serve_connection(TokioIo::new(socket), service);
-    let closing = async { draining.wait_for(|draining| *draining).await.map(drop) };
+    let closing = async {
+        let _ = draining.wait_for(|draining| *draining).await;
+        head_received(&tracker).await;
+    };
     let timer = tokio::time::sleep(Duration::ZERO);
     tokio::pin!(connection, closing, timer);
     let ended = loop {
@@ -91,7 +94,7 @@
         tokio::select! {
             biased;
             ended = &mut connection => break Some(ended),
-            _ = &mut closing => break None,
+            () = &mut closing => break None,
             // The idle time begins anew.
             () = discarded.notified() => {}
             Ok(()) = limits.changed() => {
@@ -118,6 +121,18 @@
     }
 }
 
+/// Waits while the head of a request is arriving. It is polled after the connection, in the same task.
+async fn head_received(tracker: &Tracker) {
+    poll_fn(|_| {
+        if tracker.with(|activity| activity.is_receiving_head()) {
+            Poll::Pending
+        } else {
+            Poll::Ready(())
+        }
+    })
+    .await;
+}
+
 /// Waits until a connection exceeds a limit. It is polled after the connection, in the same task.
 async fn exceeded(tracker: &Tracker, limits: &Limits, mut timer: Pin<&mut Sleep>) -> Excess {
     poll_fn(|context| {
--- a/relay/src/listener/activity.rs
+++ b/relay/src/listener/activity.rs
@@ -71,6 +71,12 @@
         self.head_since = self.head_since.map(|_| now);
     }
 
+    /// Returns whether the head of a request has begun to arrive and is not complete.
+    #[must_use]
+    pub fn is_receiving_head(&self) -> bool {
+        self.requests == 0 && self.head_since.is_some()
+    }
+
     /// Returns when the connection exceeds a limit, and which one; `None` while a request is being
     /// handled.
     #[must_use]
--- a/relay/tests/activity.rs
+++ b/relay/tests/activity.rs
@@ -76,3 +76,18 @@
     activity.change_limits(at(1_500));
     assert_eq!(activity.deadline(&shorter), Some((at(1_520), Excess::Idle)));
 }
+
+#[test]
+fn a_head_is_arriving_until_its_request_begins() {
+    let mut activity = Activity::new(at(0));
+    assert!(!activity.is_receiving_head());
+    activity.receive(at(10));
+    assert!(activity.is_receiving_head());
+    activity.begin();
+    activity.receive(at(20));
+    assert!(!activity.is_receiving_head(), "the bytes are the body's");
+    activity.end(at(30));
+    assert!(!activity.is_receiving_head());
+    activity.receive(at(40));
+    assert!(activity.is_receiving_head());
+}
