fix(relay): read the first request of a connection that is opened as the entry stops

Callers that opened a connection to an entry that stops, or had just opened one, got no answer: the connection was closed before its request was read, even if the whole request had arrived.

Cause: a connection on which nothing has been read counted as idle. A socket that has just been accepted is not known to be readable before the event loop has looked at it, so the close always came first while idle connections are closed.

Evidence: a_connection_that_has_just_been_opened_is_answered_by_an_entry_that_stops failed before, for a connection opened before that moment and for one opened after it.

The first request is awaited for a second after the opening, as long as callers allow a connection to be established, and is answered with `Connection: close`. An unused connection that is older is closed at once, as before (an_unused_connection_does_not_hold_up_a_stop).

--- a/relay/src/listener.rs
+++ b/relay/src/listener.rs
@@ -15,7 +15,7 @@
 use medlarfall_coordination::routing::Limits;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
-use tokio::time::Sleep;
+use tokio::time::{Instant, Sleep, timeout_at};
 use tokio_util::task::TaskTracker;
 
 use crate::codec::Codec;
@@ -27,7 +27,7 @@
 mod discard;
 mod socket;
 
-use activity::Excess;
+use activity::{Activity, Excess};
 use body::Tracked;
 use socket::{Socket, Tracker};
 
@@ -39,6 +39,9 @@
 /// Pause after a failed accept, usually for lack of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
+/// Time from the opening of a connection for which its first request is awaited at a stop.
+const FIRST_REQUEST_TIME: Duration = Duration::from_secs(1);
+
 /// Accepts connections until the task is aborted.
 pub async fn serve<C: Codec>(relay: Arc<Relay<C>>, listener: TcpListener, tracker: TaskTracker) {
     loop {
@@ -59,6 +62,7 @@
     if let Err(error) = set_options(&stream) {
         log::debug!(reason = error.to_string().as_str(); "socket options of a caller's connection not set");
     }
+    let opened = Instant::now();
     let tracker = Tracker::new(relay.clock);
     let mut limits = relay.limits.subscribe();
     let mut draining = relay.draining.subscribe();
@@ -84,7 +88,9 @@
         .serve_connection(TokioIo::new(socket), service);
     let closing = async {
         let _ = draining.wait_for(|draining| *draining).await;
-        head_received(&tracker).await;
+        let used = wait_for(&tracker, |activity| !activity.is_unused());
+        let _ = timeout_at(opened + FIRST_REQUEST_TIME, used).await;
+        wait_for(&tracker, |activity| !activity.is_receiving_head()).await;
     };
     let timer = tokio::time::sleep(Duration::ZERO);
     tokio::pin!(connection, closing, timer);
@@ -121,13 +127,14 @@
     }
 }
 
-/// Waits while the head of a request is arriving. It is polled after the connection, in the same task.
-async fn head_received(tracker: &Tracker) {
+/// Waits until the activity of a connection meets a condition. It is polled after the connection, in the
+/// same task.
+async fn wait_for(tracker: &Tracker, condition: impl Fn(&Activity) -> bool) {
     poll_fn(|_| {
-        if tracker.with(|activity| activity.is_receiving_head()) {
-            Poll::Pending
-        } else {
+        if tracker.with(|activity| condition(activity)) {
             Poll::Ready(())
+        } else {
+            Poll::Pending
         }
     })
     .await;
--- a/relay/src/listener/activity.rs
+++ b/relay/src/listener/activity.rs
@@ -21,6 +21,8 @@
 /// The use of one connection.
 #[derive(Clone, Copy, Debug)]
 pub struct Activity {
+    /// Whether the caller has sent nothing yet.
+    unused: bool,
     /// Requests that are being handled, until the end of their responses.
     requests: usize,
     /// When the first bytes of a head arrived that is not complete.
@@ -33,6 +35,7 @@
     #[must_use]
     pub fn new(now: Duration) -> Self {
         Self {
+            unused: true,
             requests: 0,
             head_since: None,
             idle_since: now,
@@ -41,6 +44,7 @@
 
     /// Records bytes from the caller.
     pub fn receive(&mut self, now: Duration) {
+        self.unused = false;
         if self.requests == 0 {
             self.head_since.get_or_insert(now);
         }
@@ -71,6 +75,12 @@
         self.head_since = self.head_since.map(|_| now);
     }
 
+    /// Returns whether the caller has sent nothing yet.
+    #[must_use]
+    pub fn is_unused(&self) -> bool {
+        self.unused
+    }
+
     /// Returns whether the head of a request has begun to arrive and is not complete.
     #[must_use]
     pub fn is_receiving_head(&self) -> bool {
