fix(relay): answer a request whose handler panics

A caller whose request met a panic got the end of its connection and no answer, and so did all later requests that it had pipelined.

Cause: a request is handled in the task of its connection, so a panic ended both. No such panic is known; the way was found by reading. Supervised tasks are started again after a panic, connections were not covered.

Evidence: a_request_whose_handler_panics_is_answered failed before ("the connection ended without an answer").

The handler's panic is caught at the request, which is answered with 500 (`internal`), since it may have run. The connection goes on. Locks ignore poisoning already, and reservations and counts are returned while the handler unwinds. A panic while a stream or a large response is being forwarded ends it without its end, as before.

--- a/relay/src/answer.rs
+++ b/relay/src/answer.rs
@@ -129,6 +129,8 @@
     Memory,
     /// This entry stops before the request could end; another entry can serve it.
     Stopping,
+    /// The handling of the request panicked; it may have run.
+    Internal,
 }
 
 impl Reason {
@@ -154,6 +156,7 @@
             | Self::Stopping => StatusCode::SERVICE_UNAVAILABLE,
             Self::Lost => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
+            Self::Internal => StatusCode::INTERNAL_SERVER_ERROR,
         }
     }
 
@@ -180,6 +183,7 @@
             Self::TooLate => "too_late",
             Self::Memory => "memory",
             Self::Stopping => "stopping",
+            Self::Internal => "internal",
         }
     }
 }
--- a/relay/src/ingress.rs
+++ b/relay/src/ingress.rs
@@ -1,9 +1,11 @@
 //! Receives a caller's request: finds its route and account, reads its body, and passes it to
 //! [`call`] or [`stream`].
 
+use std::panic::AssertUnwindSafe;
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures::FutureExt;
 use hyper::body::{Body as _, Incoming};
 use hyper::header::{CONNECTION, CONTENT_LENGTH, EXPECT, HOST, HeaderValue, TRANSFER_ENCODING};
 use hyper::http::request::Parts;
@@ -88,34 +90,27 @@
     }
 }
 
-/// Handles a request. Every error becomes a response to the caller. With a refusal that is given before
-/// the whole body has arrived, the body is returned too.
+/// Handles a request. Every error becomes a response to the caller, and so does a panic. With a refusal that
+/// is given before the whole body has arrived, the body is returned too.
 pub async fn handle<C: Codec>(
     relay: Arc<Relay<C>>,
     request: Request<Incoming>,
 ) -> (Response<Content>, Option<Incoming>) {
-    let began = relay.clock.now();
     let chunked = request.headers().contains_key(TRANSFER_ENCODING);
     let expects = request.headers().contains_key(EXPECT);
-    let head = relay.codec.decode_request(request.headers());
-    let id = head.as_ref().ok();
-    let id = id.map(|head| Arc::clone(&head.request_id));
     let (parts, mut body) = request.into_parts();
-    let received = receive(&relay, parts, &mut body, head, began).await;
-    let slow = matches!(&received, Err(refusal) if refusal.reason == Reason::BodyTooSlow);
-    let refused = received.is_err();
-    let unread = (refused && !body.is_end_stream()).then_some(body);
-    let mut response = match received {
-        Ok(job) if job.route.kind.is_stream() => stream::answer(&relay, job).await,
-        Ok(job) => call::answer(&relay, job).await,
-        Err(refusal) => {
-            log_refusal(&relay, &refusal, id.as_deref().unwrap_or(""));
-            refusal.response(&relay.codec, id.as_deref())
-        }
-    };
+    let handling = AssertUnwindSafe(answer(&relay, parts, &mut body)).catch_unwind();
+    let (mut response, refused) = handling.await.unwrap_or_else(|_| {
+        let refusal = Refusal::new(Reason::Internal);
+        let (status, name) = (refusal.reason.status().as_u16(), refusal.reason.name());
+        relay.metrics.count_ended("none", status, name);
+        log::error!(status, reason = name; "the handling of a request panicked");
+        (refusal.response(&relay.codec, None), Some(refusal.reason))
+    });
+    let unread = (refused.is_some() && !body.is_end_stream()).then_some(body);
     // Closes the connection after a chunked body, as a guard against request smuggling, and where the
     // rest of a body may never arrive.
-    let incomplete = unread.is_some() && (slow || expects);
+    let incomplete = unread.is_some() && (refused == Some(Reason::BodyTooSlow) || expects);
     if chunked || incomplete || *relay.stopping.borrow() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
@@ -123,6 +118,27 @@
     (response, unread)
 }
 
+/// Answers a request. Returns the reason too if it was refused before it was placed.
+async fn answer<C: Codec>(
+    relay: &Arc<Relay<C>>,
+    parts: Parts,
+    body: &mut Incoming,
+) -> (Response<Content>, Option<Reason>) {
+    let began = relay.clock.now();
+    let head = relay.codec.decode_request(&parts.headers);
+    let id = head.as_ref().ok();
+    let id = id.map(|head| Arc::clone(&head.request_id));
+    match receive(relay, parts, body, head, began).await {
+        Ok(job) if job.route.kind.is_stream() => (stream::answer(relay, job).await, None),
+        Ok(job) => (call::answer(relay, job).await, None),
+        Err(refusal) => {
+            log_refusal(relay, &refusal, id.as_deref().unwrap_or(""));
+            let response = refusal.response(&relay.codec, id.as_deref());
+            (response, Some(refusal.reason))
+        }
+    }
+}
+
 fn log_refusal<C: Codec>(relay: &Relay<C>, refusal: &Refusal, request_id: &str) {
     let status = refusal.reason.status().as_u16();
     relay
