fix(relay): read on after a head that can't be parsed

Callers whose head the HTTP library refuses (431 beyond 64 KiB, 400 if it is malformed) had their connection reset while they were still sending, and could lose the refusal.

Cause: as for refused bodies, the connection was closed with unread bytes, or with some still on their way.

Evidence: a_caller_that_is_still_sending_a_head_that_is_refused_is_not_reset failed before ("Broken pipe").

After the refusal has been sent and the sending side is shut down, what still comes is read and discarded within the bounds for refused bodies. It is read from the bare socket, so nothing of it can become a request.

--- a/relay/src/listener.rs
+++ b/relay/src/listener.rs
@@ -82,7 +82,7 @@
     });
     let socket = Socket::new(stream, tracker.clone());
     // Limits change while the connection is open, which this server's own timer can't follow.
-    let connection = http1::Builder::new()
+    let mut connection = http1::Builder::new()
         .header_read_timeout(None)
         .max_buf_size(BUFFER_BYTES)
         .serve_connection(TokioIo::new(socket), service);
@@ -93,7 +93,7 @@
         wait_for(&tracker, |activity| !activity.is_receiving_head()).await;
     };
     let timer = tokio::time::sleep(Duration::ZERO);
-    tokio::pin!(connection, closing, timer);
+    tokio::pin!(closing, timer);
     let ended = loop {
         let current = *limits.borrow_and_update();
         // Reads what has arrived before it looks at the limits.
@@ -119,11 +119,15 @@
     let ended = if let Some(ended) = ended {
         ended
     } else {
-        connection.as_mut().graceful_shutdown();
-        connection.await
+        Pin::new(&mut connection).graceful_shutdown();
+        (&mut connection).await
     };
-    if let Err(error) = ended {
-        log::debug!(reason = error.to_string().as_str(); "connection of a caller ended with an error");
+    let Err(error) = ended else { return };
+    log::debug!(reason = error.to_string().as_str(); "connection of a caller ended with an error");
+    if error.is_parse() {
+        let limit = relay.limits.borrow().body_bytes;
+        let socket = connection.into_parts().io.into_inner();
+        discard::run_after_head(socket, limit).await;
     }
 }
 
--- a/relay/src/listener/discard.rs
+++ b/relay/src/listener/discard.rs
@@ -1,5 +1,5 @@
-//! Reads the rest of a request's body that was refused before it had arrived. Closing the connection with
-//! unread bytes would reset it, and the caller may lose the refusal.
+//! Reads the rest of a request that was refused before it had arrived. Closing the connection with unread
+//! bytes would reset it, and the caller may lose the refusal.
 
 use std::future::pending;
 use std::time::Duration;
@@ -7,11 +7,12 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use tokio::io::{AsyncReadExt, copy, sink};
 use tokio::time::timeout;
 
-use super::socket::Guard;
+use super::socket::{Guard, Socket};
 
-/// Longest time for which the rest of a body is awaited.
+/// Longest time for which the rest of a request is awaited.
 const TIME_LIMIT: Duration = Duration::from_secs(2);
 
 /// Factor on the largest body that is allowed: a body that was refused for its size is often not much
@@ -37,3 +38,17 @@
     }
     drop(request);
 }
+
+/// Discards what a caller sends after a head that can't be parsed, until it closes the connection or the time
+/// is up.
+pub(super) async fn run_after_head(socket: Socket, limit: usize) {
+    let limit = limit.saturating_mul(MARGIN);
+    let limit = u64::try_from(limit).unwrap_or(u64::MAX);
+    let reading = async {
+        let read = copy(&mut socket.take(limit), &mut sink()).await;
+        if read.is_ok_and(|length| length == limit) {
+            pending::<()>().await;
+        }
+    };
+    let _ = timeout(TIME_LIMIT, reading).await;
+}
