--- a/relay/src/ingress.rs
+++ b/relay/src/ingress.rs
@@ -1,12 +1,13 @@
 //! Receives a caller's request: finds its route and account, reads its body, and passes it to
 //! [`call`] or [`stream`].
 
-use std::convert::Infallible;
+use std::panic::AssertUnwindSafe;
 use std::sync::Arc;
 use std::time::Duration;
 
-use hyper::body::Incoming;
-use hyper::header::{CONNECTION, CONTENT_LENGTH, HOST, HeaderValue, TRANSFER_ENCODING};
+use futures::FutureExt;
+use hyper::body::{Body as _, Incoming};
+use hyper::header::{CONNECTION, CONTENT_LENGTH, EXPECT, HOST, HeaderValue, TRANSFER_ENCODING};
 use hyper::http::request::Parts;
 use hyper::{HeaderMap, Request, Response, Uri};
 use medlarfall_coordination::evidence::Cohort;
@@ -89,37 +90,53 @@
     }
 }
 
-/// Handles a request.
-///
-/// # Errors
-///
-/// Never fails: every error becomes a response to the caller.
+/// Handles a request. Every error becomes a response to the caller, and so does a panic. With a refusal that
+/// is given before the whole body has arrived, the body is returned too.
 pub async fn handle<C: Codec>(
     relay: Arc<Relay<C>>,
     request: Request<Incoming>,
-) -> Result<Response<Content>, Infallible> {
-    let began = relay.clock.now();
+) -> (Response<Content>, Option<Incoming>) {
     let chunked = request.headers().contains_key(TRANSFER_ENCODING);
-    let head = relay.codec.decode_request(request.headers());
+    let expects = request.headers().contains_key(EXPECT);
+    let (parts, mut body) = request.into_parts();
+    let handling = AssertUnwindSafe(answer(&relay, parts, &mut body)).catch_unwind();
+    let (mut response, refused) = handling.await.unwrap_or_else(|_| {
+        let refusal = Refusal::new(Reason::Internal);
+        let (status, name) = (refusal.reason.status().as_u16(), refusal.reason.name());
+        relay.metrics.count_ended("none", status, name);
+        log::error!(status, reason = name; "the handling of a request panicked");
+        (refusal.response(&relay.codec, None), Some(refusal.reason))
+    });
+    let unread = (refused.is_some() && !body.is_end_stream()).then_some(body);
+    // Closes the connection after a chunked body, as a guard against request smuggling, and where the
+    // rest of a body may never arrive.
+    let incomplete = unread.is_some() && (refused == Some(Reason::BodyTooSlow) || expects);
+    if chunked || incomplete || *relay.stopping.borrow() {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(CONNECTION, close);
+    }
+    (response, unread)
+}
+
+/// Answers a request. Returns the reason too if it was refused before it was placed.
+async fn answer<C: Codec>(
+    relay: &Arc<Relay<C>>,
+    parts: Parts,
+    body: &mut Incoming,
+) -> (Response<Content>, Option<Reason>) {
+    let began = relay.clock.now();
+    let head = relay.codec.decode_request(&parts.headers);
     let id = head.as_ref().ok();
     let id = id.map(|head| Arc::clone(&head.request_id));
-    let received = receive(&relay, request, head, began).await;
-    let slow = matches!(&received, Err(refusal) if refusal.reason == Reason::BodyTooSlow);
-    let mut response = match received {
-        Ok(job) if job.route.kind.is_stream() => stream::answer(&relay, job).await,
-        Ok(job) => call::answer(&relay, job).await,
+    match receive(relay, parts, body, head, began).await {
+        Ok(job) if job.route.kind.is_stream() => (stream::answer(relay, job).await, None),
+        Ok(job) => (call::answer(relay, job).await, None),
         Err(refusal) => {
-            log_refusal(&relay, &refusal, id.as_deref().unwrap_or(""));
-            refusal.response(&relay.codec, id.as_deref())
+            log_refusal(relay, &refusal, id.as_deref().unwrap_or(""));
+            let response = refusal.response(&relay.codec, id.as_deref());
+            (response, Some(refusal.reason))
         }
-    };
-    // Closes the connection after a chunked body, as a guard against request smuggling, and where the
-    // rest of a body may still arrive.
-    if chunked || slow || *relay.stopping.borrow() {
-        let close = HeaderValue::from_static("close");
-        response.headers_mut().insert(CONNECTION, close);
     }
-    Ok(response)
 }
 
 fn log_refusal<C: Codec>(relay: &Relay<C>, refusal: &Refusal, request_id: &str) {
@@ -133,16 +150,16 @@
     );
 }
 
-/// Validates a request and reads its body.
+/// Validates a request and reads its body, which a refusal may leave unread.
 async fn receive<C: Codec>(
     relay: &Arc<Relay<C>>,
-    request: Request<Incoming>,
+    parts: Parts,
+    body: &mut Incoming,
     head: Result<Head, Invalid>,
     began: Duration,
 ) -> Result<Job, Refusal> {
     let head = head.map_err(|_| Refusal::new(Reason::Malformed))?;
     let table = table(relay).await?;
-    let (parts, body) = request.into_parts();
     if head_bytes(&parts) > table.limits.header_bytes * HEAD_MARGIN {
         return Err(Refusal::new(Reason::HeadTooLarge));
     }
--- a/relay/src/listener.rs
+++ b/relay/src/listener.rs
@@ -1,5 +1,6 @@
 //! Accepts callers' connections, serves each on its own task, and closes them gracefully at a stop.
 
+use std::convert::Infallible;
 use std::future::poll_fn;
 use std::io;
 use std::pin::Pin;
@@ -7,13 +8,14 @@
 use std::task::Poll;
 use std::time::Duration;
 
-use futures::TryFutureExt;
+use futures::FutureExt;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use medlarfall_coordination::routing::Limits;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::time::Sleep;
+use tokio::sync::Notify;
+use tokio::time::{Instant, Sleep, timeout_at};
 use tokio_util::task::TaskTracker;
 
 use crate::codec::Codec;
@@ -22,9 +24,10 @@
 
 pub mod activity;
 mod body;
+mod discard;
 mod socket;
 
-use activity::Excess;
+use activity::{Activity, Excess};
 use body::Tracked;
 use socket::{Socket, Tracker};
 
@@ -36,6 +39,9 @@
 /// Pause after a failed accept, usually for lack of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
+/// Time from the opening of a connection for which its first request is awaited at a stop.
+const FIRST_REQUEST_TIME: Duration = Duration::from_secs(1);
+
 /// Accepts connections until the task is aborted.
 pub async fn serve<C: Codec>(relay: Arc<Relay<C>>, listener: TcpListener, tracker: TaskTracker) {
     loop {
@@ -56,30 +62,47 @@
     if let Err(error) = set_options(&stream) {
         log::debug!(reason = error.to_string().as_str(); "socket options of a caller's connection not set");
     }
+    let opened = Instant::now();
     let tracker = Tracker::new(relay.clock);
     let mut limits = relay.limits.subscribe();
     let mut draining = relay.draining.subscribe();
+    let discarded = Arc::new(Notify::new());
     let service = service_fn(|request| {
         let guard = tracker.begin();
         let handling = ingress::handle(Arc::clone(&relay), request);
-        handling.map_ok(|response| response.map(|content| Tracked::new(content, guard)))
+        handling.map(|(response, unread)| {
+            if let Some(body) = unread {
+                let limit = relay.limits.borrow().body_bytes;
+                let discarding = discard::run(body, limit, tracker.begin());
+                let discarded = Arc::clone(&discarded);
+                tokio::spawn(discarding.map(move |()| discarded.notify_one()));
+            }
+            Ok::<_, Infallible>(response.map(|content| Tracked::new(content, guard)))
+        })
     });
     let socket = Socket::new(stream, tracker.clone());
     // Limits change while the connection is open, which this server's own timer can't follow.
-    let connection = http1::Builder::new()
+    let mut connection = http1::Builder::new()
         .header_read_timeout(None)
         .max_buf_size(BUFFER_BYTES)
         .serve_connection(TokioIo::new(socket), service);
-    let closing = async { draining.wait_for(|draining| *draining).await.map(drop) };
+    let closing = async {
+        let _ = draining.wait_for(|draining| *draining).await;
+        let used = wait_for(&tracker, |activity| !activity.is_unused());
+        let _ = timeout_at(opened + FIRST_REQUEST_TIME, used).await;
+        wait_for(&tracker, |activity| !activity.is_receiving_head()).await;
+    };
     let timer = tokio::time::sleep(Duration::ZERO);
-    tokio::pin!(connection, closing, timer);
+    tokio::pin!(closing, timer);
     let ended = loop {
         let current = *limits.borrow_and_update();
         // Reads what has arrived before it looks at the limits.
         tokio::select! {
             biased;
             ended = &mut connection => break Some(ended),
-            _ = &mut closing => break None,
+            () = &mut closing => break None,
+            // The idle time begins anew.
+            () = discarded.notified() => {}
             Ok(()) = limits.changed() => {
                 let now = tracker.clock.now();
                 tracker.with(|activity| activity.change_limits(now));
@@ -96,14 +119,31 @@
     let ended = if let Some(ended) = ended {
         ended
     } else {
-        connection.as_mut().graceful_shutdown();
-        connection.await
+        Pin::new(&mut connection).graceful_shutdown();
+        (&mut connection).await
     };
-    if let Err(error) = ended {
-        log::debug!(reason = error.to_string().as_str(); "connection of a caller ended with an error");
+    let Err(error) = ended else { return };
+    log::debug!(reason = error.to_string().as_str(); "connection of a caller ended with an error");
+    if error.is_parse() {
+        let limit = relay.limits.borrow().body_bytes;
+        let socket = connection.into_parts().io.into_inner();
+        discard::run_after_head(socket, limit).await;
     }
 }
 
+/// Waits until the activity of a connection meets a condition. It is polled after the connection, in the
+/// same task.
+async fn wait_for(tracker: &Tracker, condition: impl Fn(&Activity) -> bool) {
+    poll_fn(|_| {
+        if tracker.with(|activity| condition(activity)) {
+            Poll::Ready(())
+        } else {
+            Poll::Pending
+        }
+    })
+    .await;
+}
+
 /// Waits until a connection exceeds a limit. It is polled after the connection, in the same task.
 async fn exceeded(tracker: &Tracker, limits: &Limits, mut timer: Pin<&mut Sleep>) -> Excess {
     poll_fn(|context| {
