fix(coordination): use a removed server again that a restored store still lists

A live server could get no requests until an entry restarted: it was silent for three heartbeat intervals, so the store removed its registration, and then the store came back from a copy that has it.

Cause: a registration of a copy that is not newer than the one known at the removal is left out, since a server that is gone would be used again. A server that is alive need not write it again: its registration changes only when more than its number does. So no further change came, and it was left out for good.

The registration is now held back instead. If the store still has it when it would have removed that of a silent server again, the server is alive and is used. Servers that were leaving, or said so, stay out; a removal or a list without it drops what is held back.

a_removed_server_that_a_copy_lists_returns_if_it_stays_listed fails before. Found by review.

--- a/coordination/src/registry.rs
+++ b/coordination/src/registry.rs
@@ -21,6 +21,10 @@
 /// that it leaves. A store is restored from copies that are some seconds old.
 const REMOVED_TIME: Duration = Duration::from_mins(2);
 
+/// Time after [`LAPSE_GRACE`] by which a restored store has removed the registrations of silent servers again,
+/// as the platform does after three heartbeat intervals.
+pub const COPY_GRACE: Duration = Duration::from_secs(8);
+
 /// The registration of a backend server.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Server {
@@ -52,11 +56,16 @@
 }
 
 /// The last registration of a server that was removed.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct Removed {
     revision: Revision,
     age: Age,
+    /// Whether the server was leaving.
+    leaving: bool,
     at: Duration,
+    /// The registration that a restored store still has. A server that is silent or gone is removed again;
+    /// one that is alive need not write it again.
+    listed: Option<Record>,
 }
 
 /// What a server said of its leaving.
@@ -182,8 +191,17 @@
     /// restored from a copy. A server that was known to be leaving or gone would be used again.
     fn is_from_copy(&mut self, server: &Server, sequence: u64, revision: Revision) -> bool {
         let age = (server.started_ms, sequence);
-        if let Some(removed) = self.removed.get(&server.id) {
-            return removed.revision.is_of_earlier_era(revision) && age <= removed.age;
+        if let Some(removed) = self.removed.get_mut(&server.id) {
+            let from_copy = removed.revision.is_of_earlier_era(revision) && age <= removed.age;
+            if from_copy && !removed.leaving && !server.leaving {
+                removed.listed = Some(Record {
+                    server: Arc::new(server.clone()),
+                    sequence,
+                    revision,
+                    lapsed: false,
+                });
+            }
+            return from_copy;
         }
         match self.records.get_mut(&server.id) {
             Some(known) if known.revision.is_of_earlier_era(revision) && age < known.age() => {
@@ -278,6 +296,7 @@
             let removed = self.removed.entry(Arc::from(id)).or_default();
             removed.revision = revision.max(removed.revision);
             removed.at = now;
+            removed.listed = None;
             return Effect::Stale;
         };
         if revision < record.revision {
@@ -290,7 +309,9 @@
         let removed = Removed {
             revision,
             age: record.age(),
+            leaving: record.server.leaving,
             at: now,
+            listed: None,
         };
         self.records.remove(id);
         self.removed.insert(Arc::from(id), removed);
@@ -308,13 +329,40 @@
         for id in missing {
             self.remove(&id, revision, now);
         }
+        for (id, removed) in &mut self.removed {
+            removed
+                .listed
+                .take_if(|record| !listed.contains(id) && record.revision <= revision);
+        }
+    }
+
+    /// Registers the removed servers that a restored store has had registered for so long that they are
+    /// alive, and returns their names.
+    pub fn accept_listed(&mut self, now: Duration) -> Vec<Arc<str>> {
+        if !self.settled(now.saturating_sub(COPY_GRACE)) {
+            return Vec::new();
+        }
+        let listed = self.removed.values_mut();
+        let listed: Vec<Record> = listed.filter_map(|removed| removed.listed.take()).collect();
+        let mut accepted = Vec::new();
+        for record in listed {
+            let id = Arc::clone(&record.server.id);
+            self.removed.remove(&id);
+            let server = Arc::unwrap_or_clone(record.server);
+            let effect = self.register(server, record.sequence, record.revision);
+            if effect == Effect::Joined {
+                accepted.push(id);
+            }
+        }
+        accepted
     }
 
     /// Removes the servers that have not registered again within the grace period, and returns their
     /// names.
     pub fn expire(&mut self, now: Duration) -> Vec<Arc<str>> {
-        self.removed
-            .retain(|_, removed| now.saturating_sub(removed.at) < REMOVED_TIME);
+        self.removed.retain(|_, removed| {
+            removed.listed.is_some() || now.saturating_sub(removed.at) < REMOVED_TIME
+        });
         let records = &self.records;
         self.departures.retain(|id, departure| {
             records.contains_key(id) || now.saturating_sub(departure.at) < REMOVED_TIME
--- a/coordination/tests/registry.rs
+++ b/coordination/tests/registry.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use medlarfall_coordination::history::Revision;
-use medlarfall_coordination::registry::{Effect, LAPSE_GRACE, Registry, Server};
+use medlarfall_coordination::registry::{COPY_GRACE, Effect, LAPSE_GRACE, Registry, Server};
 
 const NOW: Duration = Duration::from_secs(100);
 
@@ -189,6 +189,38 @@
     );
 }
 
+#[test]
+fn a_removed_server_that_a_copy_lists_returns_if_it_stays_listed() {
+    let mut registry = Registry::new();
+    for (id, port) in [("a", 1), ("b", 2), ("c", 3)] {
+        registry.register(server(id, port), 3, at(5));
+        assert_eq!(registry.remove(id, at(9), NOW), Effect::Gone);
+    }
+    registry.register(leaving("d", 4), 4, at(10));
+    assert_eq!(registry.remove("d", at(11), NOW), Effect::Gone);
+    registry.store_restored(NOW);
+    for (id, port) in [("a", 1), ("b", 2), ("c", 3), ("d", 4)] {
+        registry.register(server(id, port), 3, restored(5));
+    }
+    let listed = ["a", "c", "d"].map(Arc::from);
+    registry.retain(&HashSet::from(listed), restored(7), NOW);
+    registry.remove("c", restored(8), NOW);
+    let returns_at = NOW + LAPSE_GRACE + COPY_GRACE;
+    let just_before = returns_at.saturating_sub(Duration::from_millis(1));
+    assert!(registry.accept_listed(just_before).is_empty());
+    registry.store_lost();
+    assert!(registry.accept_listed(returns_at).is_empty(), "store down");
+    registry.store_responded(NOW);
+    assert_eq!(registry.accept_listed(returns_at), [Arc::from("a")]);
+    assert_eq!(ready(&registry), ["a"]);
+    assert!(registry.accept_listed(returns_at).is_empty());
+    assert_eq!(
+        registry.remove("a", restored(9), returns_at),
+        Effect::Gone,
+        "its revision is that of the copy"
+    );
+}
+
 #[test]
 fn a_live_server_that_a_copy_lacks_or_shows_as_it_was_is_kept() {
     let mut registry = Registry::new();
@@ -287,6 +319,7 @@
                     _ => {
                         now += Duration::from_millis(50);
                         registry.expire(now);
+                        registry.accept_listed(now + Duration::from_secs(u64::from(*age)));
                     }
                 }
                 for ready in registry.ready("briefs") {
--- a/relay/src/state/servers.rs
+++ b/relay/src/state/servers.rs
@@ -110,25 +110,29 @@
         );
     }
 
-    /// Records whether the store is available, and drops servers that did not return after an
-    /// outage.
+    /// Records whether the store is available, drops servers that did not return after an outage, and
+    /// adds removed ones that a restored store has kept.
     pub fn set_store_available(&self, available: bool) {
         let now = self.clock.now();
-        let expired = self.view(|view| {
+        let (expired, accepted) = self.view(|view| {
             if available {
                 view.registry.store_responded(now);
             } else {
                 view.registry.store_lost();
             }
             let expired = view.registry.expire(now);
-            for id in &expired {
+            let accepted = view.registry.accept_listed(now);
+            for id in expired.iter().chain(&accepted) {
                 view.update_backends(&self.settings, id);
             }
-            expired
+            (expired, accepted)
         });
         for id in &expired {
             self.registry_changed(Effect::Gone, id, Source::Store, Revision::default());
         }
+        for id in &accepted {
+            self.registry_changed(Effect::Joined, id, Source::Store, Revision::default());
+        }
     }
 
     fn registry_changed(&self, effect: Effect, id: &str, source: Source, revision: Revision) {
