fix(relay): keep a cleared prompt clear when its record returns with a copy

Callers were refused for two minutes with a prompt that had been found to be sound: an answer had cleared it, its record was deleted, and the store came back from a copy that still has the record.

Cause: a record of a restored store counted as news, although its number is only valid within one history. A record with the revision number under which this entry knew it before the restore is the same one, and says nothing that the entry has not known. It no longer blocks; as it is not blocked, the record is then deleted as any other that is over. Records that this entry did not know, and those written again, block as before.

--- a/relay/src/state/prompts.rs
+++ b/relay/src/state/prompts.rs
@@ -6,7 +6,7 @@
 use medlarfall_coordination::dissemination::Prompts;
 use medlarfall_coordination::history::Revision;
 use medlarfall_coordination::placement::name_hash;
-use medlarfall_coordination::quarantine::{self, Combination, Loss, Part, Turn};
+use medlarfall_coordination::quarantine::{self, Combination, FIRST_TIME, Loss, Part, Turn};
 
 use crate::codec::Codec;
 
@@ -143,14 +143,23 @@
         let now = self.clock.now();
         self.change_prompts(|view| {
             let Some(parts) = parts else {
-                let known = view.recorded_prompts.remove(key);
-                let lost = known.filter(|(_, known)| known.is_of_earlier_era(revision));
-                view.lost_prompt_records
-                    .extend(lost.map(|(parts, _)| parts));
+                match view.recorded_prompts.remove(key) {
+                    Some((parts, known)) if known.is_of_earlier_era(revision) => {
+                        view.lost_prompt_records.insert(parts);
+                    }
+                    Some((_, known)) => {
+                        let removed = &mut view.removed_prompt_records;
+                        removed.retain(|_, (_, at)| now.saturating_sub(*at) < FIRST_TIME);
+                        removed.insert(Arc::clone(key), (known, now));
+                    }
+                    None => {}
+                }
                 return;
             };
             view.lost_prompt_records.remove(&parts);
-            view.prompts.adopt(&parts, now);
+            if !view.knew_prompt_record(key, revision) {
+                view.prompts.adopt(&parts, now);
+            }
             view.recorded_prompts
                 .insert(Arc::clone(key), (parts, revision));
         });
@@ -209,6 +218,18 @@
         requests
     }
 
+    /// Returns whether a record of a restored store is one that was known before the restore: it says nothing
+    /// new, and an answer may have cleared the combination since.
+    fn knew_prompt_record(&self, key: &str, revision: Revision) -> bool {
+        let recorded = self.recorded_prompts.get(key).map(|(_, known)| *known);
+        let removed = self
+            .removed_prompt_records
+            .get(key)
+            .map(|(known, _)| *known);
+        let known = recorded.or(removed).unwrap_or_default();
+        known.number == revision.number && known.is_of_earlier_era(revision)
+    }
+
     /// Announces parts of answered prompts that were suspect.
     fn announce_answered(&mut self, parts: Vec<Part>, now: Duration) {
         if !parts.is_empty() {
--- a/relay/src/state/view.rs
+++ b/relay/src/state/view.rs
@@ -49,6 +49,9 @@
     pub(super) prompts: quarantine::Tracker,
     /// Blocked combinations that are recorded in the store: their parts and the revision, by key.
     pub(super) recorded_prompts: HashMap<Arc<str>, (Arc<[Part]>, Revision)>,
+    /// Records of blocked combinations that were removed from the store: the revision of each, and when it
+    /// was removed, by key.
+    pub(super) removed_prompt_records: HashMap<Arc<str>, (Revision, Duration)>,
     /// Combinations whose records the store lost when it was restored.
     pub(super) lost_prompt_records: HashSet<Arc<[Part]>>,
     /// Pauses that servers asked for.
@@ -84,6 +87,7 @@
             pending_searches: Vec::new(),
             prompts: quarantine::Tracker::default(),
             recorded_prompts: HashMap::new(),
+            removed_prompt_records: HashMap::new(),
             lost_prompt_records: HashSet::new(),
             pauses: Pauses::default(),
             returns: HashMap::new(),
