fix(relay): record the end of a move only once a restored store has its order

An entry that read the store wrote the end of a move ten times a second, for up to two seconds, while the restored store lacked the order: calls that cost and that the limit on writes counts, and the end of a move for operators who have given no order.

Cause: an end in an era after that of the order is taken for the end of an earlier order, so the entry's own write did not count as recorded and was tried again. While the order is not settled, ends are now left until the operators have written it again.

the_end_of_a_move_is_not_written_before_a_restored_store_has_its_order_again fails before.

--- a/relay/src/state/moves.rs
+++ b/relay/src/state/moves.rs
@@ -216,13 +216,16 @@
         unsettled || !open.is_empty()
     }
 
-    /// Returns the ended moves whose end is not recorded.
+    /// Returns the ended moves whose end is not recorded and whose order the store has. An end written before
+    /// its order does not count, and would be written again in each round.
     #[must_use]
     pub fn unrecorded_moves(&self) -> Vec<MoveEnd> {
         self.view(|view| {
             let canaries = view.canaries.iter();
-            let unrecorded =
-                canaries.filter(|(service, _)| !view.recorded_moves.contains(*service));
+            let unrecorded = canaries.filter(|(service, _)| {
+                !view.recorded_moves.contains(*service)
+                    && !view.unsettled_orders.contains_key(*service)
+            });
             let ended = unrecorded.filter_map(|(service, canary)| {
                 Some(MoveEnd {
                     service: Arc::clone(service),
