fix(relay): ask a store that responds again for its era without waiting

A configuration that was acknowledged just after a restore came into force up to 2.9 s later, against a target of 2 s.

Cause: the first watch after an outage waits up to 1.2 s for changes. If the restored store has exactly the revision that is known, as it has when all that it lost was written again before it is read, there are none after it: its answer, and with it the new era, came only at the end of that wait, after a watch that had fallen silent for 1.6 s.

Until a call has succeeded, a watch now waits 20 ms. Its time limit stays, since a slow store would not be found to respond otherwise. It costs one call for each outage and reader.

--- a/relay/src/store_watch.rs
+++ b/relay/src/store_watch.rs
@@ -28,6 +28,10 @@
 /// add up to 1.7 s.
 const WATCH_TIME: Duration = Duration::from_millis(1_200);
 
+/// Time that a watch waits for changes while it is not known whether the store responds. The era of a store
+/// that was restored and has the known revision again appears only in the response.
+const FIRST_WATCH_TIME: Duration = Duration::from_millis(20);
+
 /// Time that a call may take on top of its own wait.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -181,7 +185,12 @@
         }
         Position::At(revision) => {
             relay.metrics.count_store_call(StoreCall::Watch);
-            let watching = store.watch("", revision.number, WATCH_TIME);
+            let wait = if relay.reads_store.load(Ordering::Relaxed) {
+                WATCH_TIME
+            } else {
+                FIRST_WATCH_TIME
+            };
+            let watching = store.watch("", revision.number, wait);
             let Changes {
                 changes,
                 revision: number,
