fix(relay): do not warm a server up again by a copy of its registration

A version that is slow could be kept after a restore of the store: the warm-up that remained when a server registered applied anew, from the moment at which the copy was read, and times of servers that warm up are left out of the comparison of versions.

Cause: the remaining time counted from each reading of a registration, also of one that was known or is older. Now the warm-up of a start ends at the earliest time that any of its registrations gives (coordination::warmup).

--- a/coordination/src/lib.rs
+++ b/coordination/src/lib.rs
@@ -36,3 +36,4 @@
 pub mod schedule;
 pub mod server_limit;
 pub mod server_pause;
+pub mod warmup;
--- a/relay/src/state/moves.rs
+++ b/relay/src/state/moves.rs
@@ -177,7 +177,7 @@
                 Cohort::Baseline
             };
             // Timings of a server that is warming up are ignored, whatever its version.
-            let warming_up = view.warmups.get(&server.id).is_some_and(|end| now < *end);
+            let warming_up = view.warmups.lasts(&server.id, now);
             let time = |time: Option<Duration>| time.filter(|_| !warming_up);
             let observation = Observation {
                 cohort,
--- a/relay/src/state/servers.rs
+++ b/relay/src/state/servers.rs
@@ -7,6 +7,7 @@
 use medlarfall_coordination::dissemination::Successor;
 use medlarfall_coordination::history::Revision;
 use medlarfall_coordination::registry::{Effect, Server};
+use medlarfall_coordination::server_pause::Start;
 
 use crate::codec::Codec;
 
@@ -36,10 +37,11 @@
         let id = Arc::clone(&server.id);
         let now = self.clock.now();
         let effect = self.view(|view| {
-            view.warmups.retain(|_, end| now < *end);
-            if !warmup.is_zero() {
-                view.warmups.insert(Arc::clone(&id), now + warmup);
-            }
+            let start = Start {
+                id: &id,
+                started_ms: server.started_ms,
+            };
+            view.warmups.record(start, warmup, now);
             let effect = view.registry.register(server, sequence, revision);
             if effect != Effect::Stale {
                 view.remove_unlisted();
--- a/relay/src/state/view.rs
+++ b/relay/src/state/view.rs
@@ -10,6 +10,7 @@
 use medlarfall_coordination::routing::Table;
 use medlarfall_coordination::server_limit::Returns;
 use medlarfall_coordination::server_pause::Pauses;
+use medlarfall_coordination::warmup::Warmups;
 use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
@@ -41,8 +42,8 @@
     pub(super) unsettled_orders: HashMap<Arc<str>, (Option<Order>, Revision)>,
     /// Services whose last move has a recorded end.
     pub(super) recorded_moves: HashSet<Arc<str>>,
-    /// End of the warm-up of recently started servers.
-    pub(super) warmups: HashMap<Arc<str>, Duration>,
+    /// Warm-ups of recently started servers.
+    pub(super) warmups: Warmups,
     pub(super) groups: Groups<Group>,
     pub(super) pending_searches: Vec<Arc<Backend>>,
     /// Prompts that crash servers.
@@ -82,7 +83,7 @@
             canaries: HashMap::new(),
             unsettled_orders: HashMap::new(),
             recorded_moves: HashSet::new(),
-            warmups: HashMap::new(),
+            warmups: Warmups::default(),
             groups: Groups::default(),
             pending_searches: Vec::new(),
             prompts: quarantine::Tracker::default(),
