fix(coordination): judge a canary's durations by the baseline's around them

Operators saw good versions taken back when both versions answered slowly shortly before the end of a move.

Cause: the look at the end compares all durations of the canary with all of the baseline. In the final shift most requests go to the canary, so noise that begins then is in many of its durations and in few of the baseline's.

Change: a duration of the canary is judged by the share of slow baseline durations that arrived around it, if that share is out of the usual; the tail for the mean of these shares bounds the probability (Hoeffding 1956).

--- a/coordination/src/evidence/sample.rs
+++ b/coordination/src/evidence/sample.rs
@@ -1,4 +1,8 @@
 //! Comparison of the durations of both versions by one look at the end of a stage.
+//!
+//! Noise that affects both versions may coincide with a change of their mix, as when most requests are
+//! shifted to the canary. Each canary duration is therefore judged by the baseline durations that
+//! arrived around it.
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -24,24 +28,52 @@
 /// Factor on the baseline's share of slow durations that is tolerated.
 const TOLERATED_FACTOR: f64 = 1.5;
 
-/// Durations of both versions.
+/// Largest share of slow durations that is tolerated.
+const MAX_TOLERATED_SHARE: f64 = 0.99;
+
+/// Baseline durations before a canary duration, and after it, by which it is judged.
+const NEIGHBOURS: usize = 6;
+
+/// Probability of the slow durations among these neighbours, at the baseline's usual share, below which
+/// they arrived at a time of noise.
+const NOISE_SIGNIFICANCE: f64 = 0.03;
+
+/// A duration of the canary.
+#[derive(Clone, Copy, Debug)]
+struct Placed {
+    duration: Duration,
+    /// Number of baseline durations that arrived before it.
+    position: usize,
+}
+
+/// Durations of both versions, in the order of their arrival.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Sample {
-    canary: VecDeque<Duration>,
+    canary: VecDeque<Placed>,
     baseline: VecDeque<Duration>,
+    /// Baseline durations that are no longer kept.
+    dropped: usize,
 }
 
 impl Sample {
     /// Adds a duration.
     pub(super) fn add(&mut self, cohort: Cohort, duration: Duration) {
-        let durations = match cohort {
-            Cohort::Baseline => &mut self.baseline,
-            Cohort::Canary => &mut self.canary,
-        };
-        if durations.len() >= CAPACITY {
-            durations.pop_front();
+        match cohort {
+            Cohort::Baseline => {
+                if self.baseline.len() >= CAPACITY {
+                    self.baseline.pop_front();
+                    self.dropped += 1;
+                }
+                self.baseline.push_back(duration);
+            }
+            Cohort::Canary => {
+                if self.canary.len() >= CAPACITY {
+                    self.canary.pop_front();
+                }
+                let position = self.dropped + self.baseline.len();
+                self.canary.push_back(Placed { duration, position });
+            }
         }
-        durations.push_back(duration);
     }
 
     /// Forgets the durations of the canary.
@@ -58,15 +90,28 @@
         let mut sorted: Vec<Duration> = self.baseline.iter().copied().collect();
         sorted.sort_unstable();
         let bound = sorted[(sorted.len() - 1) * QUANTILE / 100].mul_f64(SLOWNESS);
-        let slow = |durations: &VecDeque<Duration>| {
-            durations
-                .iter()
-                .filter(|duration| **duration > bound)
-                .count()
+        let slow: Vec<bool> = self.baseline.iter().map(|it| *it > bound).collect();
+        let count = |slow: &[bool]| slow.iter().filter(|slow| **slow).count();
+        let usual = number(count(&slow)) / number(slow.len());
+        let tolerated = |placed: &Placed| {
+            let position = placed.position.saturating_sub(self.dropped);
+            let first = position.saturating_sub(NEIGHBOURS);
+            let neighbours = &slow[first..(position + NEIGHBOURS).min(slow.len())];
+            let slow = count(neighbours);
+            let probability = upper_tail(neighbours.len(), slow, usual.max(TOLERATED_SHARE));
+            let share = if probability < NOISE_SIGNIFICANCE {
+                number(slow) / number(neighbours.len())
+            } else {
+                usual
+            };
+            (TOLERATED_FACTOR * share).clamp(TOLERATED_SHARE, MAX_TOLERATED_SHARE)
         };
-        let share = number(slow(&self.baseline)) / number(self.baseline.len());
-        let tolerated = (TOLERATED_FACTOR * share).max(TOLERATED_SHARE);
-        let probability = upper_tail(self.canary.len(), slow(&self.canary), tolerated);
+        // The sum of trials with different probabilities exceeds a value above its mean no more often than
+        // that of trials with their mean (Hoeffding 1956).
+        let total = self.canary.len();
+        let mean = self.canary.iter().map(tolerated).sum::<f64>() / number(total.max(1));
+        let bad = self.canary.iter().filter(|it| it.duration > bound).count();
+        let probability = upper_tail(total, bad, mean);
         probability < significance
     }
 }
--- a/coordination/tests/evidence.rs
+++ b/coordination/tests/evidence.rs
@@ -200,6 +200,33 @@
     assert!(alarms <= 2, "{alarms} of 100 taken back");
 }
 
+/// Returns the evidence after calls that end as shortly before the end of a move: usual ones, and then
+/// some of the old version that take `old_ms`, and all others of the new one that take `new_ms`.
+fn end_of_move(old_ms: u64, new_ms: u64) -> Evidence {
+    let mut evidence = Evidence::new(Tolerance::default(), 1);
+    let mut calls = |cohort, count, ms| {
+        for _ in 0..count {
+            evidence.observe(&Observation {
+                call: Some(Duration::from_millis(ms)),
+                ..Observation::failure(cohort, "", false)
+            });
+        }
+    };
+    for _ in 0..60 {
+        calls(Cohort::Baseline, 12, 60);
+        calls(Cohort::Canary, 1, 60);
+    }
+    calls(Cohort::Baseline, 6, old_ms);
+    calls(Cohort::Canary, 12, new_ms);
+    evidence
+}
+
+#[test]
+fn noise_that_begins_as_requests_are_shifted_raises_no_doubt() {
+    assert_eq!(end_of_move(180, 180).doubt(), None);
+    assert!(end_of_move(60, 180).doubt().is_some(), "a slow version");
+}
+
 #[test]
 fn a_fault_of_one_route_is_detected_and_named() {
     let mut random = ChaCha8Rng::seed_from_u64(7);
