--- a/coordination/src/registry.rs
+++ b/coordination/src/registry.rs
@@ -2,9 +2,9 @@
 //! unavailable during outages of the store.
 //!
 //! A server that has registered as leaving, that says in an answer that it leaves, or whose
-//! registration was removed while the store was available, gets no new requests. A registration that lapsed during an outage does not mean that
-//! its server has failed: the server is kept until [`LAPSE_GRACE`] after the store has recovered, by
-//! which time a live server has registered again.
+//! registration was removed while the store was available, gets no new requests. A registration that
+//! lapsed during an outage does not mean that its server has failed: the server is kept until
+//! [`LAPSE_GRACE`] after the store has recovered, by which time a live server has registered again.
 
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
@@ -13,6 +13,11 @@
 
 use crate::history::Revision;
 
+mod removed;
+
+pub use removed::COPY_GRACE;
+use removed::Removed;
+
 /// Time after the recovery of the store within which live servers register again, as the platform
 /// specifies.
 pub const LAPSE_GRACE: Duration = Duration::from_secs(2);
@@ -21,10 +26,6 @@
 /// that it leaves. A store is restored from copies that are some seconds old.
 const REMOVED_TIME: Duration = Duration::from_mins(2);
 
-/// Time after [`LAPSE_GRACE`] by which a restored store has removed the registrations of silent servers again,
-/// as the platform does after three heartbeat intervals.
-pub const COPY_GRACE: Duration = Duration::from_secs(8);
-
 /// The registration of a backend server.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Server {
@@ -55,19 +56,6 @@
     lapsed: bool,
 }
 
-/// The last registration of a server that was removed.
-#[derive(Clone, Debug, Default)]
-struct Removed {
-    revision: Revision,
-    age: Age,
-    /// Whether the server was leaving.
-    leaving: bool,
-    at: Duration,
-    /// The registration that a restored store still has. A server that is silent or gone is removed again;
-    /// one that is alive need not write it again.
-    listed: Option<Record>,
-}
-
 /// What a server said of its leaving.
 #[derive(Clone, Copy, Debug)]
 struct Departure {
@@ -187,32 +175,6 @@
         effect
     }
 
-    /// Returns whether a registration is older than what was known of the server before the store was
-    /// restored from a copy. A server that was known to be leaving or gone would be used again.
-    fn is_from_copy(&mut self, server: &Server, sequence: u64, revision: Revision) -> bool {
-        let age = (server.started_ms, sequence);
-        if let Some(removed) = self.removed.get_mut(&server.id) {
-            let from_copy = removed.revision.is_of_earlier_era(revision) && age <= removed.age;
-            if from_copy && !removed.leaving && !server.leaving {
-                removed.listed = Some(Record {
-                    server: Arc::new(server.clone()),
-                    sequence,
-                    revision,
-                    lapsed: false,
-                });
-            }
-            return from_copy;
-        }
-        match self.records.get_mut(&server.id) {
-            Some(known) if known.revision.is_of_earlier_era(revision) && age < known.age() => {
-                known.revision = revision;
-                known.lapsed = false;
-                true
-            }
-            _ => false,
-        }
-    }
-
     /// Records that a server that started at `started_ms` said itself that it leaves. Whatever the store has
     /// of this start, the server is not ready again.
     pub fn record_departure(
@@ -336,27 +298,6 @@
         }
     }
 
-    /// Registers the removed servers that a restored store has had registered for so long that they are
-    /// alive, and returns their names.
-    pub fn accept_listed(&mut self, now: Duration) -> Vec<Arc<str>> {
-        if !self.settled(now.saturating_sub(COPY_GRACE)) {
-            return Vec::new();
-        }
-        let listed = self.removed.values_mut();
-        let listed: Vec<Record> = listed.filter_map(|removed| removed.listed.take()).collect();
-        let mut accepted = Vec::new();
-        for record in listed {
-            let id = Arc::clone(&record.server.id);
-            self.removed.remove(&id);
-            let server = Arc::unwrap_or_clone(record.server);
-            let effect = self.register(server, record.sequence, record.revision);
-            if effect == Effect::Joined {
-                accepted.push(id);
-            }
-        }
-        accepted
-    }
-
     /// Removes the servers that have not registered again within the grace period, and returns their
     /// names.
     pub fn expire(&mut self, now: Duration) -> Vec<Arc<str>> {
