fix(relay): send a stream once to each server that is full

Callers saw: nothing directly. A stream whose servers were all full reached them up to six times within milliseconds before it was refused, and each repetition took a retry of the service's budget, which streams that lost their server then lacked.

Cause: when all known servers had failed the stream, the list of excluded ones was cleared, and the wait that follows ends at once, as the full ones can be chosen again.

Evidence: a_stream_is_not_sent_again_to_servers_that_are_full, before: (2, 2) requests at two full servers instead of (1, 1), which used up the budget.

Change: servers that refused the stream, without a pause, stay excluded for the rest of the search. A search begins anew for each resume attempt, so that a stream under way still finds a server that has capacity again (a_stream_is_not_broken_off_if_several_servers_in_a_row_are_full). Servers that asked for a pause are governed by it, as before.

Tried first: a wait for another server to become known, for the time that is allowed when none is. The refusal of callers_that_may_not_use_another_version_are_told_the_end_of_a_pause then came late, for a request that could not be served. The refusal is given at once instead, as for calls.

--- a/relay/src/stream.rs
+++ b/relay/src/stream.rs
@@ -76,6 +76,8 @@
     job: Arc<Job>,
     last_event: Option<u64>,
     excluded: Vec<Arc<str>>,
+    /// Servers that refused the stream in the current search and named no pause.
+    refused_by: Vec<Arc<str>>,
     /// Failure domains in which the stream lost a server or could not reach one.
     avoided_domains: Vec<Arc<str>>,
     backup: Option<Arc<Backend>>,
@@ -131,6 +133,7 @@
         Self {
             last_event: job.head.last_event,
             excluded: Vec::new(),
+            refused_by: Vec::new(),
             avoided_domains: Vec::new(),
             backup: None,
             replacement: None,
@@ -180,6 +183,7 @@
     /// Opens the stream at a server; tries several in turn if needed.
     async fn open(&mut self) -> Result<Opened<C>, Refusal> {
         let mut refusals = 0;
+        self.refused_by.clear();
         let mut cache_holder = self.find_cache_holder().await;
         loop {
             if let Some(refusal) = self.prompt_refusal() {
@@ -289,7 +293,12 @@
                 self.retry_withdrawn = true;
                 self.avoid(&backend.server.failure_domain);
             }
-            Failure::NotRun { .. } => self.ran -= 1,
+            Failure::NotRun { .. } => {
+                self.ran -= 1;
+                if !self.relay.is_paused(backend) {
+                    self.refused_by.push(Arc::clone(&backend.server.id));
+                }
+            }
             Failure::Lost { disconnected, .. } => {
                 if *disconnected {
                     self.record_unanswered(backend);
@@ -307,7 +316,7 @@
     }
 
     /// Chooses the next server: the holder of the run's backup, or else any. Waits a short while if
-    /// none is known.
+    /// none is known, but not if some have refused the stream.
     async fn next(&mut self) -> Option<(Arc<Backend>, Option<Backup>)> {
         if let Some(resumed) = self.take_backup() {
             return Some(resumed);
@@ -315,16 +324,17 @@
         if let Some(backend) = self.relay.choose(self.criteria(&self.avoided_domains)) {
             return Some((backend, None));
         }
-        // All known servers have failed the stream; they may have recovered.
-        self.excluded.clear();
+        // All known servers have failed the stream; those that did not refuse it may have recovered.
+        self.excluded.clone_from(&self.refused_by);
         self.avoided_domains.clear();
         let longest = self.job.route.target_latency / SERVER_WAIT_FRACTION;
         let criteria = self.criteria(&[]);
-        let limit_wait = self.relay.limit_wait(criteria);
-        if limit_wait.is_some_and(|wait| wait > longest) {
-            return None;
-        }
-        let wait = limit_wait.unwrap_or(longest);
+        let wait = match self.relay.limit_wait(criteria) {
+            Some(wait) if wait > longest => return None,
+            Some(wait) => wait,
+            None if self.refused_by.is_empty() => longest,
+            None => Duration::ZERO,
+        };
         let mut changed = self.relay.changed.subscribe();
         let known = changed.wait_for(|_| self.relay.choose(criteria).is_some());
         let _ = tokio::time::timeout(wait, known).await;
