fix(relay): accept bodies that only a newer configuration allows

Callers saw: 413 for a body that the newest configuration allows, from an entry that does not know it yet. Callers do not try again after this status.

Cause: the size of a body was compared with the limit in the configuration that the entry knows. That one may be older than the caller's, and the refusal is final. Heads have had a margin for this.

Change: bodies have the margin of heads, twice the configured size. The memory for bodies is still reserved byte by byte, so the bound on what an entry holds is the same; a refusal for lack of memory allows a retry. The rest of a refused body is read up to twice the size that is accepted, as before.

--- a/relay/src/listener.rs
+++ b/relay/src/listener.rs
@@ -72,7 +72,7 @@
         let handling = ingress::handle(Arc::clone(&relay), request);
         handling.map(|(response, unread)| {
             if let Some(body) = unread {
-                let limit = relay.limits.borrow().body_bytes;
+                let limit = ingress::largest_body(&relay.limits.borrow());
                 let discarding = discard::run(body, limit, tracker.begin());
                 let discarded = Arc::clone(&discarded);
                 tokio::spawn(discarding.map(move |()| discarded.notify_one()));
@@ -125,7 +125,7 @@
     let Err(error) = ended else { return };
     log::debug!(reason = error.to_string().as_str(); "connection of a caller ended with an error");
     if error.is_parse() {
-        let limit = relay.limits.borrow().body_bytes;
+        let limit = ingress::largest_body(&relay.limits.borrow());
         let socket = connection.into_parts().io.into_inner();
         discard::run_after_head(socket, limit).await;
     }
