fix(relay): keep streams at their servers when the entry was suspended

Callers saw: streams that pause and are made anew at another server after their entry had been suspended for half a second or more. All streams of the entry leave their sound servers at once, which uses up the retry budget; those that get no retry of it wait until other limits end them.

Cause: the time limits on silence pass during the suspension. A suspension interrupts the wait for events of sockets, so that the expired timers fire first, before the bytes that the servers sent meanwhile are read. The runs look silent although they are not.

Why it works: the task yields once after the timer, and the runtime reads sockets before it goes on with tasks that have yielded. Bytes that have arrived count, as the response is polled before the silence. A run that is really silent ends one turn later.

Not covered: bytes that reach the machine only after the entry goes on.

--- a/relay/src/stream/silence.rs
+++ b/relay/src/stream/silence.rs
@@ -51,10 +51,13 @@
     /// at least.
     async fn silence(&mut self, check_at: Instant, limit: Instant) -> Silence {
         tokio::time::sleep_until(check_at).await;
-        tokio::select! {
+        let silence = tokio::select! {
             () = self.subscription.lost() => Silence::Server,
             () = tokio::time::sleep_until(limit) => Silence::Run,
-        }
+        };
+        // After a suspension of the process, timers fire before the bytes that arrived meanwhile are read.
+        tokio::task::yield_now().await;
+        silence
     }
 }
 
