fix(relay): read a request that arrived in a suspension before the idle time ends

Callers saw: a request on a kept connection that gets neither an answer nor a refusal. The connection is closed when the entry goes on after a suspension, although the request had arrived.

Cause: the idle time passes during the suspension, and its timer fires before the bytes that arrived meanwhile are read. The decision to close the connection was taken from this state.

Evidence: a_request_that_arrives_while_the_entry_is_suspended_is_answered (an idle time of 300 ms, SIGSTOP for 1.2 s), before: one answer instead of two.

Why it works: once the limit is reached, the task yields, after which the runtime has read the sockets; the connection is polled first, and the limit is looked at again. It holds for the time of a head too.

--- a/relay/src/listener.rs
+++ b/relay/src/listener.rs
@@ -15,6 +15,7 @@
 use medlarfall_coordination::routing::Limits;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
+use tokio::task::yield_now;
 use tokio::time::{Instant, Sleep, timeout_at};
 use tokio_util::task::TaskTracker;
 
@@ -146,6 +147,14 @@
 
 /// Waits until a connection exceeds a limit. It is polled after the connection, in the same task.
 async fn exceeded(tracker: &Tracker, limits: &Limits, mut timer: Pin<&mut Sleep>) -> Excess {
+    limit_reached(tracker, limits, timer.as_mut()).await;
+    // After a suspension of the process, timers fire before the bytes that arrived meanwhile are read.
+    yield_now().await;
+    limit_reached(tracker, limits, timer).await
+}
+
+/// Waits until a limit of a connection is reached.
+async fn limit_reached(tracker: &Tracker, limits: &Limits, mut timer: Pin<&mut Sleep>) -> Excess {
     poll_fn(|context| {
         loop {
             let Some((deadline, excess)) = tracker.with(|activity| activity.deadline(limits))
