--- a/relay/src/listener.rs
+++ b/relay/src/listener.rs
@@ -15,6 +15,7 @@
 use medlarfall_coordination::routing::Limits;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
+use tokio::task::yield_now;
 use tokio::time::{Instant, Sleep, timeout_at};
 use tokio_util::task::TaskTracker;
 
@@ -72,7 +73,7 @@
         let handling = ingress::handle(Arc::clone(&relay), request);
         handling.map(|(response, unread)| {
             if let Some(body) = unread {
-                let limit = relay.limits.borrow().body_bytes;
+                let limit = ingress::largest_body(&relay.limits.borrow());
                 let discarding = discard::run(body, limit, tracker.begin());
                 let discarded = Arc::clone(&discarded);
                 tokio::spawn(discarding.map(move |()| discarded.notify_one()));
@@ -125,7 +126,7 @@
     let Err(error) = ended else { return };
     log::debug!(reason = error.to_string().as_str(); "connection of a caller ended with an error");
     if error.is_parse() {
-        let limit = relay.limits.borrow().body_bytes;
+        let limit = ingress::largest_body(&relay.limits.borrow());
         let socket = connection.into_parts().io.into_inner();
         discard::run_after_head(socket, limit).await;
     }
@@ -146,6 +147,14 @@
 
 /// Waits until a connection exceeds a limit. It is polled after the connection, in the same task.
 async fn exceeded(tracker: &Tracker, limits: &Limits, mut timer: Pin<&mut Sleep>) -> Excess {
+    limit_reached(tracker, limits, timer.as_mut()).await;
+    // After a suspension of the process, timers fire before the bytes that arrived meanwhile are read.
+    yield_now().await;
+    limit_reached(tracker, limits, timer).await
+}
+
+/// Waits until a limit of a connection is reached.
+async fn limit_reached(tracker: &Tracker, limits: &Limits, mut timer: Pin<&mut Sleep>) -> Excess {
     poll_fn(|context| {
         loop {
             let Some((deadline, excess)) = tracker.with(|activity| activity.deadline(limits))
