Revert "fix(relay): accept bodies that only a newer configuration allows"

It let bodies of up to twice the size that the operators set reach servers, and two checks of that limit had to send more. The limit on bodies stays exact; that of heads, which costs no memory of a server, keeps its margin.

--- a/relay/src/ingress.rs
+++ b/relay/src/ingress.rs
@@ -11,7 +11,7 @@
 use hyper::http::request::Parts;
 use hyper::{HeaderMap, Request, Response, Uri};
 use medlarfall_coordination::evidence::Cohort;
-use medlarfall_coordination::routing::{Account, Limits, Route, Table};
+use medlarfall_coordination::routing::{Account, Route, Table};
 use xxhash_rust::xxh3::xxh3_64;
 
 use medlarfall_runtime::budget::Reservation;
@@ -35,9 +35,9 @@
 /// Retry delay of a request that another entry can serve immediately.
 const ELSEWHERE_PAUSE: Duration = Duration::from_millis(5);
 
-/// Factor on the configured sizes of heads and bodies. A caller may follow a newer configuration than this
-/// entry, and does not try again after a refusal for the size.
-const SIZE_MARGIN: usize = 2;
+/// Factor on the configured size of a head. A caller may follow a newer configuration than this entry,
+/// and does not try again after this refusal.
+const HEAD_MARGIN: usize = 2;
 
 /// Usual duration of a stream: prefill of one or two seconds and some 130 events of 40 ms.
 const STREAM_TIME: Duration = Duration::from_secs(7);
@@ -160,7 +160,7 @@
 ) -> Result<Job, Refusal> {
     let head = head.map_err(|_| Refusal::new(Reason::Malformed))?;
     let table = table(relay).await?;
-    if head_bytes(&parts) > table.limits.header_bytes.saturating_mul(SIZE_MARGIN) {
+    if head_bytes(&parts) > table.limits.header_bytes * HEAD_MARGIN {
         return Err(Refusal::new(Reason::HeadTooLarge));
     }
     let host = host(&parts.uri, &parts.headers).ok_or(Refusal::new(Reason::Malformed))?;
@@ -181,12 +181,11 @@
     }
     let timeout = head.timeout.unwrap_or(route.timeout);
     let deadline = began + timeout.min(route.timeout);
-    let largest = largest_body(&table.limits);
-    let body = read_body(body, largest, &relay.memory);
+    let body = read_body(body, table.limits.body_bytes, &relay.memory);
     let body = tokio::time::timeout_at(relay.clock.instant(deadline), body).await;
     let (body, reservation) = match body.map_err(|_| Refusal::new(Reason::BodyTooSlow))? {
         Ok(Some(body)) => body,
-        Ok(None) if relay.memory.available() < largest => {
+        Ok(None) if relay.memory.available() < table.limits.body_bytes => {
             return Err(Refusal::with_retry(Reason::Memory, CONFIGURATION_PAUSE));
         }
         Ok(None) => return Err(Refusal::new(Reason::BodyTooLarge)),
@@ -223,12 +222,6 @@
     })
 }
 
-/// Returns the size of the largest body that is accepted.
-#[must_use]
-pub fn largest_body(limits: &Limits) -> usize {
-    limits.body_bytes.saturating_mul(SIZE_MARGIN)
-}
-
 /// Returns the least number of bytes that a head took.
 fn head_bytes(parts: &Parts) -> usize {
     let headers = parts.headers.iter();
--- a/relay/src/listener.rs
+++ b/relay/src/listener.rs
@@ -73,7 +73,7 @@
         let handling = ingress::handle(Arc::clone(&relay), request);
         handling.map(|(response, unread)| {
             if let Some(body) = unread {
-                let limit = ingress::largest_body(&relay.limits.borrow());
+                let limit = relay.limits.borrow().body_bytes;
                 let discarding = discard::run(body, limit, tracker.begin());
                 let discarded = Arc::clone(&discarded);
                 tokio::spawn(discarding.map(move |()| discarded.notify_one()));
@@ -126,7 +126,7 @@
     let Err(error) = ended else { return };
     log::debug!(reason = error.to_string().as_str(); "connection of a caller ended with an error");
     if error.is_parse() {
-        let limit = ingress::largest_body(&relay.limits.borrow());
+        let limit = relay.limits.borrow().body_bytes;
         let socket = connection.into_parts().io.into_inner();
         discard::run_after_head(socket, limit).await;
     }
--- a/relay/src/listener/discard.rs
+++ b/relay/src/listener/discard.rs
@@ -15,12 +15,12 @@
 /// Longest time for which the rest of a request is awaited.
 const TIME_LIMIT: Duration = Duration::from_secs(2);
 
-/// Factor on the largest body that is accepted: a body that was refused for its size is often not much
+/// Factor on the largest body that is allowed: a body that was refused for its size is often not much
 /// larger.
 const MARGIN: usize = 2;
 
 /// Discards a body until it ends or the time is up. The request stays under way so long, so that its bytes
-/// don't count as the next request's. `limit` is the size of the largest body that is accepted.
+/// don't count as the next request's. `limit` is the size of the largest body that is allowed.
 pub(super) async fn run(mut body: Incoming, limit: usize, request: Guard) {
     let mut left = limit.saturating_mul(MARGIN);
     let reading = async {
