--- a/relay/src/stream.rs
+++ b/relay/src/stream.rs
@@ -18,8 +18,6 @@
 use crate::ingress::Job;
 use crate::metrics::Open;
 use crate::monitor::{self, Subscription};
-use crate::prompt_cache;
-use crate::rediscover;
 use crate::state::{Backend, Criteria, Measure, Measurement, Relay};
 
 use self::meter::Meter;
@@ -33,6 +31,7 @@
 mod occupancy;
 mod refusals;
 mod resumption;
+mod search;
 mod silence;
 
 /// Load, in streams, that is added to servers in another failure domain.
@@ -41,9 +40,6 @@
 /// Retry delay when no server is available or all are at capacity.
 const NO_SERVER_PAUSE: Duration = Duration::from_millis(300);
 
-/// Longest wait for a server to become known, as a fraction (1/n) of the target latency.
-const SERVER_WAIT_FRACTION: u32 = 8;
-
 /// Consecutive attempts that reached no server or were refused by one, after which the search ends.
 const REFUSAL_LIMIT: u32 = 6;
 
@@ -222,40 +218,6 @@
         }
     }
 
-    /// Returns the server to send to instead of `chosen`: itself or its successor. Returns `None`
-    /// if no server responds, if it is paused, or if a successor lacks the backup to resume from.
-    async fn confirm_server(
-        &mut self,
-        chosen: &Arc<Backend>,
-        resume_from: Option<&Backup>,
-    ) -> Option<Arc<Backend>> {
-        let confirmed = rediscover::confirm(&self.relay, chosen).await;
-        let same = |confirmed: &Arc<Backend>| confirmed.server.id == chosen.server.id;
-        let confirmed = confirmed.filter(|confirmed| same(confirmed) || resume_from.is_none());
-        let confirmed = confirmed.filter(|confirmed| !self.relay.is_paused(confirmed));
-        if confirmed.is_none() {
-            self.excluded.push(Arc::clone(&chosen.server.id));
-        }
-        confirmed
-    }
-
-    /// Returns the server with the prompt in its cache, if the caller resumes a stream.
-    async fn find_cache_holder(&self) -> Option<Arc<Backend>> {
-        let first = self.arrivals == 0 && self.resumable();
-        let resumed = self.job.head.last_event.filter(|_| first);
-        let part = resumed.and(self.job.head.last_part.as_deref())?;
-        let request_id = &self.job.original.request_id;
-        let request_hash = self.job.request_hash();
-        prompt_cache::find_holder(
-            &self.relay,
-            &self.job.service,
-            request_id,
-            part,
-            request_hash,
-        )
-        .await
-    }
-
     /// Withdraws a retry from the budget for each arrival at a server after the first. Returns false
     /// if the budget is used up.
     fn withdraw_retry(&mut self) -> bool {
@@ -315,32 +277,6 @@
         );
     }
 
-    /// Chooses the next server: the holder of the run's backup, or else any. Waits a short while if
-    /// none is known, but not if some have refused the stream.
-    async fn next(&mut self) -> Option<(Arc<Backend>, Option<Backup>)> {
-        if let Some(resumed) = self.take_backup() {
-            return Some(resumed);
-        }
-        if let Some(backend) = self.relay.choose(self.criteria(&self.avoided_domains)) {
-            return Some((backend, None));
-        }
-        // All known servers have failed the stream; those that did not refuse it may have recovered.
-        self.excluded.clone_from(&self.refused_by);
-        self.avoided_domains.clear();
-        let longest = self.job.route.target_latency / SERVER_WAIT_FRACTION;
-        let criteria = self.criteria(&[]);
-        let wait = match self.relay.limit_wait(criteria) {
-            Some(wait) if wait > longest => return None,
-            Some(wait) => wait,
-            None if self.refused_by.is_empty() => longest,
-            None => Duration::ZERO,
-        };
-        let mut changed = self.relay.changed.subscribe();
-        let known = changed.wait_for(|_| self.relay.choose(criteria).is_some());
-        let _ = tokio::time::timeout(wait, known).await;
-        Some((self.relay.choose(criteria)?, None))
-    }
-
     /// Records a failure of a live server for the comparison of versions.
     fn record_server_failure(&self, backend: &Backend) {
         let measurement = Measurement {
