feat(relay): log the observations behind the end of a move, and the version of each send

The log of a move's end said only whether the version was accepted. It now has the numbers of attempts, failures and durations of both versions at that entry, and the logs of sends and lost runs name the version, so that a version accepted on too little evidence, on failures that both versions share, or beside runs that are no observation can be told apart.

--- a/coordination/src/canary.rs
+++ b/coordination/src/canary.rs
@@ -15,7 +15,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::evidence::{Cohort, Evidence, Observation, Tolerance};
+use crate::evidence::{Cohort, Evidence, Observation, Tally, Tolerance};
 use crate::history::Revision;
 
 /// Share of the planned requests to the canary that the trial phase uses; the rest is for the shift
@@ -195,6 +195,12 @@
         self.verdict.as_ref()
     }
 
+    /// Returns the numbers of observations of the canary and of the baseline.
+    #[must_use]
+    pub fn tallies(&self) -> (Tally, Tally) {
+        self.evidence.tallies()
+    }
+
     /// Counts a new request and returns the cohort that serves it, or `None` after a good end, when
     /// the baseline servers have stopped. The requests that a bad version may receive are divided
     /// among `entries` entries.
--- a/coordination/src/evidence.rs
+++ b/coordination/src/evidence.rs
@@ -187,13 +187,34 @@
 /// The same for each of up to a thousand looks during a move.
 const REPEATED_SIGNIFICANCE: f64 = FINAL_SIGNIFICANCE / 1_000.0;
 
+/// Numbers of a version's observations.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Tally {
+    /// Attempts whose outcome is known.
+    pub attempts: u64,
+    /// Of these, attempts that failed.
+    pub failed: u64,
+    /// Observations with a duration.
+    pub timed: u64,
+}
+
+impl Tally {
+    fn add(&mut self, observation: &Observation) {
+        let timed = [observation.first, observation.gap, observation.call];
+        self.attempts += u64::from(observation.failed.is_some());
+        self.failed += u64::from(observation.failed == Some(true));
+        self.timed += u64::from(timed.iter().any(Option::is_some));
+    }
+}
+
 /// The evidence that one entry has collected at a stage of a move.
 #[derive(Clone, Debug)]
 pub struct Evidence {
     tolerance: Tolerance,
     threshold: f64,
     last_stage: bool,
-    requests: u64,
+    canary: Tally,
+    baseline: Tally,
     comparisons: BTreeMap<(Arc<str>, Measure), Comparison>,
     routes: Vec<Arc<str>>,
 }
@@ -207,7 +228,8 @@
             tolerance,
             threshold: tests * f64::from(stages.max(1)) / tolerance.false_alarm,
             last_stage: false,
-            requests: 0,
+            canary: Tally::default(),
+            baseline: Tally::default(),
             comparisons: BTreeMap::new(),
             routes: Vec::new(),
         }
@@ -220,7 +242,7 @@
     /// share, and count only if they are worse than the baseline's over the same time.
     pub fn begin_stage(&mut self, last: bool) {
         self.last_stage = last;
-        self.requests = 0;
+        self.canary = Tally::default();
         for comparison in self.comparisons.values_mut() {
             comparison.restart();
             if last {
@@ -231,8 +253,9 @@
 
     /// Adds an observation.
     pub fn observe(&mut self, observation: &Observation) {
-        if observation.cohort == Cohort::Canary && observation.failed.is_some() {
-            self.requests += 1;
+        match observation.cohort {
+            Cohort::Canary => self.canary.add(observation),
+            Cohort::Baseline => self.baseline.add(observation),
         }
         self.add(&Arc::from(""), observation);
         if observation.route.is_empty() {
@@ -274,7 +297,13 @@
     /// Returns the number of requests that the canary has finished at this stage.
     #[must_use]
     pub fn requests(&self) -> u64 {
-        self.requests
+        self.canary.attempts
+    }
+
+    /// Returns the numbers of observations of the canary at this stage, and of the baseline at all stages.
+    #[must_use]
+    pub fn tallies(&self) -> (Tally, Tally) {
+        (self.canary, self.baseline)
     }
 
     /// Returns whether there is some evidence against the canary, if not enough for a rejection.
--- a/relay/src/call.rs
+++ b/relay/src/call.rs
@@ -238,7 +238,8 @@
 fn log_failure(job: &Job, backend: &Backend, outcome: &str, reason: &str) {
     log::info!(
         request = &*job.original.request_id, server = &*backend.server.id,
-        failure_domain = &*backend.server.failure_domain, outcome, reason;
+        failure_domain = &*backend.server.failure_domain, version = &*backend.server.version,
+        outcome, reason;
         "send failed"
     );
 }
--- a/relay/src/state/moves.rs
+++ b/relay/src/state/moves.rs
@@ -248,11 +248,14 @@
             let ended = canary
                 .verdict()
                 .filter(|after| Some(*after) != before.as_ref());
-            let ended = ended.map(|verdict| (canary.order().clone(), verdict.clone()));
+            let ended = ended.map(|verdict| {
+                let order = canary.order().clone();
+                (order, verdict.clone(), canary.tallies())
+            });
             view.canaries.insert(Arc::clone(service), canary);
             ended
         });
-        let Some((order, verdict)) = ended else {
+        let Some((order, verdict, (canary, baseline))) = ended else {
             return;
         };
         let (good, reason) = match &verdict {
@@ -261,7 +264,9 @@
         };
         log::info!(
             service = &**service, version = &*order.version, era = order.revision.era,
-            revision = order.revision.number, good, reason;
+            revision = order.revision.number, good, reason,
+            attempts = canary.attempts, failed = canary.failed, timed = canary.timed,
+            old_attempts = baseline.attempts, old_failed = baseline.failed, old_timed = baseline.timed;
             "a move has ended"
         );
         self.streams_changed.notify_one();
--- a/relay/src/stream.rs
+++ b/relay/src/stream.rs
@@ -270,7 +270,7 @@
         }
         log::info!(
             request = &*self.job.original.request_id, server = &*backend.server.id,
-            failure_domain = &*backend.server.failure_domain,
+            failure_domain = &*backend.server.failure_domain, version = &*backend.server.version,
             last_event = self.last_event.unwrap_or(0), parts = self.job.parts_text().as_str(),
             reason = failure.to_string().as_str();
             "send failed"
@@ -308,7 +308,7 @@
         };
         log::info!(
             request = &*self.job.original.request_id, server = &*backend.server.id,
-            failure_domain = &*backend.server.failure_domain,
+            failure_domain = &*backend.server.failure_domain, version = &*backend.server.version,
             load = self.relay.stream_load(backend), own = backend.load(|load| load.own_requests()),
             backup = backup.as_ref().map_or("", |backup| &*backup.server.id),
             copy = dispatch.resume_from.as_ref().map_or("", |backup| &*backup.handle),
--- a/relay/src/stream/resumption.rs
+++ b/relay/src/stream/resumption.rs
@@ -110,7 +110,7 @@
         }
         log::info!(
             request = &*self.job.original.request_id, server = &*failed.server.id,
-            failure_domain = &*failed.server.failure_domain, cause,
+            failure_domain = &*failed.server.failure_domain, version = &*failed.server.version, cause,
             last_event = self.last_event.unwrap_or(0),
             silent_ms = now.saturating_sub(self.last_event_at).as_millis(),
             copy = self.backup.as_ref().map_or("", |backup| &*backup.server.id),
