test(coordination): a bad version is accepted while the old one fails too (known red)

Callers see a version that fails half of its requests kept for good when the old one is in trouble at the time of the move.

--- a/coordination/tests/canary.rs
+++ b/coordination/tests/canary.rs
@@ -41,6 +41,10 @@
     /// Factor on the durations of both versions after `noise_from`.
     noise: f64,
     noise_from: Duration,
+    /// Share of the responses of both versions that fail from `trouble_from` until `trouble_until`.
+    trouble: f64,
+    trouble_from: Duration,
+    trouble_until: Duration,
 }
 
 impl Case {
@@ -50,6 +54,14 @@
         }
         self.noise
     }
+
+    fn failures_at(&self, now: Duration) -> f64 {
+        let trouble = START + self.trouble_from..START + self.trouble_until;
+        if trouble.contains(&now) {
+            return self.trouble;
+        }
+        self.usual_failures
+    }
 }
 
 const GOOD: Case = Case {
@@ -62,6 +74,9 @@
     slow_share: 1.0,
     noise: 1.0,
     noise_from: Duration::ZERO,
+    trouble: 0.0,
+    trouble_from: Duration::ZERO,
+    trouble_until: Duration::ZERO,
 };
 
 /// The outcome of a simulated move.
@@ -137,7 +152,8 @@
                 late += u32::from(over);
             }
             let failures = if worse { case.failures } else { 0.0 };
-            let failed = random.random_bool((case.usual_failures + failures).min(1.0));
+            let sound = (1.0 - case.failures_at(now)) * (1.0 - failures);
+            let failed = random.random_bool(1.0 - sound);
             let slow = worse && (case.slow_share >= 1.0 || random.random_bool(case.slow_share));
             let factor = if slow { case.slowness } else { 1.0 };
             if worse && (failed || factor > 2.0) {
@@ -296,6 +312,82 @@
     }
 }
 
+/// While both versions fail, no test can tell them apart. A version is accepted only if it is proved sound.
+#[test]
+fn a_bad_version_is_not_accepted_because_the_old_one_fails_too() {
+    let streams = Case {
+        per_second: 6.2,
+        usual_failures: 0.01,
+        failures: 0.5,
+        trouble: 0.9,
+        trouble_from: Duration::from_secs(1),
+        trouble_until: DURATION,
+        ..GOOD
+    };
+    let calls = Case {
+        per_second: 59.0,
+        ..streams
+    };
+    let milder = Case {
+        trouble: 0.6,
+        ..streams
+    };
+    let earlier = Case {
+        trouble_until: Duration::from_secs(6),
+        ..streams
+    };
+    let one_in_five = Case {
+        failures: 0.2,
+        trouble: 0.2,
+        ..streams
+    };
+    let slow = Case {
+        failures: 0.0,
+        slowness: 8.0,
+        ..streams
+    };
+    for (name, case) in [
+        ("streams", streams),
+        ("calls", calls),
+        ("milder", milder),
+        ("earlier", earlier),
+        ("one in five", one_in_five),
+        ("slow", slow),
+    ] {
+        let outcomes: Vec<Outcome> = (0..20).map(|seed| simulate(case, seed)).collect();
+        assert!(outcomes.iter().all(Outcome::within_bounds), "{name}");
+        let bad = outcomes.iter().filter(|outcome| outcome.bad()).count();
+        assert!(bad >= 19, "{name}: {bad} of 20 taken back");
+    }
+}
+
+#[test]
+fn a_good_version_is_done_after_a_time_in_which_both_versions_failed() {
+    let streams = Case {
+        per_second: 6.2,
+        usual_failures: 0.01,
+        trouble: 0.9,
+        trouble_from: Duration::from_secs(1),
+        trouble_until: Duration::from_secs(6),
+        ..GOOD
+    };
+    let calls = Case {
+        per_second: 59.0,
+        ..streams
+    };
+    let milder = Case {
+        trouble: 0.06,
+        trouble_until: DURATION,
+        ..streams
+    };
+    for (name, case) in [("streams", streams), ("calls", calls), ("milder", milder)] {
+        let outcomes: Vec<Outcome> = (0..20).map(|seed| simulate(case, seed)).collect();
+        assert!(outcomes.iter().all(Outcome::within_bounds), "{name}");
+        let good = outcomes.iter().filter(|outcome| outcome.good()).count();
+        assert!(good >= 18, "{name}: {good} of 20 done");
+    }
+}
+
 /// The shift leaves no requests to the old version, so noise that begins then looks like a slow version.
 #[test]
 fn noise_that_begins_in_the_final_shift_takes_no_good_version_back() {
