fix(coordination): accept a version only on proof that it is sound

Cause: a move ended as good after five answers unless a test came near a rejection. The tests of failures reject only what is worse than the old version, and durations were compared only if the old version had 32 of them. While both versions fail or slow down, no test can tell them apart, and that counted as a pass.

Now the end, the shift before it, and each stage of a move of the product (serving) ask for a proof: so few bad answers that a version which spoils a further quarter of them (a tenth, with hundreds of answers) has a probability below 0.05. Answers at a time of trouble at both versions prove nothing; around the others the old version's usual failures are taken off. An entry that lacks the proof sends nothing to the version, and doesn't report that as a verdict to the others, which may have received more.

a_bad_version_is_not_accepted_because_the_old_one_fails_too failed before (0 of 20 taken back) and passes.

--- a/coordination/src/canary.rs
+++ b/coordination/src/canary.rs
@@ -28,10 +28,6 @@
 /// Share of the allowed requests that is never exceeded: retries are not counted here.
 const MAX_SHARE: f64 = 0.95;
 
-/// Responses of the canary that are required to declare it good. A version that fails every other
-/// request gives five good responses in a row about once in thirty times.
-const MIN_RESPONSES: u64 = 5;
-
 /// Responses of the canary after which all of its durations are compared once more.
 const LOOK_INTERVAL: u64 = 8;
 
@@ -148,6 +144,9 @@
     sent: u32,
     shifting: bool,
     verdict: Option<Verdict>,
+    /// Whether the verdict is this entry's own for lack of proof. A peer may have received more observations,
+    /// so it is not reported.
+    unproved: bool,
     observations: Vec<Observation>,
     baseline_reported: u32,
     received: HashMap<Arc<str>, usize>,
@@ -172,6 +171,7 @@
             sent: 0,
             shifting: false,
             verdict: None,
+            unproved: false,
             observations: Vec::new(),
             baseline_reported: 0,
             received: HashMap::new(),
@@ -273,9 +273,9 @@
         f64::from(self.sent) + expected <= limit && self.passed()
     }
 
-    /// Returns whether the canary has answered enough requests and shows no sign of being worse.
+    /// Returns whether the canary is proved sound and shows no sign of being worse.
     fn passed(&self) -> bool {
-        self.evidence.requests() >= MIN_RESPONSES
+        self.evidence.unproved().is_none()
             && !self.evidence.suspect()
             && self.evidence.doubt().is_none()
     }
@@ -335,6 +335,7 @@
 
     /// Sets the verdict recorded in the store, which takes precedence over this entry's own.
     pub fn record(&mut self, verdict: Verdict) {
+        self.unproved = false;
         self.verdict = Some(verdict);
     }
 
@@ -371,11 +372,14 @@
                 self.verdict = Some(Verdict::Good);
             }
             Some(age) if age + DECISION_MARGIN >= self.order.duration => {
+                self.unproved = true;
                 let answers = self.evidence.requests();
-                let doubt = self.evidence.doubt().map(|doubt| format!(": {doubt}"));
+                let gap = self.evidence.unproved().map(|gap| gap.to_string());
+                let doubt = gap.or_else(|| self.evidence.doubt());
+                let doubt = doubt.map(|doubt| format!(": {doubt}"));
                 let doubt = doubt.unwrap_or_default();
                 self.reject(&format!(
-                    "not proved good in time by {answers} answers{doubt}"
+                    "not proved sound in time by {answers} answers{doubt}"
                 ));
             }
             _ => return false,
@@ -392,7 +396,7 @@
         Report {
             revision: self.order.revision,
             age_ms: age.map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX)),
-            verdict: self.verdict.clone(),
+            verdict: self.verdict.clone().filter(|_| !self.unproved),
             first: 0,
             observations: self.observations.clone(),
         }
--- a/coordination/src/evidence.rs
+++ b/coordination/src/evidence.rs
@@ -31,9 +31,13 @@
 
 mod comparison;
 mod process;
+mod proof;
 mod sample;
 
 use comparison::{Comparison, SlowLimits};
+use proof::Proof;
+
+pub use proof::Gap;
 
 /// Maximum number of routes with their own tests; further routes count in the overall tests only.
 const MAX_ROUTES: usize = 8;
@@ -216,6 +220,7 @@
     canary: Tally,
     baseline: Tally,
     comparisons: BTreeMap<(Arc<str>, Measure), Comparison>,
+    proof: Proof,
     routes: Vec<Arc<str>>,
 }
 
@@ -231,6 +236,7 @@
             canary: Tally::default(),
             baseline: Tally::default(),
             comparisons: BTreeMap::new(),
+            proof: Proof::default(),
             routes: Vec::new(),
         }
     }
@@ -243,6 +249,7 @@
     pub fn begin_stage(&mut self, last: bool) {
         self.last_stage = last;
         self.canary = Tally::default();
+        self.proof.restart();
         for comparison in self.comparisons.values_mut() {
             comparison.restart();
             if last {
@@ -258,14 +265,14 @@
             Cohort::Baseline => self.baseline.add(observation),
         }
         self.add(&Arc::from(""), observation);
-        if observation.route.is_empty() {
-            return;
-        }
         let known = self.routes.contains(&observation.route);
-        if !known && self.routes.len() < MAX_ROUTES {
+        if !known && !observation.route.is_empty() && self.routes.len() < MAX_ROUTES {
             self.routes.push(Arc::clone(&observation.route));
         }
-        if self.routes.contains(&observation.route) {
+        let mut routes = self.routes.iter();
+        let index = routes.position(|route| *route == observation.route);
+        self.proof.add(index.unwrap_or(MAX_ROUTES), observation);
+        if index.is_some() {
             self.add(&Arc::clone(&observation.route), observation);
         }
     }
@@ -323,6 +330,16 @@
         self.slower(FINAL_SIGNIFICANCE)
     }
 
+    /// Returns a gap in the proof that the canary is sound, or `None` if it may be accepted. Tests that do not
+    /// reject a version are no proof: while both versions fail, nothing tells them apart.
+    ///
+    /// At the last stage the baseline may have no server left, and durations can't be judged then. They were
+    /// at the stages before.
+    #[must_use]
+    pub fn unproved(&self) -> Option<Gap> {
+        self.proof.gap(self.last_stage)
+    }
+
     /// Returns why the canary is slower beyond doubt, by one of many looks during a move.
     #[must_use]
     pub fn certainty(&self) -> Option<String> {
--- a/coordination/src/evidence/sample.rs
+++ b/coordination/src/evidence/sample.rs
@@ -117,7 +117,7 @@
 }
 
 /// Returns the probability of at least `bad` of `total` if each is bad with the probability `share`.
-fn upper_tail(total: usize, bad: usize, share: f64) -> f64 {
+pub(super) fn upper_tail(total: usize, bad: usize, share: f64) -> f64 {
     let odds = share / (1.0 - share);
     let total = number(total);
     let mut logarithm = total * (1.0 - share).ln();
@@ -130,6 +130,6 @@
     1.0 - below
 }
 
-fn number(count: usize) -> f64 {
+pub(super) fn number(count: usize) -> f64 {
     u32::try_from(count).map_or(f64::MAX, f64::from)
 }
--- a/coordination/src/schedule.rs
+++ b/coordination/src/schedule.rs
@@ -10,7 +10,7 @@
 //!     in_stage: plan.ceiling(),
 //!     remaining: Duration::from_secs(3_600),
 //!     requests: plan.requests,
-//!     suspect: false,
+//!     proved: true,
 //! };
 //! assert_eq!(plan.decide(progress), Decision::Advance);
 //! ```
@@ -54,8 +54,8 @@
     pub remaining: Duration,
     /// Requests that the new version has answered at this stage.
     pub requests: u64,
-    /// Whether there is evidence against the new version that does not suffice for its rejection.
-    pub suspect: bool,
+    /// Whether the new version is proved sound, without evidence against it.
+    pub proved: bool,
 }
 
 /// The next transition of a move.
@@ -99,7 +99,7 @@
         let later_stages =
             u32::try_from(self.stages_remaining(progress.stage) - 1).unwrap_or(u32::MAX);
         let required = floor.saturating_sub(progress.in_stage) + floor.saturating_mul(later_stages);
-        let proved = progress.requests >= self.requests && !progress.suspect;
+        let proved = progress.requests >= self.requests && progress.proved;
         let dwell = self.dwell(progress.stage, progress.remaining + progress.in_stage);
         match progress.remaining {
             remaining if remaining.is_zero() || remaining < required => Decision::Revert,
--- a/serving/src/modules/moves/driver.rs
+++ b/serving/src/modules/moves/driver.rs
@@ -324,11 +324,16 @@
                 .saturating_sub(tracked.stage_started),
             remaining: Duration::from_millis(remaining_ms),
             requests: tracked.evidence.requests(),
-            suspect: tracked.evidence.suspect(),
+            proved: tracked.evidence.unproved().is_none() && !tracked.evidence.suspect(),
         });
         match decision {
             Decision::Stay => {}
-            Decision::Revert => self.brake(service, "it could not be proved good by its deadline"),
+            Decision::Revert => {
+                let gap = tracked.evidence.unproved();
+                let gap = gap.map(|gap| format!(": {gap}")).unwrap_or_default();
+                let reason = format!("it could not be proved sound by its deadline{gap}");
+                self.brake(service, &reason);
+            }
             Decision::Advance => {
                 let record = tracked.record.clone().advance();
                 self.write(record);
