fix(relay): send nothing to a version after it was taken back

Cause: a request keeps the cohort that it was assigned on arrival, or none if it came before the order, while it waits for a server, a limit or a pause; a lost stream is resumed at the holder of its backup, which is of its version; and the servers whose caches are asked for a prompt were of any version. Evidence: the log of the sends names the copy that they used (copy=..., version=v2), after 'a move has ended' of the same entry.

Now the choice of a server follows the end of the move, whatever the request was assigned; requests from before the order, which are not counted among those of the new version, go to the old one; backups and confirmed servers of a version that was taken back are not used. A stream that loses its run there is read again at the old version.

Ruled out: retries, which ask for the verdict each time; rediscovered servers, which keep their version.

--- a/coordination/src/canary.rs
+++ b/coordination/src/canary.rs
@@ -235,6 +235,23 @@
         }
     }
 
+    /// Returns the cohort that may serve a request now that was assigned one when it arrived. A request that
+    /// waited follows the end of the move; one that arrived before the order (`None`) is not counted among
+    /// those of the canary.
+    #[must_use]
+    pub fn reassign(&self, assigned: Option<Cohort>, now: Duration) -> Option<Cohort> {
+        match &self.verdict {
+            Some(verdict) => self.cohort_after(verdict, now),
+            None => Some(assigned.unwrap_or(Cohort::Baseline)),
+        }
+    }
+
+    /// Returns whether a version was taken back, so that nothing more may be sent to it.
+    #[must_use]
+    pub fn has_withdrawn(&self, version: &str) -> bool {
+        matches!(self.verdict, Some(Verdict::Bad { .. })) && *self.order.version == *version
+    }
+
     fn cohort_after(&self, verdict: &Verdict, now: Duration) -> Option<Cohort> {
         let ordered_at = self.ordered_at.unwrap_or(self.created_at);
         match verdict {
--- a/relay/src/prompt_cache.rs
+++ b/relay/src/prompt_cache.rs
@@ -12,7 +12,7 @@
 
 use crate::attempt;
 use crate::codec::Codec;
-use crate::state::{Backend, Relay};
+use crate::state::{Backend, Criteria, Relay};
 
 /// Longest wait for the servers' responses: a tenth of the usual prefill time.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(100);
@@ -28,18 +28,16 @@
 /// the server with the cached prompt.
 const BUSY_LOAD: f64 = 2.0;
 
-/// Returns the server of `service` that has the most tokens of `part` in its cache, unless it is
-/// busy. `part` is the last part of the prompt of `request_id`, whose streams are placed by
-/// `request_hash`.
+/// Returns the server that meets the criteria and has the most tokens of `part` in its cache, unless it is
+/// busy. `part` is the last part of the prompt of `request_id`.
 pub async fn find_holder<C: Codec>(
     relay: &Relay<C>,
-    service: &str,
+    criteria: Criteria<'_>,
     request_id: &str,
     part: &str,
-    request_hash: u64,
 ) -> Option<Arc<Backend>> {
     let limit = query_limit(relay.settings.link_mbps);
-    let backends = relay.likely_servers(service, request_hash, limit);
+    let backends = relay.likely_servers(criteria, limit);
     let queries = backends
         .iter()
         .map(|backend| cached_tokens(relay, backend, part));
--- a/relay/src/state/limits.rs
+++ b/relay/src/state/limits.rs
@@ -122,6 +122,8 @@
             let share = view.limit_share(criteria.service, now);
             let backends = view.backends.get(criteria.service)?;
             let target = view.target_version(criteria.service);
+            let cohort = view.current_cohort(criteria.service, criteria.cohort, now);
+            let criteria = Criteria { cohort, ..criteria };
             let usable = backends
                 .iter()
                 .filter(|backend| criteria.may_serve(&backend.server, target));
--- a/relay/src/state/placement.rs
+++ b/relay/src/state/placement.rs
@@ -41,7 +41,8 @@
     pub remote_penalty: f64,
     /// How load is measured.
     pub measure: Measure,
-    /// Preferred version cohort, if the service moves.
+    /// Version cohort that the request was assigned to, if the service moved then. A move that has ended
+    /// since goes before it.
     pub cohort: Option<Cohort>,
     /// The only acceptable version, if the service moves.
     pub version: Option<&'request str>,
@@ -121,19 +122,21 @@
         self.view(|view| view.groups.record_response(&group));
     }
 
-    /// Returns up to `count` servers of a service that are neither suspect nor paused and probably
-    /// received earlier requests with the hash `request_hash`.
+    /// Returns up to `count` servers that meet the criteria, are neither suspect nor paused, and probably
+    /// received earlier requests with the same hash.
     #[must_use]
-    pub fn likely_servers(
-        &self,
-        service: &str,
-        request_hash: u64,
-        count: usize,
-    ) -> Vec<Arc<Backend>> {
+    pub fn likely_servers(&self, criteria: Criteria, count: usize) -> Vec<Arc<Backend>> {
         let now = self.clock.now();
+        let request_hash = criteria.request_hash;
         let usable: Vec<Arc<Backend>> = self.view(|view| {
-            let backends = view.backends.get(service).into_iter().flatten();
-            let usable = backends.filter(|backend| {
+            let target = view.target_version(criteria.service);
+            let cohort = view.current_cohort(criteria.service, criteria.cohort, now);
+            let backends = view.backends.get(criteria.service).into_iter().flatten();
+            let fitting = backends.filter(|backend| {
+                criteria.fits_version(&backend.server.version, target, cohort)
+                    && !criteria.excluded.contains(&backend.server.id)
+            });
+            let usable = fitting.filter(|backend| {
                 let paused = !view.pauses.wait(backend.start(), now).is_zero();
                 !paused && !backend.load(|load| load.suspect(now))
             });
@@ -159,6 +162,8 @@
             let backends = view.backends.get(criteria.service)?;
             let within_limit = |backend: &Backend| view.wait(backend, share, now).is_zero();
             let target = view.target_version(criteria.service);
+            let cohort = view.current_cohort(criteria.service, criteria.cohort, now);
+            let criteria = Criteria { cohort, ..criteria };
             let allowed = |backend: &&Arc<Backend>, cohort: Option<Cohort>| {
                 let version = &backend.server.version;
                 criteria.fits_version(version, target, cohort)
@@ -201,6 +206,16 @@
         })
     }
 
+    /// Returns whether requests may be sent to a server's version: it was not taken back.
+    #[must_use]
+    pub fn is_version_in_use(&self, backend: &Backend) -> bool {
+        let server = &backend.server;
+        self.view(|view| {
+            let canary = view.canaries.get(&server.service);
+            canary.is_none_or(|canary| !canary.has_withdrawn(&server.version))
+        })
+    }
+
     /// Returns the load of streams at a server, in prompts in prefill.
     #[must_use]
     pub fn stream_load(&self, backend: &Backend) -> f64 {
--- a/relay/src/state/view.rs
+++ b/relay/src/state/view.rs
@@ -2,6 +2,7 @@
 
 use medlarfall_coordination::canary::{Canary, Order};
 use medlarfall_coordination::dissemination::Node;
+use medlarfall_coordination::evidence::Cohort;
 use medlarfall_coordination::group_outage::Groups;
 use medlarfall_coordination::history::Revision;
 use medlarfall_coordination::quarantine::{self, Part};
@@ -123,6 +124,17 @@
         Some(&canary.order().version)
     }
 
+    /// Returns the cohort that may serve a request of a service now that was assigned one when it arrived.
+    pub(super) fn current_cohort(
+        &self,
+        service: &str,
+        assigned: Option<Cohort>,
+        now: Duration,
+    ) -> Option<Cohort> {
+        let canary = self.canaries.get(service);
+        canary.map_or(assigned, |canary| canary.reassign(assigned, now))
+    }
+
     /// Updates the backends from the registration of one server.
     pub(super) fn update_backends(&mut self, settings: &Settings, id: &Arc<str>) {
         let known = self.registry.get(id).filter(|server| !server.leaving);
--- a/relay/src/stream/backups.rs
+++ b/relay/src/stream/backups.rs
@@ -9,16 +9,19 @@
 use super::Stream;
 
 impl<C: Codec> Stream<C> {
-    /// Removes and returns the run's backup and its holder, if the holder is still listed and not paused.
-    /// A run that has sent no event has no usable backup.
+    /// Removes and returns the run's backup and its holder, if the holder is still listed, not paused,
+    /// and of a version that is in use. A run that has sent no event has no usable backup.
     pub(super) fn take_backup(&mut self) -> Option<(Arc<Backend>, Option<Backup>)> {
         let replacement = self.replacement.take();
         let server = self.backup.take();
         if self.run_events == 0 {
             return None;
         }
-        let usable =
-            |holder: &Arc<Backend>| self.relay.is_listed(holder) && !self.relay.is_paused(holder);
+        let usable = |holder: &Arc<Backend>| {
+            self.relay.is_listed(holder)
+                && !self.relay.is_paused(holder)
+                && self.relay.is_version_in_use(holder)
+        };
         if let Some(replacement) = replacement.filter(|replacement| usable(&replacement.holder)) {
             let backup = replacement.backup();
             let holder = Arc::clone(&replacement.holder);
--- a/relay/src/stream/search.rs
+++ b/relay/src/stream/search.rs
@@ -41,7 +41,8 @@
     }
 
     /// Returns the server to send to instead of `chosen`: itself or its successor. Returns `None`
-    /// if no server responds, if it is paused, or if a successor lacks the backup to resume from.
+    /// if no server responds, if it is paused, if its version was taken back, or if a successor lacks the
+    /// backup to resume from.
     pub(super) async fn confirm_server(
         &mut self,
         chosen: &Arc<Backend>,
@@ -50,7 +51,9 @@
         let confirmed = rediscover::confirm(&self.relay, chosen).await;
         let same = |confirmed: &Arc<Backend>| confirmed.server.id == chosen.server.id;
         let confirmed = confirmed.filter(|confirmed| same(confirmed) || resume_from.is_none());
-        let confirmed = confirmed.filter(|confirmed| !self.relay.is_paused(confirmed));
+        let confirmed = confirmed.filter(|confirmed| {
+            !self.relay.is_paused(confirmed) && self.relay.is_version_in_use(confirmed)
+        });
         if confirmed.is_none() {
             self.excluded.push(Arc::clone(&chosen.server.id));
         }
@@ -63,14 +66,6 @@
         let resumed = self.job.head.last_event.filter(|_| first);
         let part = resumed.and(self.job.head.last_part.as_deref())?;
         let request_id = &self.job.original.request_id;
-        let request_hash = self.job.request_hash();
-        prompt_cache::find_holder(
-            &self.relay,
-            &self.job.service,
-            request_id,
-            part,
-            request_hash,
-        )
-        .await
+        prompt_cache::find_holder(&self.relay, self.criteria(&[]), request_id, part).await
     }
 }
