--- a/programs/tests/moves.rs
+++ b/programs/tests/moves.rs
@@ -287,6 +287,29 @@
     );
 }
 
+/// A version that can't be told from the old one is not proved sound.
+#[tokio::test]
+async fn a_version_is_not_done_while_both_versions_fail_every_request() {
+    let cluster = start_cluster().await;
+    for plain in &cluster.services {
+        plain.service.set_faults(service::Faults {
+            fail_path: "/".to_owned(),
+            ..service::Faults::default()
+        });
+    }
+    let load = call_service(&cluster);
+    let mut operator = cluster.operator(0).expect("an operator client");
+    let started = operator
+        .start_move(TRACKER, "v2", deadline_ms(Duration::from_secs(3)))
+        .await
+        .expect("the move is accepted");
+    let states = watch_move(&cluster, TRACKER, &started.move_id).await;
+    drop(load);
+    assert_eq!(final_state(&states).phase(), MovePhase::TakenBack);
+    let reason = &final_state(&states).reason;
+    assert!(reason.contains("it can't be excluded"), "{reason}");
+}
+
 #[tokio::test]
 async fn a_version_without_requests_is_taken_back_at_the_deadline() {
     let cluster = start_cluster().await;
