fix(serving): calls that wait follow the end of a move

A call was assigned its version when it arrived, and waited for a server of that version with room, up to its timeout, even if the version was taken back meanwhile. Callers of a service whose move was braked were still sent to the bad version, one after the other as its servers became free. Generations already stopped waiting; calls now do too, and wait for the version in force with the rest of their time.

--- a/serving/src/modules/calls/attempts.rs
+++ b/serving/src/modules/calls/attempts.rs
@@ -94,7 +94,8 @@
     }
 }
 
-/// Waits for a permit, for a server that was not tried if there is one.
+/// Waits for a permit, for a server that was not tried if there is one. If the version is taken back
+/// meanwhile, waits for one of the version in force.
 async fn acquire_permit(
     context: &Context,
     request: &Request,
@@ -107,16 +108,36 @@
         [] => moves::version(context, service, &request.call.request_id),
         _ => moves::in_force(context, service),
     };
+    let wait = request
+        .remaining(context)
+        .min(context.settings.services.call_timeout);
+    let deadline = context.clock.now() + wait;
+    let requirements = |version| requirements(context, request, tried, version, deadline);
+    tokio::select! {
+        permit = context.admission.acquire(requirements(Arc::clone(&version))) => permit,
+        () = moves::withdrawn(context, &service.name, &version) => {
+            let in_force = moves::in_force(context, service);
+            context.admission.acquire(requirements(in_force)).await
+        }
+    }
+}
+
+/// Returns the requirements of an attempt at a version that waits until `deadline`.
+fn requirements(
+    context: &Context,
+    request: &Request,
+    tried: &[Arc<str>],
+    version: Arc<str>,
+    deadline: Duration,
+) -> Requirements {
+    let service = &request.service;
     let directory = Arc::clone(&context.directory.borrow());
     let untried = directory
         .servers(&service.name)
         .iter()
         .filter(|server| server.version == version && !server.leaving)
         .any(|server| !tried.contains(&server.name));
-    let wait = request
-        .remaining(context)
-        .min(context.settings.services.call_timeout);
-    let requirements = Requirements {
+    Requirements {
         service: Arc::from(service.name.as_str()),
         version,
         account: Arc::clone(&request.account),
@@ -124,10 +145,9 @@
         priority: 0,
         tokens: 1,
         prefix: Uuid::now_v7().as_u64_pair().1,
-        deadline: context.clock.now() + wait,
+        deadline,
         excluded: if untried { tried.to_vec() } else { Vec::new() },
-    };
-    context.admission.acquire(requirements).await
+    }
 }
 
 /// Waits for the backoff before a retry; returns false if no retry is allowed.
