fix(relay): a call that no server answers in time is a failure

With deadlines near the usual duration that time is not slow, so a version that left every second call unanswered was accepted. Now it counts as failed, at both versions, with its duration.

--- a/relay/src/call.rs
+++ b/relay/src/call.rs
@@ -210,13 +210,13 @@
     relay.record_measurement(backend, &job.route.name, measurement);
 }
 
-/// Records an attempt that was not answered by the deadline: it took at least this long.
+/// Records an attempt that was not answered by the deadline: it failed, and took at least this long.
 fn record_timeout<C: Codec>(relay: &Relay<C>, job: &Job, progress: &Progress) {
     let Some((backend, sent_at)) = &progress.current else {
         return;
     };
     let measurement = Measurement {
-        failed: Some(false),
+        failed: Some(true),
         call: Some(relay.clock.now().saturating_sub(*sent_at)),
         ..Measurement::default()
     };
