fix(coordination): report evidence against a version at the end of a move

Found by reading: an entry that ends a move for lack of proof doesn't report that, since a peer may have more observations. It didn't report either if it held evidence against the version at that moment (durations that are probably slower, or a test near rejection), which was passed on before this change; peers that had not ended the move yet could accept the version.

evidence_at_the_end_of_a_move_is_reported_and_lack_of_proof_is_not fails before.

The probability of a time of trouble is computed only where enough answers are bad. The tests of moves in trouble share their load and their count.

--- a/coordination/src/canary.rs
+++ b/coordination/src/canary.rs
@@ -107,8 +107,8 @@
     sent: u32,
     shifting: bool,
     verdict: Option<Verdict>,
-    /// Whether the verdict is this entry's own for lack of proof. A peer may have received more observations,
-    /// so it is not reported.
+    /// Whether the verdict is this entry's own for lack of proof, without evidence against the canary. A peer
+    /// may have received more observations, so it is not reported.
     unproved: bool,
     observations: Vec<Observation>,
     baseline_reported: u32,
@@ -352,14 +352,14 @@
                 self.verdict = Some(Verdict::Good);
             }
             Some(age) if age + DECISION_MARGIN >= self.order.duration => {
-                self.unproved = true;
                 let answers = self.evidence.requests();
-                let gap = self.evidence.unproved().map(|gap| gap.to_string());
-                let doubt = gap.or_else(|| self.evidence.doubt());
-                let doubt = doubt.map(|doubt| format!(": {doubt}"));
-                let doubt = doubt.unwrap_or_default();
+                let doubt = self.evidence.doubt();
+                self.unproved = doubt.is_none() && !self.evidence.suspect();
+                let gap = || self.evidence.unproved().map(|gap| gap.to_string());
+                let reason = doubt.or_else(gap).map(|reason| format!(": {reason}"));
+                let reason = reason.unwrap_or_default();
                 self.reject(&format!(
-                    "not proved sound in time by {answers} answers{doubt}"
+                    "not proved sound in time by {answers} answers{reason}"
                 ));
             }
             _ => return false,
--- a/coordination/src/evidence/proof.rs
+++ b/coordination/src/evidence/proof.rs
@@ -170,8 +170,8 @@
     /// Returns whether far more attempts than usual are bad around a position.
     fn in_trouble(&self, position: usize) -> bool {
         let neighbours = self.neighbours(position);
-        let chance = upper_tail(neighbours.len(), bad_among(neighbours), self.usual);
-        share(neighbours) > TROUBLE_SHARE && chance < TROUBLE_SIGNIFICANCE
+        let chance = || upper_tail(neighbours.len(), bad_among(neighbours), self.usual);
+        share(neighbours) > TROUBLE_SHARE && chance() < TROUBLE_SIGNIFICANCE
     }
 
     /// Returns the share of attempts that are bad at both versions around a position, or `None` in a time of
--- a/coordination/tests/canary.rs
+++ b/coordination/tests/canary.rs
@@ -64,6 +64,35 @@
     }
 }
 
+/// Observations at an entry of a calm service, `slow` of 14 of the new version's answers being slow.
+fn observed(slow: usize) -> Canary {
+    let mut entry = Canary::new(order(), BOUNDS, 0.5, true, START);
+    let usual = |cohort| Observation {
+        call: Some(Duration::from_millis(60)),
+        ..Observation::failure(cohort, "", false)
+    };
+    for _ in 0..40 {
+        entry.observe(usual(Cohort::Baseline), START);
+    }
+    for count in 0..14 {
+        let factor = if count < slow { 8 } else { 1 };
+        let observation = usual(Cohort::Canary);
+        let call = observation.call.map(|call| call * factor);
+        entry.observe(
+            Observation {
+                call,
+                ..observation
+            },
+            START,
+        );
+    }
+    // Durations of the new version count once the old one's follow.
+    for _ in 0..10 {
+        entry.observe(usual(Cohort::Baseline), START);
+    }
+    entry
+}
+
 const GOOD: Case = Case {
     entries: 6,
     per_second: 59.0,
@@ -312,17 +341,29 @@
     }
 }
 
+/// Streams at a time in which nine of ten fail at both versions.
+const IN_TROUBLE: Case = Case {
+    per_second: 6.2,
+    usual_failures: 0.01,
+    trouble: 0.9,
+    trouble_from: Duration::from_secs(1),
+    trouble_until: DURATION,
+    ..GOOD
+};
+
+/// Returns how many of 20 simulated moves, all within the bounds, end as `ends` says.
+fn count_of_20(name: &str, case: Case, ends: fn(&Outcome) -> bool) -> usize {
+    let outcomes: Vec<Outcome> = (0..20).map(|seed| simulate(case, seed)).collect();
+    assert!(outcomes.iter().all(Outcome::within_bounds), "{name}");
+    outcomes.iter().filter(|outcome| ends(outcome)).count()
+}
+
 /// While both versions fail, no test can tell them apart. A version is accepted only if it is proved sound.
 #[test]
 fn a_bad_version_is_not_accepted_because_the_old_one_fails_too() {
     let streams = Case {
-        per_second: 6.2,
-        usual_failures: 0.01,
         failures: 0.5,
-        trouble: 0.9,
-        trouble_from: Duration::from_secs(1),
-        trouble_until: DURATION,
-        ..GOOD
+        ..IN_TROUBLE
     };
     let calls = Case {
         per_second: 59.0,
@@ -348,9 +389,7 @@
         ("earlier", earlier),
         ("slow", slow),
     ] {
-        let outcomes: Vec<Outcome> = (0..20).map(|seed| simulate(case, seed)).collect();
-        assert!(outcomes.iter().all(Outcome::within_bounds), "{name}");
-        let bad = outcomes.iter().filter(|outcome| outcome.bad()).count();
+        let bad = count_of_20(name, case, Outcome::bad);
         assert!(bad >= 19, "{name}: {bad} of 20 taken back");
     }
 }
@@ -359,29 +398,19 @@
 #[test]
 fn a_version_that_fails_one_stream_in_five_is_not_accepted_while_both_fail_as_many() {
     let one_in_five = Case {
-        per_second: 6.2,
-        usual_failures: 0.01,
         failures: 0.2,
         trouble: 0.2,
-        trouble_from: Duration::from_secs(1),
-        trouble_until: DURATION,
-        ..GOOD
+        ..IN_TROUBLE
     };
-    let outcomes: Vec<Outcome> = (0..20).map(|seed| simulate(one_in_five, seed)).collect();
-    assert!(outcomes.iter().all(Outcome::within_bounds));
-    let bad = outcomes.iter().filter(|outcome| outcome.bad()).count();
+    let bad = count_of_20("one in five", one_in_five, Outcome::bad);
     assert!(bad >= 19, "{bad} of 20 taken back");
 }
 
 #[test]
 fn a_good_version_is_done_after_a_time_in_which_both_versions_failed() {
     let streams = Case {
-        per_second: 6.2,
-        usual_failures: 0.01,
-        trouble: 0.9,
-        trouble_from: Duration::from_secs(1),
         trouble_until: Duration::from_secs(6),
-        ..GOOD
+        ..IN_TROUBLE
     };
     let calls = Case {
         per_second: 59.0,
@@ -393,9 +422,7 @@
         ..streams
     };
     for (name, case) in [("streams", streams), ("calls", calls), ("milder", milder)] {
-        let outcomes: Vec<Outcome> = (0..20).map(|seed| simulate(case, seed)).collect();
-        assert!(outcomes.iter().all(Outcome::within_bounds), "{name}");
-        let good = outcomes.iter().filter(|outcome| outcome.good()).count();
+        let good = count_of_20(name, case, Outcome::good);
         assert!(good >= 18, "{name}: {good} of 20 done");
     }
 }
@@ -434,6 +461,28 @@
     assert!(matches!(entry.verdict(), Some(Verdict::Bad { .. })));
 }
 
+/// A peer may have the proof that this entry lacks, but must not accept a version against its evidence.
+#[test]
+fn evidence_at_the_end_of_a_move_is_reported_and_lack_of_proof_is_not() {
+    let end = START + DURATION;
+    let mut idle = Canary::new(order(), BOUNDS, 0.5, true, START);
+    assert!(idle.conclude(end));
+    assert!(matches!(idle.verdict(), Some(Verdict::Bad { .. })));
+    assert_eq!(idle.report(end).verdict, None);
+
+    let mut sound = observed(0);
+    assert!(sound.conclude(end));
+    assert_eq!(sound.report(end).verdict, Some(Verdict::Good));
+
+    let mut doubtful = observed(3);
+    assert!(doubtful.verdict().is_none(), "not rejected before the end");
+    assert!(doubtful.conclude(end));
+    assert!(matches!(
+        doubtful.report(end).verdict,
+        Some(Verdict::Bad { .. })
+    ));
+}
+
 #[test]
 fn a_restarted_entry_takes_the_age_of_the_order_from_its_peers() {
     let mut peer = Canary::new(order(), BOUNDS, 0.5, true, START);
