--- a/programs/tests/moves_taken_back.rs
+++ b/programs/tests/moves_taken_back.rs
@@ -2,16 +2,20 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::Duration;
 
 use hyper::Method;
-use medlarfall::cluster::{self, Cluster, Plan, TRACKER};
-use medlarfall::commands::moves::deadline_ms;
+use medlarfall::cluster::{self, TRACKER};
 use medlarfall_serving::configs::Settings;
 use medlarfall_serving::modules::moves::Message;
 use medlarfall_standin::service;
 use tokio::task::JoinSet;
 
+#[allow(dead_code, reason = "other tests use the rest")]
+#[path = "support/two_versions.rs"]
+mod two_versions;
+
+use two_versions::{move_to_last_stage, start};
+
 /// Calls that fill the queue of the entry, most of them for the new version.
 const CALLS: usize = 100;
 
@@ -27,43 +31,14 @@
 
 #[tokio::test]
 async fn calls_that_wait_are_not_sent_to_a_version_that_was_taken_back_meanwhile() {
-    let plan = Plan {
-        adjust_settings: adjust,
-        ..Plan::default()
-    };
-    let mut cluster = Cluster::start(plan).await.expect("a cluster");
-    let config = service::Config {
-        version: "v2".to_owned(),
-        ..service::Config::default()
-    };
-    cluster.add_service(config).await.expect("a service");
+    let cluster = start(adjust).await;
     let new = cluster.services.last().expect("the new version");
     new.service.set_faults(service::Faults {
         slow_ms: 500,
         ..service::Faults::default()
     });
-    let entry = &cluster.entries[0];
-    cluster::wait_until("the entry knows the new version", || {
-        let directory = entry.context.directory.borrow();
-        let mut servers = directory.servers(TRACKER).iter();
-        servers.any(|server| *server.version == *"v2")
-    })
-    .await
-    .expect("the new version is known");
-    let mut operator = cluster.operator(0).expect("an operator client");
-    operator
-        .start_move(TRACKER, "v2", deadline_ms(Duration::from_hours(1)))
-        .await
-        .expect("the move is accepted");
-    let moves = &entry.context.moves;
-    cluster::wait_until("the move is known", || moves.last(TRACKER).is_some())
-        .await
-        .expect("the move is known");
-    let mut record = (*moves.last(TRACKER).expect("a move")).clone();
-    while !record.at_last_stage() {
-        record = record.advance();
-    }
-    moves.send(Message::Received(record.clone())).await;
+    let record = move_to_last_stage(&cluster).await;
+    let moves = &cluster.entries[0].context.moves;
     cluster::wait_until("the last stage is known", || {
         let last = moves.last(TRACKER);
         last.is_some_and(|last| last.phase == record.phase)
