--- a/review/1/case.rs
+++ b/review/1/case.rs
@@ -34,7 +34,7 @@
     let replicas: Vec<Replica> = (0..REPLICAS)
         .map(|number| {
             let id = format!("i-{:08x}", (number as u32).wrapping_mul(67_108_859) + 0x0300_17c3);
-            Replica::start(&record, &runs, &id, "wuno96b", zones[number], Behaviour::default())
+            Replica::start(&record, &runs, None, (&id, "wuno96b", zones[number]), Behaviour::default())
         })
         .collect();
     store.write("op/config", &config());
--- a/review/2/case.rs
+++ b/review/2/case.rs
@@ -40,7 +40,7 @@
             let id = format!("i-{:08x}", (number as u32).wrapping_mul(67_108_859) + 0x0300_17c3);
             let behaviour = Behaviour::default();
             let service = if number < MODEL_REPLICAS { "huvo11a" } else { "wuno96b" };
-            Replica::start(&record, &runs, &id, service, zones[number % 4], behaviour)
+            Replica::start(&record, &runs, None, (&id, service, zones[number % 4]), behaviour)
         })
         .collect();
     store.write("op/config", &config());
--- a/review/standin.rs
+++ b/review/standin.rs
@@ -190,20 +190,13 @@
     stream.write_all(&bytes)
 }
 
-/// Serves connections, each on a thread, until `closed` is set.
-fn listen(
-    address: &str,
-    closed: Arc<AtomicBool>,
-    serve: impl Fn(TcpStream) + Send + Sync + 'static,
-) -> SocketAddr {
+/// Serves connections, each on a thread.
+fn listen(address: &str, serve: impl Fn(TcpStream) + Send + Sync + 'static) -> SocketAddr {
     let listener = TcpListener::bind(address).expect("a free port");
     let bound = listener.local_addr().expect("an address");
     let serve = Arc::new(serve);
     thread::spawn(move || {
         for stream in listener.incoming() {
-            if closed.load(Ordering::SeqCst) {
-                return;
-            }
             let Ok(stream) = stream else { continue };
             let _ = stream.set_nodelay(true);
             let serve = Arc::clone(&serve);
@@ -429,7 +422,7 @@
         let shared = Arc::new((Mutex::new(content), Condvar::new()));
         let serving = Arc::clone(&shared);
         let log = record.clone();
-        let address = listen("127.0.0.1:0", Arc::default(), move |stream| {
+        let address = listen("127.0.0.1:0", move |stream| {
             serve_store(stream, &serving, lists, &log);
         });
         Self {
@@ -742,6 +735,10 @@
     pub fails: u64,
     /// Version of its software.
     pub version: &'static str,
+    /// Path whose requests crash it as it begins to run them.
+    pub deadly_path: &'static str,
+    /// Time from a crash until it is back.
+    pub down_time: Duration,
 }
 
 impl Default for Behaviour {
@@ -750,56 +747,96 @@
             work: ms(60),
             fails: 0,
             version: "v1",
+            deadly_path: "",
+            down_time: ms(3_000),
         }
     }
 }
 
 /// A replica: it runs each request for a while and answers it.
+#[derive(Clone)]
 pub struct Replica {
     pub id: String,
     pub service: String,
     pub zone: String,
     pub address: SocketAddr,
-    pub born: u64,
     pub version: &'static str,
-    closed: Arc<AtomicBool>,
+    /// Start of its process, in Unix milliseconds.
+    born: Arc<AtomicU64>,
+    /// Whether its process doesn't run.
+    down: Arc<AtomicBool>,
     open: Arc<Mutex<Vec<TcpStream>>>,
+    behaviour: Arc<Behaviour>,
+    store: Option<Store>,
+    record: Record,
+    runs: Runs,
 }
 
 /// All runs of all replicas.
 pub type Runs = Arc<Mutex<Vec<Run>>>;
 
 impl Replica {
-    pub fn start(record: &Record, runs: &Runs, id: &str, service: &str, zone: &str, behaviour: Behaviour) -> Self {
-        let closed: Arc<AtomicBool> = Arc::default();
-        let open: Arc<Mutex<Vec<TcpStream>>> = Arc::default();
-        let born = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |time| time.as_millis() as u64);
-        let version = behaviour.version;
-        let serving = (record.clone(), Arc::clone(runs), id.to_owned(), Arc::clone(&closed), Arc::clone(&open));
-        let address = listen("127.0.0.1:0", Arc::clone(&closed), move |stream| {
-            let (record, runs, id, closed, open) = &serving;
-            if let Ok(clone) = stream.try_clone() {
-                lock(open).push(clone);
-            }
-            serve_replica(stream, record, runs, id, closed, &behaviour, born);
-        });
-        Self {
+    /// Starts a replica. With `store`, it registers there itself, and again after each crash.
+    pub fn start(
+        record: &Record,
+        runs: &Runs,
+        store: Option<&Store>,
+        name: (&str, &str, &str),
+        behaviour: Behaviour,
+    ) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let (id, service, zone) = name;
+        let replica = Self {
             id: id.to_owned(),
             service: service.to_owned(),
             zone: zone.to_owned(),
-            address,
-            born,
-            version,
-            closed,
-            open,
+            address: listener.local_addr().expect("an address"),
+            version: behaviour.version,
+            born: Arc::new(AtomicU64::new(unix_ms())),
+            down: Arc::default(),
+            open: Arc::default(),
+            behaviour: Arc::new(behaviour),
+            store: store.cloned(),
+            record: record.clone(),
+            runs: Arc::clone(runs),
+        };
+        replica.listen(listener);
+        if let Some(store) = store {
+            store.write(&replica.key(), &replica.entry("ready", 1));
         }
+        replica
+    }
+
+    /// Accepts connections on a thread until the process goes down.
+    fn listen(&self, listener: TcpListener) {
+        let replica = self.clone();
+        listener.set_nonblocking(true).expect("a listener that doesn't block");
+        thread::spawn(move || {
+            while !replica.down.load(Ordering::SeqCst) {
+                let Ok((stream, _)) = listener.accept() else {
+                    thread::sleep(ms(1));
+                    continue;
+                };
+                let _ = stream.set_nonblocking(false);
+                let _ = stream.set_nodelay(true);
+                if let Ok(clone) = stream.try_clone() {
+                    lock(&replica.open).push(clone);
+                }
+                let replica = replica.clone();
+                thread::spawn(move || replica.serve(stream));
+            }
+        });
     }
 
     /// Its entry in the store.
     pub fn entry(&self, state: &str, sequence: u64) -> String {
         format!(
             "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"{}\",\"slots\":6,\"state\":\"{state}\",\"cold_remaining_ms\":0,\"sequence\":{sequence},\"born\":{}}}",
-            self.service, self.address, self.zone, self.version, self.born
+            self.service,
+            self.address,
+            self.zone,
+            self.version,
+            self.born.load(Ordering::SeqCst)
         )
     }
 
@@ -811,68 +848,105 @@
     /// Ends the replica's process: nothing more is accepted, and open connections end.
     pub fn exit(&self, record: &Record) {
         record.line(&format!("replica {}: exits", self.id));
-        self.closed.store(true, Ordering::SeqCst);
+        self.go_down();
+    }
+
+    fn go_down(&self) {
+        self.down.store(true, Ordering::SeqCst);
         for stream in lock(&self.open).drain(..) {
             let _ = stream.shutdown(std::net::Shutdown::Both);
         }
-        // The listener's thread ends with the next connection.
-        let _ = TcpStream::connect(self.address);
     }
-}
 
-fn serve_replica(
-    stream: TcpStream,
-    record: &Record,
-    runs: &Runs,
-    id: &str,
-    closed: &AtomicBool,
-    behaviour: &Behaviour,
-    born: u64,
-) {
-    let Ok(mut writer) = stream.try_clone() else { return };
-    let mut reader = BufReader::new(stream);
-    while let Some(request) = read_request(&mut reader) {
-        let request_id = request.header("medlarfall-request-id").unwrap_or("").to_owned();
-        let answered = match request.path() {
-            "/health" => respond(&mut writer, 200, &[("Medlarfall-Replica-Id", id)], b""),
-            "/report" => {
-                let report = format!(
-                    "{{\"phase\":\"hybrid\",\"models\":[],\"busy\":false,\"sequence\":1,\"queued\":0,\"running\":0,\"kv_used\":0,\"kv_total\":0,\"handle_count\":0,\"born\":{born}}}"
-                );
-                respond(&mut writer, 200, &[("Content-Type", "application/json")], report.as_bytes())
-            }
-            _ if request.header("medlarfall-target-replica").is_some_and(|target| target != id) => {
-                record.line(&format!("replica {id}: 421 to {request_id}"));
-                let headers = [("Medlarfall-Replica-Id", id), ("Medlarfall-Not-Executed", "1"), ("Medlarfall-Request-Id", &request_id)];
-                respond(&mut writer, 421, &headers, b"")
+    /// Crashes, and starts again under the same name after a while.
+    fn crash(&self) {
+        if self.down.load(Ordering::SeqCst) {
+            return;
+        }
+        self.record.line(&format!("replica {}: crashes", self.id));
+        self.go_down();
+        let replica = self.clone();
+        thread::spawn(move || {
+            thread::sleep(replica.behaviour.down_time);
+            let until = Instant::now() + Duration::from_secs(10);
+            let listener = loop {
+                match TcpListener::bind(replica.address) {
+                    Ok(listener) => break listener,
+                    Err(_) if Instant::now() < until => thread::sleep(ms(20)),
+                    Err(error) => {
+                        replica.record.line(&format!("replica {}: not back: {error}", replica.id));
+                        return;
+                    }
+                }
+            };
+            replica.born.store(unix_ms(), Ordering::SeqCst);
+            replica.down.store(false, Ordering::SeqCst);
+            replica.listen(listener);
+            replica.record.line(&format!("replica {}: is back", replica.id));
+            if let Some(store) = &replica.store {
+                store.write(&replica.key(), &replica.entry("ready", 1));
             }
-            path => {
-                let number = lock(runs).iter().filter(|run| run.replica == id).count() as u64;
-                let failed = number * 37 % 100 < behaviour.fails;
-                let run = Run {
-                    failed,
-                    at: record.now(),
-                    request_id: request_id.clone(),
-                    path: path.to_owned(),
-                    replica: id.to_owned(),
-                };
-                record.line(&format!("replica {id}: runs {request_id} {path}"));
-                lock(runs).push(run);
-                thread::sleep(behaviour.work);
-                if closed.load(Ordering::SeqCst) {
-                    return;
+        });
+    }
+
+    fn serve(&self, stream: TcpStream) {
+        let Ok(mut writer) = stream.try_clone() else { return };
+        let mut reader = BufReader::new(stream);
+        let id = self.id.as_str();
+        let born = self.born.load(Ordering::SeqCst);
+        while let Some(request) = read_request(&mut reader) {
+            let request_id = request.header("medlarfall-request-id").unwrap_or("").to_owned();
+            let answered = match request.path() {
+                "/health" => respond(&mut writer, 200, &[("Medlarfall-Replica-Id", id)], b""),
+                "/report" => {
+                    let report = format!(
+                        "{{\"phase\":\"hybrid\",\"models\":[],\"busy\":false,\"sequence\":1,\"queued\":0,\"running\":0,\"kv_used\":0,\"kv_total\":0,\"handle_count\":0,\"born\":{born}}}"
+                    );
+                    respond(&mut writer, 200, &[("Content-Type", "application/json")], report.as_bytes())
+                }
+                _ if request.header("medlarfall-target-replica").is_some_and(|target| target != id) => {
+                    self.record.line(&format!("replica {id}: 421 to {request_id}"));
+                    let headers = [("Medlarfall-Replica-Id", id), ("Medlarfall-Not-Executed", "1"), ("Medlarfall-Request-Id", &request_id)];
+                    respond(&mut writer, 421, &headers, b"")
+                }
+                path => {
+                    let number = lock(&self.runs).iter().filter(|run| run.replica == id).count() as u64;
+                    let failed = number * 37 % 100 < self.behaviour.fails;
+                    let run = Run {
+                        at: self.record.now(),
+                        request_id: request_id.clone(),
+                        path: path.to_owned(),
+                        replica: id.to_owned(),
+                        failed,
+                    };
+                    self.record.line(&format!("replica {id}: runs {request_id} {path}"));
+                    lock(&self.runs).push(run);
+                    if path == self.behaviour.deadly_path {
+                        self.crash();
+                        return;
+                    }
+                    thread::sleep(self.behaviour.work);
+                    if self.born.load(Ordering::SeqCst) != born || self.down.load(Ordering::SeqCst) {
+                        return;
+                    }
+                    let headers = [("Medlarfall-Request-Id", request_id.as_str()), ("Medlarfall-Response-Signature", "3e1b.07.5a2.600.0.c9f2a4d1")];
+                    let status = if failed { 500 } else { 200 };
+                    respond(&mut writer, status, &headers, format!("done {request_id}\n").as_bytes())
                 }
-                let headers = [("Medlarfall-Request-Id", request_id.as_str()), ("Medlarfall-Response-Signature", "3e1b.07.5a2.600.0.c9f2a4d1")];
-                let status = if failed { 500 } else { 200 };
-                respond(&mut writer, status, &headers, format!("done {request_id}\n").as_bytes())
+            };
+            if answered.is_err() {
+                return;
             }
-        };
-        if answered.is_err() {
-            return;
         }
     }
 }
 
+/// Unix time in milliseconds.
+fn unix_ms() -> u64 {
+    let time = SystemTime::now().duration_since(UNIX_EPOCH);
+    time.map_or(0, |time| time.as_millis() as u64)
+}
+
 // ---------------------------------------------------------------------------------------------
 // Clients
 
