--- a/review/2/case.rs
+++ b/review/2/case.rs
@@ -80,7 +80,7 @@
                     let outcome = answer.map_or("closed".to_owned(), |answer| answer.status.to_string());
                     record.line(&format!("client: {id} through {front}: {outcome}"));
                     lock(&answers).push((id, outcome));
-                    thread::sleep(ms(100));
+                    thread::sleep(ms(75 + client as u64 * 17 % 50));
                 }
             })
         })
