fix(relay): a lost call to the store is no outage until a new connection fails too

Cause: store_watch took any failed call for an outage of the store, and a removal that is read after an outage counts as a lapse, which keeps the server in use. A cut watch or a silent connection says something of the connection only. Besides, the pool offered one silent connection after the other, each for its own time limit of 1.6 s.

coordination::store_outage decides now: the second lost call in a row, a refusal, or two seconds without a response are an outage. The store's clients discard idle connections after a call without a response, so the second call uses a new one.

Evidence: the log says "store unavailable" and then "lapsed" for the removal, in both cases. The tests of lost_store_calls fail before: the removed server is still chosen, and a call after a lost one gets no answer within 5 s. Ruled out: that the readers miss the change (they read it, late).

--- a/coordination/src/lib.rs
+++ b/coordination/src/lib.rs
@@ -36,4 +36,5 @@
 pub mod schedule;
 pub mod server_limit;
 pub mod server_pause;
+pub mod store_outage;
 pub mod warmup;
--- a/relay/src/store_watch.rs
+++ b/relay/src/store_watch.rs
@@ -2,7 +2,7 @@
 //!
 //! Lists all keys once, then watches them with long polls. Nothing that is known is dropped while
 //! the store is unavailable. Each watch is bounded in time, since a connection can fall silent
-//! without an error.
+//! without an error; the store's client opens a new connection after a call without a response.
 
 use std::collections::HashSet;
 use std::sync::Arc;
@@ -15,6 +15,7 @@
 use medlarfall_coordination::canary::Order;
 use medlarfall_coordination::history::Revision;
 use medlarfall_coordination::reader_election::retry_pause;
+use medlarfall_coordination::store_outage::{Detector, Outcome, State};
 use medlarfall_runtime::store::{Change, Changes, Error, Item, Listing, Store};
 
 use crate::codec::{Codec, Record};
@@ -46,6 +47,30 @@
 /// are restarted together, and each store call has a cost.
 const COALESCE: Duration = Duration::from_millis(120);
 
+/// Time limits of a watch.
+#[derive(Clone, Copy, Debug)]
+struct Limits {
+    /// Time that the store may wait for a change.
+    wait: Duration,
+    /// Time until its response, in addition to [`RESPONSE_TIMEOUT`].
+    response: Duration,
+}
+
+impl Limits {
+    fn of(state: State, reads_store: bool) -> Self {
+        let wait = match state {
+            State::Available if reads_store => WATCH_TIME,
+            _ => FIRST_WATCH_TIME,
+        };
+        let response = match state {
+            // A live store answers a new connection at once.
+            State::Unconfirmed => wait,
+            _ => WATCH_TIME,
+        };
+        Self { wait, response }
+    }
+}
+
 /// Position of this entry in the store's history.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Position {
@@ -73,6 +98,7 @@
 pub async fn run<C: Codec, S: Store>(relay: Arc<Relay<C>>, store: S) {
     let mut position = Position::Unknown;
     let mut last_available = None;
+    let mut detector = Detector::default();
     let mut contacts_known = relay.settings.peer_address.is_none();
     let mut failures = 0_u32;
     loop {
@@ -92,19 +118,30 @@
         }
         // Peers may have sent changes that this entry has not read itself.
         position = position.at_least(relay.changelog(|changelog| changelog.revision()));
-        let (next, reason) = match step(&relay, &store, position).await {
+        let reads_store = relay.reads_store.load(Ordering::Relaxed);
+        let limits = Limits::of(detector.state(), reads_store);
+        let step = step(&relay, &store, position, limits).await;
+        let outcome = outcome(&step);
+        let state = detector.record(outcome, relay.clock.now());
+        let (next, reason) = match step {
             Ok(next) => (next, None),
             Err(Error::HistoryGone) => (Position::Gone, None),
             Err(error) => (position, Some(error.to_string())),
         };
         position = next;
-        let available = reason.is_none();
+        let reason = reason.as_deref().unwrap_or("");
+        if state == State::Unconfirmed {
+            log::info!(dependency = "store", reason; "call to the store lost; another one follows on a new connection");
+            tokio::time::sleep(jittered(retry_pause(1, false))).await;
+            continue;
+        }
+        let available = state == State::Available;
         // If the store refuses only this entry, it counts as available through the others.
         let others_read = relay.others_read();
         relay.set_store_available(available || others_read);
         relay.reads_store.store(available, Ordering::Relaxed);
         if last_available != Some(available) {
-            record_store_state(&relay, available, reason.as_deref().unwrap_or(""));
+            record_store_state(&relay, available, reason);
             last_available = Some(available);
         }
         if available {
@@ -146,6 +183,15 @@
     }
 }
 
+/// Returns what a call says of the store.
+fn outcome<T>(step: &Result<T, Error>) -> Outcome {
+    match step {
+        Ok(_) | Err(Error::HistoryGone) => Outcome::Answered,
+        Err(Error::Lost { .. }) => Outcome::Lost,
+        Err(_) => Outcome::Refused,
+    }
+}
+
 fn record_store_state<C: Codec>(relay: &Relay<C>, available: bool, reason: &str) {
     relay.metrics.store_up.set(i64::from(available));
     if available {
@@ -160,6 +206,7 @@
     relay: &Relay<C>,
     store: &S,
     position: Position,
+    limits: Limits,
 ) -> Result<Position, Error> {
     match position {
         Position::Unknown | Position::Gone => {
@@ -185,17 +232,12 @@
         }
         Position::At(revision) => {
             relay.metrics.count_store_call(StoreCall::Watch);
-            let wait = if relay.reads_store.load(Ordering::Relaxed) {
-                WATCH_TIME
-            } else {
-                FIRST_WATCH_TIME
-            };
-            let watching = store.watch("", revision.number, wait);
+            let watching = store.watch("", revision.number, limits.wait);
             let Changes {
                 changes,
                 revision: number,
                 era,
-            } = with_timeout(WATCH_TIME, watching).await?;
+            } = with_timeout(limits.response, watching).await?;
             let read = Revision { era, number }.or_era(revision.era);
             if read.is_of_earlier_era(revision) {
                 return Err(outdated());
--- a/runtime/src/http.rs
+++ b/runtime/src/http.rs
@@ -2,6 +2,7 @@
 //! may have received.
 
 use std::error::Error as _;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -46,13 +47,40 @@
     },
 }
 
+type Connections = Client<HttpConnector, Full<Bytes>>;
+
 /// An HTTP client with a pool of connections.
 #[derive(Clone, Debug)]
 pub struct Pool {
-    client: Client<HttpConnector, Full<Bytes>>,
+    connections: Arc<Mutex<Connections>>,
     traceparent: fn() -> Option<String>,
 }
 
+/// Discards the idle connections of a pool when dropped, unless the call got a response.
+struct Unanswered<'pool> {
+    pool: Option<&'pool Pool>,
+}
+
+impl Drop for Unanswered<'_> {
+    fn drop(&mut self) {
+        if let Some(pool) = self.pool {
+            *pool.lock() = connect();
+        }
+    }
+}
+
+/// Returns a client without open connections.
+fn connect() -> Connections {
+    let mut connector = HttpConnector::new();
+    connector.set_nodelay(true);
+    connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+    Client::builder(TokioExecutor::new())
+        .pool_idle_timeout(IDLE_TIMEOUT)
+        .pool_timer(TokioTimer::new())
+        .retry_canceled_requests(false)
+        .build(connector)
+}
+
 impl Default for Pool {
     fn default() -> Self {
         Self::new()
@@ -69,20 +97,18 @@
     /// Returns a pool whose requests carry the trace context that `traceparent` returns.
     #[must_use]
     pub fn traced(traceparent: fn() -> Option<String>) -> Self {
-        let mut connector = HttpConnector::new();
-        connector.set_nodelay(true);
-        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
-        let client = Client::builder(TokioExecutor::new())
-            .pool_idle_timeout(IDLE_TIMEOUT)
-            .pool_timer(TokioTimer::new())
-            .retry_canceled_requests(false)
-            .build(connector);
         Self {
-            client,
+            connections: Arc::new(Mutex::new(connect())),
             traceparent,
         }
     }
 
+    fn lock(&self) -> std::sync::MutexGuard<'_, Connections> {
+        self.connections
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Sends a request and returns the response, whose body has not been read yet.
     ///
     /// # Errors
@@ -96,7 +122,8 @@
         if let Some(Ok(traceparent)) = (self.traceparent)().map(TryInto::try_into) {
             request.headers_mut().insert(TRACEPARENT, traceparent);
         }
-        self.client.request(request).await.map_err(|error| {
+        let connections = self.lock().clone();
+        connections.request(request).await.map_err(|error| {
             let reason = error
                 .source()
                 .map_or_else(|| error.to_string(), ToString::to_string);
@@ -124,6 +151,25 @@
             }),
         }
     }
+
+    /// Sends a request to the only server that this pool is used for, and reads the whole response. If none
+    /// arrives, also because the caller stops waiting, the idle connections are discarded, so that the next
+    /// request opens a new one: connections that were opened to the server before may all have fallen
+    /// silent.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no response arrived; the error states whether the server may have received the
+    /// request.
+    pub async fn fetch_or_reconnect(
+        &self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<(Parts, Bytes), Failure> {
+        let mut unanswered = Unanswered { pool: Some(self) };
+        let response = self.fetch(request).await?;
+        unanswered.pool = None;
+        Ok(response)
+    }
 }
 
 /// Reads a body and reserves its bytes from `budget`. Returns `None` if the body is larger than
--- a/serving/src/platform/http.rs
+++ b/serving/src/platform/http.rs
@@ -69,7 +69,8 @@
             .uri(format!("http://{}{path}", self.address))
             .header(CALLER, self.caller.as_ref());
         let request = http::body(request, body).map_err(|error| unavailable(&error))?;
-        let sent = self.pool.fetch(request).in_span(telemetry::hop("store"));
+        let sent = self.pool.fetch_or_reconnect(request);
+        let sent = sent.in_span(telemetry::hop("store"));
         let response = tokio::time::timeout(timeout, sent).await;
         match response {
             Ok(Ok((parts, body))) => Ok((parts.status, body)),
