fix(relay): the grace period for lapsed servers ends by the clock

Callers saw requests run on a removed server for up to 1.2 s after the grace period that follows an outage of the store, and for as long as the store is interrupted again and again within it.

Cause: Registry::expire ran only after a call to the store, which may be a watch of 1.2 s, and each interruption began the grace period anew. The task `lapses` drops the servers at its end. An interruption within it that is shorter than two seconds prolongs it to six seconds after the first return at most; a longer one is an outage of its own.

--- a/coordination/src/registry.rs
+++ b/coordination/src/registry.rs
@@ -22,6 +22,10 @@
 /// specifies.
 pub const LAPSE_GRACE: Duration = Duration::from_secs(2);
 
+/// Time after the recovery of the store by which the grace period ends even if the store is interrupted
+/// again and again. An interruption that is longer than [`LAPSE_GRACE`] is an outage of its own.
+pub const MAX_GRACE: Duration = Duration::from_secs(6);
+
 /// Time for which the last registration of a removed server is known, and that an unregistered server said
 /// that it leaves. A store is restored from copies that are some seconds old.
 const REMOVED_TIME: Duration = Duration::from_mins(2);
@@ -90,7 +94,12 @@
     removed: HashMap<Arc<str>, Removed>,
     departures: HashMap<Arc<str>, Departure>,
     store_down: bool,
+    lost_at: Duration,
+    /// Latest end of the current grace period.
+    settled_by: Duration,
     settled_from: Duration,
+    /// Whether servers may have lapsed that were not removed since.
+    expiry_due: bool,
 }
 
 /// The effect of a change.
@@ -118,21 +127,37 @@
     }
 
     /// Records that the store does not respond.
-    pub fn store_lost(&mut self) {
-        self.store_down = true;
+    pub fn store_lost(&mut self, now: Duration) {
+        if !self.store_down {
+            self.store_down = true;
+            self.lost_at = now;
+        }
     }
 
     /// Records that the store responds.
     pub fn store_responded(&mut self, now: Duration) {
-        if self.store_down {
-            self.store_down = false;
-            self.settled_from = now + LAPSE_GRACE;
+        if !self.store_down {
+            return;
+        }
+        self.store_down = false;
+        let interrupted = self.lost_at < self.settled_from;
+        if interrupted && now.saturating_sub(self.lost_at) < LAPSE_GRACE {
+            let ends = (now + LAPSE_GRACE).min(self.settled_by);
+            self.settled_from = self.settled_from.max(ends);
+        } else {
+            self.begin_grace(now);
         }
     }
 
     /// Records that the store was restored from a copy, which may lack registrations of live servers.
     pub fn store_restored(&mut self, now: Duration) {
+        self.begin_grace(now);
+    }
+
+    fn begin_grace(&mut self, now: Duration) {
         self.settled_from = now + LAPSE_GRACE;
+        self.settled_by = now + MAX_GRACE;
+        self.expiry_due = true;
     }
 
     /// Applies a server's registration at a revision of the store; `sequence` increases with each
@@ -311,6 +336,7 @@
         if !self.settled(now) {
             return Vec::new();
         }
+        self.expiry_due = false;
         let expired: Vec<Arc<str>> = self
             .records
             .iter()
@@ -323,6 +349,13 @@
         expired
     }
 
+    /// Returns when [`expire`](Self::expire) is due next: at the end of the grace period. While the store does
+    /// not respond, that is not known.
+    #[must_use]
+    pub fn next_expiry(&self) -> Option<Duration> {
+        (self.expiry_due && !self.store_down).then_some(self.settled_from)
+    }
+
     /// Returns the registration of a server.
     #[must_use]
     pub fn get(&self, id: &str) -> Option<&Arc<Server>> {
--- a/coordination/tests/registry.rs
+++ b/coordination/tests/registry.rs
@@ -80,7 +80,7 @@
     let mut registry = Registry::new();
     register(&mut registry, server("a", 1), at(5));
     register(&mut registry, server("b", 2), at(6));
-    registry.store_lost();
+    registry.store_lost(NOW);
     assert_eq!(registry.remove("a", at(7), NOW), Effect::Lapsed);
     registry.store_responded(NOW);
     assert_eq!(registry.remove("b", at(8), NOW), Effect::Lapsed);
@@ -95,7 +95,7 @@
 fn a_server_that_was_leaving_is_not_kept_in_an_outage() {
     let mut registry = Registry::new();
     register(&mut registry, leaving("a", 1), at(5));
-    registry.store_lost();
+    registry.store_lost(NOW);
     assert_eq!(registry.remove("a", at(7), NOW), Effect::Gone);
 }
 
@@ -145,7 +145,7 @@
 fn a_server_found_in_an_outage_is_used_and_dropped_unless_it_registers() {
     let mut registry = Registry::new();
     register(&mut registry, server("a", 1), at(5));
-    registry.store_lost();
+    registry.store_lost(NOW);
     assert_eq!(registry.adopt(server("b", 1)), Effect::Joined);
     assert_eq!(registry.adopt(server("b", 1)), Effect::Stale);
     assert_eq!(ready(&registry), ["b"]);
@@ -208,7 +208,7 @@
     let returns_at = NOW + LAPSE_GRACE + COPY_GRACE;
     let just_before = returns_at.saturating_sub(Duration::from_millis(1));
     assert!(registry.accept_listed(just_before).is_empty());
-    registry.store_lost();
+    registry.store_lost(NOW);
     assert!(registry.accept_listed(returns_at).is_empty(), "store down");
     registry.store_responded(NOW);
     assert_eq!(registry.accept_listed(returns_at), [Arc::from("a")]);
--- a/relay/src/daemon.rs
+++ b/relay/src/daemon.rs
@@ -17,8 +17,8 @@
 use crate::codec::Codec;
 use crate::state::Relay;
 use crate::{
-    broadcast, changelog, internal_http, listener, moves, quarantine, rediscover, registration,
-    store_watch, supervisor,
+    broadcast, changelog, internal_http, lapses, listener, moves, quarantine, rediscover,
+    registration, store_watch, supervisor,
 };
 
 /// Time from the stop signal until idle connections are closed. The platform polls readiness once a
@@ -52,6 +52,8 @@
     supervise(&relay, "quarantine", move || {
         quarantine::run(Arc::clone(&recording.0), recording.1.clone())
     });
+    let expiring = Arc::clone(&relay);
+    supervise(&relay, "lapses", move || lapses::run(Arc::clone(&expiring)));
     let searching = Arc::clone(&relay);
     supervise(&relay, "rediscover", move || {
         rediscover::run(Arc::clone(&searching))
--- a/relay/src/lib.rs
+++ b/relay/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod events;
 pub mod ingress;
 pub mod internal_http;
+pub mod lapses;
 pub mod listener;
 pub mod metrics;
 pub mod monitor;
--- a/relay/src/state/servers.rs
+++ b/relay/src/state/servers.rs
@@ -112,16 +112,35 @@
         );
     }
 
-    /// Records whether the store is available, drops servers that did not return after an outage, and
-    /// adds removed ones that a restored store has kept.
+    /// Records whether the store is available.
     pub fn set_store_available(&self, available: bool) {
         let now = self.clock.now();
-        let (expired, accepted) = self.view(|view| {
+        let changed = self.view(|view| {
+            let before = view.registry.next_expiry();
             if available {
                 view.registry.store_responded(now);
             } else {
-                view.registry.store_lost();
+                view.registry.store_lost(now);
             }
+            view.registry.next_expiry() != before
+        });
+        if changed {
+            self.notify_changed();
+        }
+        self.expire_servers();
+    }
+
+    /// Returns when [`expire_servers`](Self::expire_servers) is due next, if that is known.
+    #[must_use]
+    pub fn next_expiry(&self) -> Option<Duration> {
+        self.view(|view| view.registry.next_expiry())
+    }
+
+    /// Drops servers that did not return within the grace period after an outage, and adds removed ones that
+    /// a restored store has kept.
+    pub fn expire_servers(&self) {
+        let now = self.clock.now();
+        let (expired, accepted) = self.view(|view| {
             let expired = view.registry.expire(now);
             let accepted = view.registry.accept_listed(now);
             for id in expired.iter().chain(&accepted) {
