--- a/relay/src/changelog.rs
+++ b/relay/src/changelog.rs
@@ -56,8 +56,8 @@
 }
 
 impl Changelog {
-    /// Adds a change of an era, unless a newer one of its key is known. Returns whether the log is of that
-    /// era; a change of another one is not added.
+    /// Adds a change, unless it belongs to another era than the log or a newer one of its key is known. Returns
+    /// whether it is the newest known change of its key.
     pub fn insert(&mut self, era: u64, change: &Change) -> bool {
         if self.revision == Revision::default() {
             self.revision.era = era;
@@ -66,9 +66,13 @@
             return false;
         }
         let known = self.changes.get(change.key.as_str());
-        if known.is_none_or(|known| known.revision < change.revision) {
-            self.changes
-                .insert(Arc::from(change.key.as_str()), change.clone());
+        match known.map_or(0, |known| known.revision) {
+            known if known > change.revision => return false,
+            known if known == change.revision => {}
+            _ => {
+                self.changes
+                    .insert(Arc::from(change.key.as_str()), change.clone());
+            }
         }
         true
     }
--- a/relay/src/lapses.rs
+++ b/relay/src/lapses.rs
@@ -14,13 +14,11 @@
     loop {
         changed.mark_unchanged();
         let change = changed.changed();
-        let over = match relay.next_expiry() {
-            Some(at) => timeout_at(relay.clock.instant(at), change).await.is_err(),
-            None => {
-                let _ = change.await;
-                false
-            }
+        let Some(due) = relay.next_expiry() else {
+            let _ = change.await;
+            continue;
         };
+        let over = timeout_at(relay.clock.instant(due), change).await.is_err();
         if over {
             relay.expire_servers();
         }
--- a/relay/src/store_watch.rs
+++ b/relay/src/store_watch.rs
@@ -248,7 +248,7 @@
             }
             // The first response after an outage carries the changes made during it.
             relay.set_store_available(true);
-            for change in &changes {
+            for change in newest(&changes) {
                 apply(relay, era, change);
             }
             relay.changelog(|changelog| changelog.mark_complete(read));
@@ -257,6 +257,16 @@
     }
 }
 
+/// Returns the newest change of each key, oldest first. A value that was replaced or removed since has no
+/// effect, not even for a moment.
+fn newest(changes: &[Change]) -> Vec<&Change> {
+    let mut keys = HashSet::new();
+    let newest = changes.iter().rev();
+    let mut newest: Vec<&Change> = newest.filter(|it| keys.insert(&*it.key)).collect();
+    newest.reverse();
+    newest
+}
+
 fn outdated() -> Error {
     Error::Unavailable {
         reason: "the answer is older than the store's last restore".to_owned(),
@@ -398,7 +408,8 @@
 }
 
 /// Applies one change of an era of the store. A change of another era than the one known is ignored: after a
-/// restore all keys are read anew.
+/// restore all keys are read anew. So is one that a newer change of its key has replaced: a watch from an
+/// older page of a list returns it again.
 pub fn apply<C: Codec>(relay: &Relay<C>, era: u64, change: &Change) {
     if !relay.changelog(|changelog| changelog.insert(era, change)) {
         return;
