--- a/relay/src/broadcast.rs
+++ b/relay/src/broadcast.rs
@@ -19,8 +19,8 @@
 use crate::changelog;
 use crate::codec::Codec;
 use crate::datagram::{self, Updates};
+use crate::peer_updates;
 use crate::state::Relay;
-use crate::store_watch;
 
 /// Shortest time between two rounds of messages, so that one carries several changes.
 const MIN_INTERVAL: Duration = Duration::from_millis(10);
@@ -68,7 +68,7 @@
     let confirmed = message.sender.store_available && matches!(message.content, Content::Digest(_));
     relay.receive_message(from, message);
     if let Some(Updates { after, changes }) = updates {
-        store_watch::apply_updates(relay, after, changes);
+        peer_updates::apply_updates(relay, after, changes);
     }
     let behind = revision > relay.changelog(|changelog| changelog.revision());
     if confirmed && !behind {
--- a/relay/src/changelog.rs
+++ b/relay/src/changelog.rs
@@ -24,8 +24,8 @@
 use crate::codec::{Codec, Command};
 use crate::encoding;
 use crate::internal_http;
+use crate::peer_updates;
 use crate::state::Relay;
-use crate::store_watch;
 
 /// Time that an entry waits for the changes to arrive by message before it fetches them.
 const CATCH_UP_DELAY: Duration = Duration::from_millis(60);
@@ -241,7 +241,7 @@
                 revision = changes.revision, changes = changes.changes.len();
                 "caught up from a peer"
             );
-            store_watch::apply_fetched(&relay, after, changes);
+            peer_updates::apply_fetched(&relay, after, changes);
         }
         Err(reason) => {
             log::info!(peer = peer.as_str(), reason = reason.as_str(); "catching up from a peer failed");
--- a/relay/src/lib.rs
+++ b/relay/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod metrics;
 pub mod monitor;
 pub mod moves;
+pub mod peer_updates;
 pub mod prompt_cache;
 pub mod quarantine;
 pub mod rediscover;
