fix(coordination): calls that crash servers are recognised and refused

Cause: losses were told apart by the parts of prompts, which calls don't have, so a call that crashes servers was retried like any other, and entries told one another nothing of it.

A request without a prompt has a fingerprint now: the hash of its method, path, account and body. It goes through the same tracker, messages and records as parts of prompts, with a tracker, a rate of losses and a place in messages for each kind. The rate for calls is that of other calls about the time of the losses in question. A call that was lost twice and not answered since is not sent to a second server within the same request.

--- a/coordination/src/dissemination.rs
+++ b/coordination/src/dissemination.rs
@@ -19,12 +19,12 @@
 use crate::server_limit::Named;
 
 pub mod codec;
+mod crash_news;
 pub mod ledger;
 mod members;
 pub mod moves;
 pub mod news;
 mod node;
-mod prompt_news;
 pub mod roster;
 
 pub use ledger::{Count, Summary};
@@ -78,12 +78,12 @@
     pub started_ms: Option<u64>,
 }
 
-/// Losses and answers of prompts that may crash servers, and how long ago.
+/// Losses and answers of requests that may crash servers, and how long ago.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
-pub struct Prompts {
+pub struct Crashes {
     /// Runs that were lost before their answer began.
     pub losses: Vec<(Loss, Duration)>,
-    /// Parts of answered prompts that were suspect.
+    /// Parts of answered requests that were suspect.
     pub answers: Vec<(Arc<[Part]>, Duration)>,
 }
 
@@ -129,7 +129,9 @@
     /// Its reports on moves.
     pub moves: Vec<MoveReport>,
     /// What it saw of prompts that may crash servers.
-    pub prompts: Prompts,
+    pub prompts: Crashes,
+    /// What it saw of calls that may crash servers.
+    pub calls: Crashes,
     /// What servers said of their limits, and how long ago.
     pub limits: Vec<(ServerLimit, Duration)>,
 }
@@ -146,7 +148,9 @@
     /// Reports on moves.
     pub moves: Vec<MoveReport>,
     /// What was seen of prompts that may crash servers.
-    pub prompts: Prompts,
+    pub prompts: Crashes,
+    /// What was seen of calls that may crash servers.
+    pub calls: Crashes,
     /// What servers said of their limits, and how long ago.
     pub limits: Vec<(ServerLimit, Duration)>,
     /// Entries of the sender's failure domain that can be its hubs.
@@ -192,7 +196,9 @@
     /// Reports on moves.
     pub moves: Vec<MoveReport>,
     /// What was seen of prompts that may crash servers.
-    pub prompts: Prompts,
+    pub prompts: Crashes,
+    /// What was seen of calls that may crash servers.
+    pub calls: Crashes,
     /// What servers said of their limits, and how long ago.
     pub limits: Vec<(ServerLimit, Duration)>,
 }
--- a/coordination/src/dissemination/codec.rs
+++ b/coordination/src/dissemination/codec.rs
@@ -14,7 +14,7 @@
 use crate::server_limit::Named;
 
 use super::{
-    Contact, Content, Count, Digest, Message, MoveReport, Prompts, Report, Sender, ServerLimit,
+    Contact, Content, Count, Crashes, Digest, Message, MoveReport, Report, Sender, ServerLimit,
     Successor, Summary, Tag,
 };
 
@@ -114,6 +114,8 @@
             moves: texts(report.moves, Into::into),
             prompt_losses: texts(report.prompts.losses, encode_loss),
             prompt_answers: texts(report.prompts.answers, encode_answer),
+            call_losses: texts(report.calls.losses, encode_loss),
+            call_answers: texts(report.calls.answers, encode_answer),
             server_limits: encode_limits(&report.limits),
         }
     }
@@ -129,7 +131,8 @@
             successors: texts(report.successors, Into::into),
             usage: decode_usage(report.retries),
             moves: texts(report.moves, Into::into),
-            prompts: decode_prompts(report.prompt_losses, report.prompt_answers),
+            prompts: decode_crashes(report.prompt_losses, report.prompt_answers),
+            calls: decode_crashes(report.call_losses, report.call_answers),
             limits: decode_limits(report.server_limits)?,
         })
     }
@@ -155,6 +158,8 @@
             moves: texts(digest.moves, Into::into),
             prompt_losses: texts(digest.prompts.losses, encode_loss),
             prompt_answers: texts(digest.prompts.answers, encode_answer),
+            call_losses: texts(digest.calls.losses, encode_loss),
+            call_answers: texts(digest.calls.answers, encode_answer),
             server_limits: encode_limits(&digest.limits),
             contacts: texts(digest.contacts, contact),
             updates: None,
@@ -190,7 +195,8 @@
             lost: decode_lost(digest.lost)?,
             successors: texts(digest.successors, Into::into),
             moves: texts(digest.moves, Into::into),
-            prompts: decode_prompts(digest.prompt_losses, digest.prompt_answers),
+            prompts: decode_crashes(digest.prompt_losses, digest.prompt_answers),
+            calls: decode_crashes(digest.call_losses, digest.call_answers),
             limits: decode_limits(digest.server_limits)?,
             contacts: digest
                 .contacts
@@ -257,14 +263,14 @@
     }
 }
 
-fn decode_prompts(losses: Vec<peers::PromptLoss>, answers: Vec<peers::PromptAnswer>) -> Prompts {
+fn decode_crashes(losses: Vec<peers::PromptLoss>, answers: Vec<peers::PromptAnswer>) -> Crashes {
     let age = |milliseconds| Duration::from_millis(u64::from(milliseconds));
     let loss = |loss: peers::PromptLoss| {
         let parts = Arc::from(loss.parts);
         let server = loss.server;
         (Loss { server, parts }, age(loss.age_ms))
     };
-    Prompts {
+    Crashes {
         losses: texts(losses, loss),
         answers: texts(answers, |answer| {
             (Arc::from(answer.parts), age(answer.age_ms))
--- a/coordination/src/dissemination/prompt_news.rs
+++ b/coordination/src/dissemination/crash_news.rs
@@ -1,4 +1,4 @@
-//! Passes on the losses and answers of prompts that may crash servers.
+//! Passes on the losses and answers of requests that may crash servers.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -6,20 +6,20 @@
 use crate::quarantine::{Loss, Part};
 
 use super::news::{News, Origin};
-use super::{Prompts, Scope};
+use super::{Crashes, Scope};
 
-/// Most losses and most answers that are kept: as many as fit into a datagram with the rest of a
+/// Most losses and most answers of a kind that are kept: as many as fit into a datagram with the rest of a
 /// message. A part that crashes servers shows in the ones that remain.
 const CAPACITY: usize = 128;
 
-/// The losses and answers that one entry passes on.
+/// The losses and answers of a kind that one entry passes on.
 #[derive(Clone, Debug)]
-pub struct PromptNews {
+pub struct CrashNews {
     pub losses: News<Loss>,
     pub answers: News<Arc<[Part]>>,
 }
 
-impl Default for PromptNews {
+impl Default for CrashNews {
     fn default() -> Self {
         Self {
             losses: News::with_capacity(CAPACITY),
@@ -28,13 +28,13 @@
     }
 }
 
-impl PromptNews {
+impl CrashNews {
     /// Adds what another entry saw.
-    pub fn extend(&mut self, prompts: &Prompts, origin: Origin, now: Duration) {
-        for (loss, age) in &prompts.losses {
+    pub fn extend(&mut self, crashes: &Crashes, origin: Origin, now: Duration) {
+        for (loss, age) in &crashes.losses {
             self.losses.insert(loss.clone(), *age, origin, now);
         }
-        for (parts, age) in &prompts.answers {
+        for (parts, age) in &crashes.answers {
             self.answers.insert(Arc::clone(parts), *age, origin, now);
         }
     }
@@ -46,8 +46,8 @@
     }
 
     /// Returns what the next message of a scope carries.
-    pub fn batch(&mut self, scope: Scope, periodic: bool, now: Duration) -> Prompts {
-        Prompts {
+    pub fn batch(&mut self, scope: Scope, periodic: bool, now: Duration) -> Crashes {
+        Crashes {
             losses: self.losses.batch(scope, periodic, now),
             answers: self.answers.batch(scope, periodic, now),
         }
--- a/coordination/src/dissemination/node.rs
+++ b/coordination/src/dissemination/node.rs
@@ -6,15 +6,15 @@
 use std::time::Duration;
 
 use crate::history::Revision;
-use crate::quarantine::{Loss, Part};
+use crate::quarantine::{Kind, Loss, Part};
 use crate::reader_election::{Election, Rank};
 use crate::retry_budget::{Others, Usage};
 
+use super::crash_news::CrashNews;
 use super::ledger::{Count, Ledger, Summary};
 use super::members::{Change, Members};
 use super::moves::{MoveReport, Reports};
 use super::news::{self, Origin};
-use super::prompt_news::PromptNews;
 use super::roster::{Contact, Roster};
 use super::{Scope, ServerLimit, Successor, Tag};
 
@@ -93,7 +93,8 @@
     lost: news::News<Tag>,
     successors: news::News<Successor>,
     moves: Reports,
-    prompts: PromptNews,
+    prompts: CrashNews,
+    calls: CrashNews,
     limits: news::News<ServerLimit>,
     election: Election,
     sent: [Sent; Scope::COUNT],
@@ -128,7 +129,8 @@
             lost: news::News::default(),
             successors: news::News::default(),
             moves: Reports::default(),
-            prompts: PromptNews::default(),
+            prompts: CrashNews::default(),
+            calls: CrashNews::default(),
             limits: news::News::with_capacity(LIMITS),
             sent: [Sent::default(); Scope::COUNT],
             hub: false,
@@ -255,20 +257,27 @@
         self.successors.clear();
     }
 
-    /// Adds a run that this entry lost before its answer began.
-    pub fn add_prompt_loss(&mut self, loss: Loss, now: Duration) {
-        self.prompts
+    /// Adds a run of a kind that this entry lost before its answer began.
+    pub fn add_loss(&mut self, kind: Kind, loss: Loss, now: Duration) {
+        self.crashes(kind)
             .losses
             .insert(loss, Duration::ZERO, Origin::Own, now);
     }
 
-    /// Adds the suspect parts of a prompt whose answer began at this entry.
-    pub fn add_prompt_answer(&mut self, parts: Arc<[Part]>, now: Duration) {
-        self.prompts
+    /// Adds the suspect parts of a request of a kind whose answer began at this entry.
+    pub fn add_answer(&mut self, kind: Kind, parts: Arc<[Part]>, now: Duration) {
+        self.crashes(kind)
             .answers
             .insert(parts, Duration::ZERO, Origin::Own, now);
     }
 
+    fn crashes(&mut self, kind: Kind) -> &mut CrashNews {
+        match kind {
+            Kind::Prompt => &mut self.prompts,
+            Kind::Call => &mut self.calls,
+        }
+    }
+
     /// Adds what a server said of its limit to this entry.
     pub fn add_limit(&mut self, limit: ServerLimit, now: Duration) {
         self.limits.insert(limit, Duration::ZERO, Origin::Own, now);
@@ -341,6 +350,7 @@
     fn expire(&mut self, now: Duration) {
         self.lost.expire(now);
         self.prompts.expire(now);
+        self.calls.expire(now);
         self.limits.expire(now);
         let change = self.members.expire(now);
         self.update_sums(change, now);
--- a/coordination/src/dissemination/node/receiving.rs
+++ b/coordination/src/dissemination/node/receiving.rs
@@ -55,6 +55,7 @@
             successors: report.successors,
             moves: report.moves,
             prompts: report.prompts,
+            calls: report.calls,
             limits: report.limits,
         };
         self.pass_on(Origin::Domain, received, now)
@@ -97,6 +98,7 @@
             successors,
             moves,
             prompts,
+            calls,
             limits,
             ..
         } = digest;
@@ -105,6 +107,7 @@
             successors,
             moves,
             prompts,
+            calls,
             limits,
         };
         if local {
@@ -127,6 +130,7 @@
                 self.moves.insert(report.clone(), origin, now);
             }
             self.prompts.extend(&received.prompts, origin, now);
+            self.calls.extend(&received.calls, origin, now);
             for (limit, age) in &received.limits {
                 self.limits.insert(*limit, *age, origin, now);
             }
--- a/coordination/src/dissemination/node/sending.rs
+++ b/coordination/src/dissemination/node/sending.rs
@@ -110,6 +110,7 @@
             || self.successors.has_unsent(scope)
             || self.moves.has_unsent_verdict(scope)
             || self.prompts.has_unsent(scope)
+            || self.calls.has_unsent(scope)
             || self.limits.has_unsent(scope)
     }
 
@@ -202,6 +203,7 @@
             usage: self.own.usage.clone(),
             moves: self.moves.batch(Scope::Report, periodic, now),
             prompts: self.prompts.batch(Scope::Report, periodic, now),
+            calls: self.calls.batch(Scope::Report, periodic, now),
             limits: self.limits.batch(Scope::Report, periodic, now),
         };
         self.reported = self.own.clone();
@@ -223,6 +225,7 @@
             successors: successors.into_iter().map(|(found, _)| found).collect(),
             moves: self.moves.batch(scope, periodic, now),
             prompts: self.prompts.batch(scope, periodic, now),
+            calls: self.calls.batch(scope, periodic, now),
             limits: self.limits.batch(scope, periodic, now),
             contacts: if periodic {
                 self.contacts()
--- a/coordination/src/quarantine.rs
+++ b/coordination/src/quarantine.rs
@@ -1,9 +1,9 @@
-//! Quarantine of prompts that crash the servers that begin to answer them.
+//! Quarantine of requests that crash the servers that begin to answer them.
 //!
-//! A request whose server is lost before the answer begins is sent to another server. If the prompt
+//! A request whose server is lost before the answer begins is sent to another server. If the request
 //! itself crashes servers, this crashes one after the other. The tracker finds the parts of prompts
 //! that such losses have in common and that no answered prompt has, and blocks the requests that have
-//! them.
+//! them. A call without a prompt has a single part, its [`Fingerprint`].
 //!
 //! Servers are also lost for other reasons, together with the prompts in prefill there. Therefore a
 //! part needs several losses at different moments without an answer in between, more of them the more
@@ -33,19 +33,17 @@
 
 use crate::dissemination::Tag;
 
-/// Identifier of a part of a prompt.
-pub type Part = u64;
+mod fingerprint;
+mod rate;
+
+pub use fingerprint::{Fingerprint, Kind, Trackers};
 
-/// Losses of a part at different moments after which it is blocked, if prompts are rarely lost.
-const LOSSES: usize = 3;
+/// Identifier of a part of a prompt, or the hash of a call.
+pub type Part = u64;
 
 /// Losses of a part that was blocked, alone or with others, after which it is blocked again.
 const REPEATED_LOSSES: usize = 2;
 
-/// Shortest time between two losses that count for a part. Servers that fail together are found lost
-/// within this time.
-const SPACING: Duration = Duration::from_millis(300);
-
 /// Time between the losses of two prompts at a server that count as one crash.
 const CRASH_WINDOW: Duration = Duration::from_millis(500);
 
@@ -58,13 +56,6 @@
 /// Time over which the rate of losses is measured.
 pub const RATE_WINDOW: Duration = Duration::from_secs(10);
 
-/// Accepted probability that a sound part has as many losses in a row as block it.
-const FALSE_POSITIVE_RATE: f64 = 2e-4;
-
-/// Bounds of the rate of losses among sound prompts: few requests give no smaller estimate, and above
-/// the upper one no number of losses tells anything.
-const RATE_BOUNDS: (f64, f64) = (0.02, 0.8);
-
 /// Time for which a combination is blocked first; doubled each time it crashes a server after that.
 pub const FIRST_TIME: Duration = Duration::from_mins(2);
 
@@ -153,16 +144,37 @@
     }
 }
 
-/// What an entry knows of prompts that crash servers.
+/// The losses of other requests that show how likely a sound one is lost.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Measure {
+    /// Those of the last [`RATE_WINDOW`].
+    #[default]
+    Recent,
+    /// Those about the time of the losses in question. Where requests are frequent, a sound one is lost
+    /// several times within seconds while all servers fail.
+    Concurrent,
+}
+
+/// What an entry knows of requests that crash servers.
 #[derive(Clone, Debug, Default)]
 pub struct Tracker {
+    measure: Measure,
     records: VecDeque<Record>,
     combinations: Vec<Combination>,
     answered: HashMap<Part, Duration>,
 }
 
 impl Tracker {
-    /// Records a loss at `at`. `requests` is the number of requests for generations in the fleet over
+    /// Returns a tracker that knows nothing.
+    #[must_use]
+    pub fn new(measure: Measure) -> Self {
+        Self {
+            measure,
+            ..Self::default()
+        }
+    }
+
+    /// Records a loss at `at`. `requests` is the number of requests of this kind in the fleet over
     /// [`RATE_WINDOW`]. Returns the parts of the loss that this entry has seen answered since, which
     /// the other entries must learn.
     pub fn record_loss(
@@ -263,6 +275,15 @@
         self.blocked_for(parts, now).or_else(waits)
     }
 
+    /// Returns whether a request with a single part was lost repeatedly and not answered since, so that it
+    /// should not be sent to another server after a loss.
+    #[must_use]
+    pub fn suspects(&self, part: Part) -> bool {
+        let losses = self.records.iter();
+        let losses = losses.filter(|record| record.suspects.contains(&part));
+        losses.count() >= REPEATED_LOSSES
+    }
+
     /// Blocks a combination that another entry has found, unless a narrower one is known. Returns whether
     /// it was not known before.
     pub fn adopt(&mut self, parts: &[Part], now: Duration) -> bool {
@@ -310,17 +331,28 @@
 
     /// Returns the next combination to block.
     fn find(&self, requests: u32, now: Duration) -> Option<Arc<[Part]>> {
-        let records = self.records.iter();
-        let open: Vec<&Record> = records
-            .filter(|record| !self.is_explained(record))
-            .collect();
+        let newest = match self.measure {
+            Measure::Recent => None,
+            // Only a further loss of a part changes what is known of it.
+            Measure::Concurrent => self.records.back(),
+        };
+        let in_question = |part: &&Part| newest.is_none_or(|it| it.suspects.contains(*part));
         let mut losses: BTreeMap<Part, Vec<&Record>> = BTreeMap::new();
-        for record in &open {
-            for part in &record.suspects {
+        for record in &self.records {
+            let mut parts = record.suspects.iter().filter(in_question).peekable();
+            if parts.peek().is_none() || self.is_explained(record) {
+                continue;
+            }
+            for part in parts {
                 losses.entry(*part).or_default().push(record);
             }
         }
-        let counted = losses.iter().map(|(part, losses)| (part, spaced(losses)));
+        let most = match self.measure {
+            Measure::Recent => 1,
+            Measure::Concurrent => rate::SERVERS_AT_ONCE,
+        };
+        let counted = losses.iter();
+        let counted = counted.map(|(part, losses)| (part, rate::count(losses, most)));
         let repeated = counted.filter(|(_, count)| *count >= REPEATED_LOSSES);
         let enough = repeated.filter(|(part, count)| *count >= self.limit(**part, requests, now));
         let (part, _) = enough.max_by_key(|(_, count)| *count)?;
@@ -339,31 +371,6 @@
         Some(sorted(common))
     }
 
-    /// Returns the number of losses after which a part is blocked.
-    fn limit(&self, part: Part, requests: u32, now: Duration) -> usize {
-        let others = self.records.iter().filter(|record| {
-            now.saturating_sub(record.at) < RATE_WINDOW && !record.parts.contains(&part)
-        });
-        let others = u32::try_from(others.count()).unwrap_or(u32::MAX);
-        let rate = f64::from(others) / f64::from(requests.max(1));
-        let rate = rate.clamp(RATE_BOUNDS.0, RATE_BOUNDS.1);
-        #[expect(
-            clippy::cast_possible_truncation,
-            clippy::cast_sign_loss,
-            reason = "at most 39, since the rate is bounded"
-        )]
-        let in_a_row = (FALSE_POSITIVE_RATE.ln() / rate.ln()).ceil() as usize;
-        let known = self.combinations.iter();
-        if known
-            .flat_map(|known| known.parts.iter())
-            .any(|known| *known == part)
-        {
-            in_a_row.saturating_sub(1).max(REPEATED_LOSSES)
-        } else {
-            in_a_row.max(LOSSES)
-        }
-    }
-
     /// Adds a combination in place of those that have all of its parts.
     fn insert(&mut self, combination: Combination) {
         self.combinations
@@ -395,18 +402,3 @@
     parts.dedup();
     parts.into()
 }
-
-/// Returns how many losses are [`SPACING`] apart.
-fn spaced(losses: &[&Record]) -> usize {
-    let mut times: Vec<Duration> = losses.iter().map(|record| record.at).collect();
-    times.sort_unstable();
-    let mut last: Option<Duration> = None;
-    let counts = |at: &Duration| {
-        let counts = last.is_none_or(|last| at.saturating_sub(last) >= SPACING);
-        if counts {
-            last = Some(*at);
-        }
-        counts
-    };
-    times.into_iter().filter(counts).count()
-}
--- a/coordination/tests/dissemination.rs
+++ b/coordination/tests/dissemination.rs
@@ -14,7 +14,7 @@
 use medlarfall_coordination::evidence::{Cohort, Observation};
 use medlarfall_coordination::history::Revision;
 use medlarfall_coordination::placement::{Proximity, name_hash};
-use medlarfall_coordination::quarantine::{Loss, Tracker};
+use medlarfall_coordination::quarantine::{Kind, Loss, Tracker};
 use medlarfall_coordination::retry_budget::Usage;
 use medlarfall_schema::peers;
 use prost::Message as _;
@@ -353,7 +353,7 @@
         let now = fleet.now;
         let parts = [666, 1_000 + u64::from(server)].into();
         let loss = Loss { server, parts };
-        fleet.nodes[entry].add_prompt_loss(loss.clone(), now);
+        fleet.nodes[entry].add_loss(Kind::Prompt, loss.clone(), now);
         fleet.prompts[entry].record_loss(&loss, 1_000, now, now);
         fleet.run(Duration::from_millis(400), 5);
     }
--- a/relay/src/answer.rs
+++ b/relay/src/answer.rs
@@ -1,5 +1,6 @@
 //! Responses to callers: bodies, and the refusals that this entry itself makes.
 
+use medlarfall_coordination::quarantine::Kind;
 use std::pin::Pin;
 use std::task::{Context, Poll};
 use std::time::Duration;
@@ -117,6 +118,8 @@
     PromptTooLarge,
     /// Prompts with parts of this one crash the servers that begin to answer them.
     PromptBlocked,
+    /// Calls like this one crash the servers that begin to answer them.
+    CallBlocked,
     /// The retry budget of the service is used up.
     RetryBudget,
     /// A server was lost that may have run the request.
@@ -134,6 +137,15 @@
 }
 
 impl Reason {
+    /// Returns the reason for which blocked requests of a kind are refused.
+    #[must_use]
+    pub fn blocked(kind: Kind) -> Self {
+        match kind {
+            Kind::Prompt => Self::PromptBlocked,
+            Kind::Call => Self::CallBlocked,
+        }
+    }
+
     /// Returns the HTTP status. 408, 429 and 503 state that the request has not run.
     #[must_use]
     pub fn status(self) -> StatusCode {
@@ -150,6 +162,7 @@
             | Self::Limited
             | Self::PromptTooLarge
             | Self::PromptBlocked
+            | Self::CallBlocked
             | Self::RetryBudget
             | Self::TooLate
             | Self::Memory
@@ -177,6 +190,7 @@
             Self::Limited => "limited",
             Self::PromptTooLarge => "prompt_too_large",
             Self::PromptBlocked => "prompt_blocked",
+            Self::CallBlocked => "call_blocked",
             Self::RetryBudget => "retry_budget",
             Self::Lost => "lost",
             Self::TimedOut => "timed_out",
--- a/relay/src/call.rs
+++ b/relay/src/call.rs
@@ -117,9 +117,9 @@
 ) -> Result<Received, Refusal> {
     let mut failed: Option<Received> = None;
     loop {
-        if let Some(pause) = relay.prompt_refused_for(&job.head.prompt_parts) {
+        if let Some(pause) = relay.refused_for(&job.fingerprint) {
             let refused = match progress.ran {
-                0 => Refusal::with_retry(Reason::PromptBlocked, pause),
+                0 => Refusal::with_retry(Reason::blocked(job.fingerprint.kind), pause),
                 _ => Refusal::new(Reason::Lost),
             };
             return failed.ok_or(refused);
@@ -149,7 +149,7 @@
         record_attempt(relay, job, &backend, &received, sent_at);
         match received {
             Ok(received) if !received.status.is_server_error() => {
-                relay.record_answered_prompt(&job.head.prompt_parts);
+                relay.record_answered(&job.fingerprint);
                 return Ok(received);
             }
             Ok(received) => {
@@ -172,14 +172,14 @@
                 disconnected,
             }) => {
                 if disconnected {
-                    relay.record_unanswered_prompt(&backend, &job.head.prompt_parts);
+                    relay.record_unanswered(&backend, &job.fingerprint);
                 }
                 progress.record_run(&mut failed, None);
                 log_failure(job, &backend, "lost", &reason);
             }
         }
         let may_retry = job.route.kind == Kind::Idempotent && progress.ran < job.route.attempts;
-        if progress.ran > 0 && !may_retry {
+        if progress.ran > 0 && (!may_retry || relay.suspects(&job.fingerprint)) {
             return failed.ok_or(Refusal::new(Reason::Lost));
         }
         if progress.refusals >= REFUSAL_LIMIT {
--- a/relay/src/ingress.rs
+++ b/relay/src/ingress.rs
@@ -11,8 +11,9 @@
 use hyper::http::request::Parts;
 use hyper::{HeaderMap, Request, Response, Uri};
 use medlarfall_coordination::evidence::Cohort;
+use medlarfall_coordination::quarantine::Fingerprint;
 use medlarfall_coordination::routing::{Account, Route, Table};
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::{Xxh3, xxh3_64};
 
 use medlarfall_runtime::budget::Reservation;
 use medlarfall_runtime::http::read_body;
@@ -49,6 +50,8 @@
     pub original: Original,
     /// Its decoded head.
     pub head: Head,
+    /// What identifies it if it crashes servers.
+    pub fingerprint: Fingerprint,
     /// Its route.
     pub route: Arc<Route>,
     /// Configuration in force when it arrived.
@@ -202,14 +205,16 @@
     }
     relay.count_request(&service);
     let cohort = relay.assign_cohort(&service);
+    let original = Original {
+        request_id: Arc::clone(&head.request_id),
+        method: parts.method,
+        uri: origin_form(&parts.uri),
+        headers: parts.headers,
+        body,
+    };
     Ok(Job {
-        original: Original {
-            request_id: Arc::clone(&head.request_id),
-            method: parts.method,
-            uri: origin_form(&parts.uri),
-            headers: parts.headers,
-            body,
-        },
+        fingerprint: fingerprint(&head, &original, account.as_deref()),
+        original,
         deadline,
         head,
         route,
@@ -222,6 +227,23 @@
     })
 }
 
+/// Returns what identifies a request if it crashes servers: the parts of its prompt, or else what is the same
+/// each time it comes.
+fn fingerprint(head: &Head, original: &Original, account: Option<&Account>) -> Fingerprint {
+    if !head.prompt_parts.is_empty() {
+        return Fingerprint::prompt(Arc::clone(&head.prompt_parts));
+    }
+    let mut hasher = Xxh3::new();
+    let account = account.map_or("", |account| &*account.name);
+    let uri = original.uri.to_string();
+    for text in [original.method.as_str(), &uri, account] {
+        hasher.update(&text.len().to_le_bytes());
+        hasher.update(text.as_bytes());
+    }
+    hasher.update(&original.body);
+    Fingerprint::call(hasher.digest())
+}
+
 /// Returns the least number of bytes that a head took.
 fn head_bytes(parts: &Parts) -> usize {
     let headers = parts.headers.iter();
--- a/relay/src/metrics.rs
+++ b/relay/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Counters and latency histograms of the relay.
 
+use medlarfall_coordination::quarantine::Kind;
 use std::hash::Hash;
 use std::sync::atomic::AtomicU64;
 use std::sync::{Mutex, PoisonError};
@@ -93,6 +94,10 @@
     pub prompts_lost: Counter,
     /// Combinations of prompt parts that were blocked since they crash servers.
     pub prompts_blocked: Counter,
+    /// Calls whose server was lost before it answered them.
+    pub calls_lost: Counter,
+    /// Calls that were blocked since they crash servers.
+    pub calls_blocked: Counter,
     /// Servers that have named a limit.
     pub limited_servers: Gauge,
     /// Calls to the store by kind.
@@ -181,6 +186,8 @@
             prompts_lost: add(new, "prompts_lost", "Prompts that got no answer", counter()),
             limited_servers: add(new, "limited_servers", "Servers with a limit", gauge()),
             prompts_blocked: add(new, "prompts_blocked", "Prompts blocked", counter()),
+            calls_lost: add(new, "calls_lost", "Calls that got no answer", counter()),
+            calls_blocked: add(new, "calls_blocked", "Calls blocked", counter()),
             store_calls: add(new, "store_calls", "Calls to the store", Family::default()),
             messages: add(
                 new,
@@ -247,6 +254,22 @@
         self.store_calls.get_or_create(&KindLabels { kind }).inc();
     }
 
+    /// Counts a request of a kind whose server was lost before it began to answer.
+    pub fn count_unanswered(&self, kind: Kind) {
+        match kind {
+            Kind::Prompt => self.prompts_lost.inc(),
+            Kind::Call => self.calls_lost.inc(),
+        };
+    }
+
+    /// Counts a combination of a kind that was blocked.
+    pub fn count_blocked(&self, kind: Kind) {
+        match kind {
+            Kind::Prompt => self.prompts_blocked.inc(),
+            Kind::Call => self.calls_blocked.inc(),
+        };
+    }
+
     /// Counts a task that ended and is started again.
     pub fn count_task_restart(&self, kind: &'static str) {
         self.task_restarts.get_or_create(&KindLabels { kind }).inc();
--- a/relay/src/quarantine.rs
+++ b/relay/src/quarantine.rs
@@ -1,5 +1,4 @@
-//! Records the combinations of prompt parts that are blocked in the store, so that entries that start
-//! know them.
+//! Records the requests that are blocked in the store, so that entries that start know them.
 //!
 //! A record has a lease of the time for which a combination is blocked first. Only entries that read
 //! the store write records: the others would write the same, and each store call has a cost.
@@ -9,7 +8,7 @@
 use std::time::Duration;
 
 use medlarfall_coordination::history::Revision;
-use medlarfall_coordination::quarantine::{FIRST_TIME, Part};
+use medlarfall_coordination::quarantine::{FIRST_TIME, Fingerprint, Kind, Part};
 use medlarfall_runtime::store::{Change, Error, Store};
 use serde::{Deserialize, Serialize};
 use tokio::time::{sleep, timeout};
@@ -30,33 +29,45 @@
 #[derive(Debug, Deserialize, Serialize)]
 struct Value {
     parts: Vec<Part>,
+    /// Whether it blocks a call without a prompt; absent in the records of earlier versions.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    call: bool,
+}
+
+impl From<Value> for Fingerprint {
+    fn from(value: Value) -> Self {
+        Self {
+            kind: if value.call { Kind::Call } else { Kind::Prompt },
+            parts: value.parts.into(),
+        }
+    }
 }
 
 /// Applies a record of the store, or its removal (`None`). A record that can't be decoded is logged and
 /// has no effect.
 pub fn apply<C: Codec>(relay: &Relay<C>, key: &Arc<str>, value: Option<&str>, revision: Revision) {
-    let parts = match value.map(serde_json::from_str::<Value>).transpose() {
-        Ok(value) => value.map(|value| value.parts.into()),
+    let blocked = match value.map(serde_json::from_str::<Value>).transpose() {
+        Ok(value) => value.map(Fingerprint::from),
         Err(error) => {
-            log::warn!(key = &**key, problem = error.to_string().as_str(); "record of a blocked prompt not decoded");
+            log::warn!(key = &**key, problem = error.to_string().as_str(); "record of a blocked request not decoded");
             return;
         }
     };
-    relay.apply_prompt_record(key, parts, revision);
+    relay.apply_quarantine_record(key, blocked, revision);
 }
 
 /// Writes records until the task is aborted.
 pub async fn run<C: Codec, S: Store>(relay: Arc<Relay<C>>, store: S) {
     loop {
-        let Due { new, ended } = relay.prompt_records_due();
+        let Due { new, ended } = relay.quarantine_records_due();
         if new.is_empty() && ended.is_empty() {
-            relay.prompts_changed.notified().await;
+            relay.quarantine_changed.notified().await;
             continue;
         }
         if relay.reads_store.load(Ordering::Relaxed) {
-            for parts in &new {
-                let written = write(&relay, &store, parts).await;
-                log_written(parts, written);
+            for blocked in &new {
+                let written = write(&relay, &store, blocked).await;
+                log_written(blocked, written);
             }
             for (key, revision) in &ended {
                 let era = relay.store_era();
@@ -67,22 +78,22 @@
                         era,
                         number: *revision,
                     };
-                    relay.apply_prompt_record(key, None, revision);
+                    relay.apply_quarantine_record(key, None, revision);
                 }
             }
         }
-        let _ = timeout(RETRY_PAUSE, relay.prompts_changed.notified()).await;
+        let _ = timeout(RETRY_PAUSE, relay.quarantine_changed.notified()).await;
         sleep(COALESCE).await;
     }
 }
 
-fn log_written(parts: &[Part], written: Result<(), Error>) {
-    let parts = parts_text(parts);
+fn log_written(blocked: &Fingerprint, written: Result<(), Error>) {
+    let parts = parts_text(&blocked.parts);
     match written {
-        Ok(()) => log::info!(parts = parts.as_str(); "record of a blocked prompt written"),
+        Ok(()) => log::info!(parts = parts.as_str(); "record of a blocked request written"),
         Err(error) => {
             let reason = error.to_string();
-            log::warn!(parts = parts.as_str(), reason = reason.as_str(); "record of a blocked prompt not written yet");
+            log::warn!(parts = parts.as_str(), reason = reason.as_str(); "record of a blocked request not written yet");
         }
     }
 }
@@ -91,12 +102,13 @@
 async fn write<C: Codec, S: Store>(
     relay: &Relay<C>,
     store: &S,
-    parts: &Arc<[Part]>,
+    blocked: &Fingerprint,
 ) -> Result<(), Error> {
-    let name = format!("{:016x}", xxh3_64(parts_text(parts).as_bytes()));
+    let name = format!("{:016x}", xxh3_64(parts_text(&blocked.parts).as_bytes()));
     let key = relay.codec.blocked_prompt_key(&name);
     let value = Value {
-        parts: parts.to_vec(),
+        parts: blocked.parts.to_vec(),
+        call: blocked.kind == Kind::Call,
     };
     let value = serde_json::to_string(&value).unwrap_or_default();
     let era = relay.store_era();
--- a/relay/src/state.rs
+++ b/relay/src/state.rs
@@ -24,14 +24,14 @@
 mod moves;
 mod peers;
 mod placement;
-mod prompts;
+mod quarantine;
 mod servers;
 mod view;
 
 pub use backend::Backend;
 pub use moves::{Measurement, MoveEnd};
 pub use placement::{Criteria, Measure};
-pub use prompts::{Due, parts_text};
+pub use quarantine::{Due, parts_text};
 use view::View;
 
 /// Address of an entry that receives no messages.
@@ -93,7 +93,7 @@
     /// Wakes the task that drives moves.
     pub moves_changed: Notify,
     /// Wakes the task that records blocked prompts.
-    pub prompts_changed: Notify,
+    pub quarantine_changed: Notify,
     /// Whether this entry reads the store and its last call succeeded.
     pub reads_store: AtomicBool,
     view: Mutex<View>,
@@ -130,7 +130,7 @@
             streams_changed: Notify::new(),
             search_requested: Notify::new(),
             moves_changed: Notify::new(),
-            prompts_changed: Notify::new(),
+            quarantine_changed: Notify::new(),
             reads_store: AtomicBool::new(false),
             view: Mutex::new(View::new(node)),
             changelog: Mutex::default(),
--- a/relay/src/state/peers.rs
+++ b/relay/src/state/peers.rs
@@ -8,6 +8,7 @@
 use medlarfall_coordination::dissemination::{
     Contact, Count, Message, Outgoing, Own, Received, Successor, Tag,
 };
+use medlarfall_coordination::quarantine::Kind;
 use medlarfall_coordination::retry_budget::Usage;
 
 use crate::codec::Codec;
@@ -123,11 +124,13 @@
             successors,
             moves,
             prompts,
+            calls,
             limits,
         } = self.view(|view| view.node.receive(from, message, now));
         let lost: Vec<Tag> = lost.into_iter().map(|(server, _)| server).collect();
         self.record_peer_unreachable(&lost);
-        self.receive_prompts(&prompts);
+        self.receive_crashes(Kind::Prompt, &prompts);
+        self.receive_crashes(Kind::Call, &calls);
         self.receive_limits(&limits);
         self.record_peer_successors(&successors);
         for report in moves {
--- a/relay/src/state/view.rs
+++ b/relay/src/state/view.rs
@@ -5,7 +5,7 @@
 use medlarfall_coordination::evidence::Cohort;
 use medlarfall_coordination::group_outage::Groups;
 use medlarfall_coordination::history::Revision;
-use medlarfall_coordination::quarantine::{self, Part};
+use medlarfall_coordination::quarantine::{Fingerprint, Trackers};
 use medlarfall_coordination::registry::Registry;
 use medlarfall_coordination::retry_budget::{Bounds, Window};
 use medlarfall_coordination::routing::Table;
@@ -47,15 +47,15 @@
     pub(super) warmups: Warmups,
     pub(super) groups: Groups<Group>,
     pub(super) pending_searches: Vec<Arc<Backend>>,
-    /// Prompts that crash servers.
-    pub(super) prompts: quarantine::Tracker,
-    /// Blocked combinations that are recorded in the store: their parts and the revision, by key.
-    pub(super) recorded_prompts: HashMap<Arc<str>, (Arc<[Part]>, Revision)>,
+    /// Requests that crash servers.
+    pub(super) quarantine: Trackers,
+    /// Blocked combinations that are recorded in the store, with the revision, by key.
+    pub(super) quarantine_records: HashMap<Arc<str>, (Fingerprint, Revision)>,
     /// Records of blocked combinations that were removed from the store: the revision of each, and when it
     /// was removed, by key.
-    pub(super) removed_prompt_records: HashMap<Arc<str>, (Revision, Duration)>,
+    pub(super) removed_quarantine_records: HashMap<Arc<str>, (Revision, Duration)>,
     /// Combinations whose records the store lost when it was restored.
-    pub(super) lost_prompt_records: HashSet<Arc<[Part]>>,
+    pub(super) lost_quarantine_records: HashSet<Fingerprint>,
     /// Pauses that servers asked for.
     pub(super) pauses: Pauses,
     /// When callers that limits or pauses refused return, by service.
@@ -87,10 +87,10 @@
             warmups: Warmups::default(),
             groups: Groups::default(),
             pending_searches: Vec::new(),
-            prompts: quarantine::Tracker::default(),
-            recorded_prompts: HashMap::new(),
-            removed_prompt_records: HashMap::new(),
-            lost_prompt_records: HashSet::new(),
+            quarantine: Trackers::default(),
+            quarantine_records: HashMap::new(),
+            removed_quarantine_records: HashMap::new(),
+            lost_quarantine_records: HashSet::new(),
             pauses: Pauses::default(),
             returns: HashMap::new(),
             node,
--- a/relay/src/stream.rs
+++ b/relay/src/stream.rs
@@ -182,7 +182,7 @@
         self.refused_by.clear();
         let mut cache_holder = self.find_cache_holder().await;
         loop {
-            if let Some(refusal) = self.prompt_refusal() {
+            if let Some(refusal) = self.quarantine_refusal() {
                 return Err(refusal);
             }
             let found = cache_holder.take().map(|backend| (backend, None));
@@ -336,8 +336,8 @@
                     lost_answer("no response from a live server in time", false)
                 }
             },
-            () = relay.prompt_to_be_blocked(&job.head.prompt_parts) => {
-                lost_answer("prompts with parts of this one crash servers", false)
+            () = relay.to_be_blocked(&job.fingerprint) => {
+                lost_answer("requests like this one crash servers", false)
             }
         }?;
         if answer.response.status().is_server_error() {
--- a/relay/src/stream/forwarding.rs
+++ b/relay/src/stream/forwarding.rs
@@ -178,7 +178,7 @@
         // Bytes that complete no new event are no progress: a stalled server may send some for ever.
         let mut progress_at = Instant::now();
         loop {
-            if self.run_events == 0 && self.relay.prompt_blocked(&self.job.head.prompt_parts) {
+            if self.run_events == 0 && self.relay.is_blocked(&self.job.fingerprint) {
                 return RunEnd::Blocked;
             }
             let frame = tokio::select! {
--- a/relay/src/stream/refusals.rs
+++ b/relay/src/stream/refusals.rs
@@ -24,28 +24,27 @@
         }
     }
 
-    /// Returns the refusal of a stream whose prompt crashes servers.
-    pub(super) fn prompt_refusal(&self) -> Option<Refusal> {
-        let pause = self.relay.prompt_refused_for(&self.job.head.prompt_parts)?;
+    /// Returns the refusal of a stream that crashes servers.
+    pub(super) fn quarantine_refusal(&self) -> Option<Refusal> {
+        let fingerprint = &self.job.fingerprint;
+        let pause = self.relay.refused_for(fingerprint)?;
         Some(match self.ran {
-            0 => Refusal::with_retry(Reason::PromptBlocked, pause),
+            0 => Refusal::with_retry(Reason::blocked(fingerprint.kind), pause),
             _ => Refusal::new(Reason::Lost),
         })
     }
 
-    /// Records that a run was lost with its server, unless a server has begun to answer the prompt.
+    /// Records that a run was lost with its server, unless a server has begun to answer.
     pub(super) fn record_unanswered(&self, backend: &Backend) {
         if !self.answered && self.last_event.is_none() {
-            self.relay
-                .record_unanswered_prompt(backend, &self.job.head.prompt_parts);
+            self.relay.record_unanswered(backend, &self.job.fingerprint);
         }
     }
 
-    /// Records that a server has begun to answer the prompt.
+    /// Records that a server has begun to answer.
     pub(super) fn record_answered(&mut self) {
         if !std::mem::replace(&mut self.answered, true) {
-            self.relay
-                .record_answered_prompt(&self.job.head.prompt_parts);
+            self.relay.record_answered(&self.job.fingerprint);
         }
     }
 }
--- a/relay/src/stream/resumption.rs
+++ b/relay/src/stream/resumption.rs
@@ -83,7 +83,7 @@
     /// Returns whether a further search for a server can find one. A caller that has had the head of the
     /// answer can't be refused; another one may do better through another entry.
     fn may_search_again(&self, search_until: Duration) -> bool {
-        let blocked = self.relay.prompt_refused_for(&self.job.head.prompt_parts);
+        let blocked = self.relay.refused_for(&self.job.fingerprint);
         let begun = self.first_event_at.is_some();
         begun && self.may_retry() && blocked.is_none() && self.relay.clock.now() < search_until
     }
--- a/relay/src/stream/silence.rs
+++ b/relay/src/stream/silence.rs
@@ -102,7 +102,7 @@
     /// Returns whether a server other than `from`, which is silent, can take over the stream. Then a retry
     /// has been withdrawn for it.
     fn can_move(&mut self, from: &Arc<Backend>) -> bool {
-        let blocked = self.relay.prompt_refused_for(&self.job.head.prompt_parts);
+        let blocked = self.relay.refused_for(&self.job.fingerprint);
         if !self.may_retry() || blocked.is_some() {
             return false;
         }
--- a/relay/tests/datagram.rs
+++ b/relay/tests/datagram.rs
@@ -5,7 +5,7 @@
 
 use bolero::check;
 use medlarfall_coordination::dissemination::{
-    Contact, Content, Count, Digest, Message, Prompts, Report, Sender, ServerLimit, Successor,
+    Contact, Content, Count, Crashes, Digest, Message, Report, Sender, ServerLimit, Successor,
     Summary,
 };
 use medlarfall_coordination::history::Revision;
@@ -55,7 +55,7 @@
             started_ms: Some(5),
         }],
         moves: Vec::new(),
-        prompts: Prompts {
+        prompts: Crashes {
             losses: vec![(
                 Loss {
                     server: 7,
@@ -65,6 +65,16 @@
             )],
             answers: vec![([1].into(), Duration::from_millis(20))],
         },
+        calls: Crashes {
+            losses: vec![(
+                Loss {
+                    server: 8,
+                    parts: [3].into(),
+                },
+                Duration::from_millis(40),
+            )],
+            answers: vec![([4].into(), Duration::from_millis(10))],
+        },
         limits: [Named::per_second(0.0), Named(None), Named(Some(2_700))]
             .map(|named| (ServerLimit { server: 9, named }, Duration::from_millis(5)))
             .to_vec(),
