--- a/relay/src/state.rs
+++ b/relay/src/state.rs
@@ -92,7 +92,7 @@
     pub search_requested: Notify,
     /// Wakes the task that drives moves.
     pub moves_changed: Notify,
-    /// Wakes the task that records blocked prompts.
+    /// Wakes the task that records blocked requests.
     pub quarantine_changed: Notify,
     /// Whether this entry reads the store and its last call succeeded.
     pub reads_store: AtomicBool,
