--- a/coordination/src/quarantine.rs
+++ b/coordination/src/quarantine.rs
@@ -347,12 +347,8 @@
                 losses.entry(*part).or_default().push(record);
             }
         }
-        let most = match self.measure {
-            Measure::Recent => 1,
-            Measure::Concurrent => rate::SERVERS_AT_ONCE,
-        };
         let counted = losses.iter();
-        let counted = counted.map(|(part, losses)| (part, rate::count(losses, most)));
+        let counted = counted.map(|(part, losses)| (part, self.counted(losses)));
         let repeated = counted.filter(|(_, count)| *count >= REPEATED_LOSSES);
         let enough = repeated.filter(|(part, count)| *count >= self.limit(**part, requests, now));
         let (part, _) = enough.max_by_key(|(_, count)| *count)?;
--- a/coordination/src/quarantine/rate.rs
+++ b/coordination/src/quarantine/rate.rs
@@ -10,8 +10,8 @@
 /// Losses of a part at different moments after which it is blocked, if prompts are rarely lost.
 const LOSSES: usize = 3;
 
-/// Losses of a call that count among those at servers that are lost together.
-pub(super) const SERVERS_AT_ONCE: usize = 2;
+/// Most losses of a call at different servers that count among those within [`SPACING`] of each other.
+const SERVERS_AT_ONCE: usize = 2;
 
 /// Time between the losses of two calls at a server that ran them when it crashed.
 const CALL_CRASH_WINDOW: Duration = Duration::from_millis(50);
@@ -89,21 +89,25 @@
         let others = u32::try_from(others).unwrap_or(u32::MAX);
         f64::from(others) / requests.max(1.0)
     }
-}
 
-/// Returns how many losses count: of those within [`SPACING`] of each other as many as servers were lost, up to
-/// `most`.
-pub(super) fn count(losses: &[&Record], most: usize) -> usize {
-    let mut losses: Vec<(Duration, Tag)> = losses.iter().map(|it| (it.at, it.server)).collect();
-    losses.sort_unstable();
-    let mut counted = 0;
-    let mut rest = &losses[..];
-    while let Some((first, _)) = rest.first() {
-        let end = *first + SPACING;
-        let (moment, later) = rest.split_at(rest.partition_point(|(at, _)| *at < end));
-        let servers: BTreeSet<Tag> = moment.iter().map(|(_, server)| *server).collect();
-        counted += servers.len().min(most);
-        rest = later;
+    /// Returns how many losses of a part count: of those within [`SPACING`] of each other a single one, or for
+    /// calls up to [`SERVERS_AT_ONCE`] at different servers.
+    pub(super) fn counted(&self, losses: &[&Record]) -> usize {
+        let most = match self.measure {
+            Measure::Recent => 1,
+            Measure::Concurrent => SERVERS_AT_ONCE,
+        };
+        let mut losses: Vec<(Duration, Tag)> = losses.iter().map(|it| (it.at, it.server)).collect();
+        losses.sort_unstable();
+        let mut counted = 0;
+        let mut rest = &losses[..];
+        while let Some((first, _)) = rest.first() {
+            let end = *first + SPACING;
+            let (moment, later) = rest.split_at(rest.partition_point(|(at, _)| *at < end));
+            let servers: BTreeSet<Tag> = moment.iter().map(|(_, server)| *server).collect();
+            counted += servers.len().min(most);
+            rest = later;
+        }
+        counted
     }
-    counted
 }
--- a/relay/src/answer.rs
+++ b/relay/src/answer.rs
@@ -1,6 +1,5 @@
 //! Responses to callers: bodies, and the refusals that this entry itself makes.
 
-use medlarfall_coordination::quarantine::Kind;
 use std::pin::Pin;
 use std::task::{Context, Poll};
 use std::time::Duration;
@@ -8,6 +7,7 @@
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
 use hyper::{Response, StatusCode};
+use medlarfall_coordination::quarantine::Kind;
 use tokio::sync::mpsc;
 
 use crate::codec::Codec;
--- a/relay/src/metrics.rs
+++ b/relay/src/metrics.rs
@@ -1,12 +1,12 @@
 //! Counters and latency histograms of the relay.
 
-use medlarfall_coordination::quarantine::Kind;
 use std::hash::Hash;
 use std::sync::atomic::AtomicU64;
 use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
 use medlarfall_coordination::dissemination::Scope;
+use medlarfall_coordination::quarantine::Kind;
 use medlarfall_runtime::logging::Losses;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
