feat(coordination): locks of duties, permits and the provider interface

Usage reports and scaling orders need one holder for each subject. Adds the pure state machine of the locks (coordination::duty), the interface that drivers build on (relay::duty::{Permit, Provider, Subject}, Relay::permit), the settings provider and bounds, the decoding of a service's autoscaling, and guarded writes of the store that name its era.

Not tested yet beyond a compilation.

--- a/coordination/src/lib.rs
+++ b/coordination/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod claim;
 pub mod detector;
 pub mod dissemination;
+pub mod duty;
 pub mod ejection;
 pub mod evidence;
 pub mod fair_queue;
--- a/coordination/src/routing.rs
+++ b/coordination/src/routing.rs
@@ -98,6 +98,19 @@
     pub memory_tokens: u64,
     /// Models that its engines serve.
     pub models: Vec<Arc<str>>,
+    /// Bounds on the number of its servers in each failure domain; `None` if they are not scaled.
+    pub autoscaling: Option<Autoscaling>,
+}
+
+/// Bounds on the number of servers of a service.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Autoscaling {
+    /// Least number of servers in each failure domain.
+    pub min: u32,
+    /// Greatest number of servers in each failure domain.
+    pub max: u32,
+    /// Time from an order until a new server serves.
+    pub startup: Duration,
 }
 
 /// A client account.
--- a/relay/src/lib.rs
+++ b/relay/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod codec;
 pub mod daemon;
 pub mod datagram;
+pub mod duty;
 pub mod encoding;
 pub mod events;
 pub mod ingress;
--- a/relay/src/state.rs
+++ b/relay/src/state.rs
@@ -7,18 +7,21 @@
 use std::time::Duration;
 
 use medlarfall_coordination::dissemination::{Contact, Identity, Node};
+use medlarfall_coordination::duty::{Duties, Policy};
 use medlarfall_coordination::retry_budget::Bounds;
 use medlarfall_coordination::routing::{Limits, Table};
 use medlarfall_coordination::{canary, liveness};
 use medlarfall_runtime::budget;
-use medlarfall_runtime::clock::Clock;
+use medlarfall_runtime::clock::{BootClock, Clock};
 use tokio::sync::{Notify, watch};
 
 use crate::changelog::Changelog;
 use crate::codec::Codec;
+use crate::duty;
 use crate::metrics::Metrics;
 
 mod backend;
+mod duties;
 mod gauges;
 mod limits;
 mod moves;
@@ -61,6 +64,8 @@
     pub peer_address: Option<SocketAddr>,
     /// Time from the stop signal until the process is killed.
     pub grace: Duration,
+    /// Duties towards the platform's provider; `None` if the deployment has none.
+    pub duties: Option<duty::Settings>,
 }
 
 /// The relay of one entry.
@@ -96,6 +101,11 @@
     pub quarantine_changed: Notify,
     /// Whether this entry reads the store and its last call succeeded.
     pub reads_store: AtomicBool,
+    /// Clock of the duties, which also advances while the machine is suspended.
+    pub boot_clock: BootClock,
+    /// Wakes the tasks that do duties.
+    pub duties_changed: watch::Sender<u64>,
+    duties: Option<Mutex<Duties>>,
     view: Mutex<View>,
     changelog: Mutex<Changelog>,
     catching_up: AtomicBool,
@@ -116,7 +126,19 @@
             failure_domain: Arc::clone(&settings.failure_domain),
         };
         let node = Node::new(identity, clock.now());
+        let boot_clock = BootClock::start();
+        let duties = settings.duties.map(|duties| {
+            let policy = Policy {
+                lease: duties.lease,
+                call_timeout: duty::CALL_TIMEOUT,
+            };
+            let entry = Arc::clone(&settings.entry);
+            Mutex::new(Duties::new(policy, entry, rand::random(), boot_clock.now()))
+        });
         Self {
+            boot_clock,
+            duties_changed: watch::Sender::new(0),
+            duties,
             codec,
             memory: budget::Budget::new(settings.held_bytes),
             settings,
--- a/relay/tests/panics.rs
+++ b/relay/tests/panics.rs
@@ -127,6 +127,7 @@
         link_mbps: 1_000,
         peer_address: None,
         grace: Duration::from_secs(8),
+        duties: None,
     }
 }
 
--- a/runtime/src/store.rs
+++ b/runtime/src/store.rs
@@ -95,6 +95,24 @@
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
 pub struct Lease(pub u64);
 
+/// A key that must have a revision for a write of another key to be carried out.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Guard<'key> {
+    /// The key.
+    pub key: &'key str,
+    /// The revision; 0 means that the key must not exist.
+    pub revision: u64,
+}
+
+/// A write that was carried out.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Written {
+    /// Revision of the store that the write created.
+    pub revision: u64,
+    /// Era of the store that answered; 0 if it names none.
+    pub era: u64,
+}
+
 /// Why a call to the platform failed.
 #[derive(Clone, Debug, Eq, PartialEq, Snafu)]
 pub enum Error {
@@ -144,6 +162,27 @@
         lease: Option<Lease>,
     ) -> impl Future<Output = Result<u64, Error>> + Send;
 
+    /// Writes a key, whatever its value is, if the key of `guard` has the expected revision. The default is
+    /// for platforms without transactions over several keys: it only writes keys that guard themselves, and
+    /// names no era.
+    fn put_guarded(
+        &self,
+        key: &str,
+        value: String,
+        lease: Option<Lease>,
+        guard: Guard<'_>,
+    ) -> impl Future<Output = Result<Written, Error>> + Send {
+        async move {
+            if guard.key != key {
+                return Err(Error::Unavailable {
+                    reason: "the platform has no transactions over several keys".to_owned(),
+                });
+            }
+            let revision = self.put(key, value, guard.revision, lease).await?;
+            Ok(Written { revision, era: 0 })
+        }
+    }
+
     /// Deletes a key if its revision is `expected` and returns the new revision of the store.
     fn delete(&self, key: &str, expected: u64) -> impl Future<Output = Result<u64, Error>> + Send;
 
@@ -170,6 +209,12 @@
     /// Renews a lease.
     fn renew(&self, lease: Lease) -> impl Future<Output = Result<(), Error>> + Send;
 
+    /// Renews a lease and returns the era of the store that answered; 0 if it names none. After a restore the
+    /// lease may be that of another.
+    fn renew_in_era(&self, lease: Lease) -> impl Future<Output = Result<u64, Error>> + Send {
+        async move { self.renew(lease).await.map(|()| 0) }
+    }
+
     /// Ends a lease.
     fn revoke(&self, lease: Lease) -> impl Future<Output = Result<(), Error>> + Send;
 
