feat(relay): usage reports, end to end

One hub holds the lock of the usage duty and reports each window to the provider; entries count requests by window and account in true time, hubs add up the counts of their failure domain and send them to the holder. The holder records the counts of a window in the store, guarded by its lock, before it sends them, so that every holder sends the same.

--- a/coordination/src/dissemination.rs
+++ b/coordination/src/dissemination.rs
@@ -17,8 +17,10 @@
 use crate::quarantine::{Loss, Part};
 use crate::retry_budget::Usage;
 use crate::server_limit::Named;
+use crate::usage;
 
 pub mod codec;
+mod counts;
 mod crash_news;
 pub mod ledger;
 mod members;
@@ -113,6 +115,8 @@
     pub store_available: bool,
     /// Whether it is stopping.
     pub leaving: bool,
+    /// Time of its wall clock, in Unix milliseconds; only in periodic messages of entries that do duties.
+    pub wall_ms: Option<u64>,
 }
 
 /// State of one entry.
@@ -134,6 +138,8 @@
     pub calls: Crashes,
     /// What servers said of their limits, and how long ago.
     pub limits: Vec<(ServerLimit, Duration)>,
+    /// Requests that it has counted.
+    pub counts: Option<usage::Report>,
 }
 
 /// State of failure domains.
@@ -155,6 +161,10 @@
     pub limits: Vec<(ServerLimit, Duration)>,
     /// Entries of the sender's failure domain that can be its hubs.
     pub contacts: Vec<Contact>,
+    /// Requests that the entries of the sender's failure domain have counted.
+    pub counts: Option<usage::Report>,
+    /// Newest usage window that needs no more counts.
+    pub usage_settled: Option<u64>,
 }
 
 /// Content of a message.
@@ -184,6 +194,9 @@
     pub recipients: Vec<SocketAddr>,
     /// The message.
     pub message: Message,
+    /// Whether it goes to one entry only, apart from the messages of its scope. It says nothing of what the
+    /// others were sent.
+    pub direct: bool,
 }
 
 /// What a received message says that the entry acts on itself.
--- a/coordination/src/dissemination/codec.rs
+++ b/coordination/src/dissemination/codec.rs
@@ -12,6 +12,7 @@
 use crate::quarantine::{Loss, Part};
 use crate::retry_budget::Usage;
 use crate::server_limit::Named;
+use crate::usage;
 
 use super::{
     Contact, Content, Count, Crashes, Digest, Message, MoveReport, Report, Sender, ServerLimit,
@@ -67,6 +68,7 @@
                 store_available: sender.store_available,
                 leaving: sender.leaving,
                 era: sender.revision.era,
+                wall_ms: sender.wall_ms,
             }),
             content: Some(content),
         }
@@ -98,6 +100,7 @@
                 reads_store: sender.reads_store,
                 store_available: sender.store_available,
                 leaving: sender.leaving,
+                wall_ms: sender.wall_ms,
             },
             content,
         })
@@ -117,6 +120,7 @@
             call_losses: texts(report.calls.losses, encode_loss),
             call_answers: texts(report.calls.answers, encode_answer),
             server_limits: encode_limits(&report.limits),
+            usage_counts: report.counts.map(Into::into),
         }
     }
 }
@@ -134,6 +138,7 @@
             prompts: decode_crashes(report.prompt_losses, report.prompt_answers),
             calls: decode_crashes(report.call_losses, report.call_answers),
             limits: decode_limits(report.server_limits)?,
+            counts: report.usage_counts.map(TryInto::try_into).transpose()?,
         })
     }
 }
@@ -163,6 +168,8 @@
             server_limits: encode_limits(&digest.limits),
             contacts: texts(digest.contacts, contact),
             updates: None,
+            usage_counts: digest.counts.map(Into::into),
+            usage_settled: digest.usage_settled,
         }
     }
 }
@@ -198,6 +205,8 @@
             prompts: decode_crashes(digest.prompt_losses, digest.prompt_answers),
             calls: decode_crashes(digest.call_losses, digest.call_answers),
             limits: decode_limits(digest.server_limits)?,
+            counts: digest.usage_counts.map(TryInto::try_into).transpose()?,
+            usage_settled: digest.usage_settled,
             contacts: digest
                 .contacts
                 .into_iter()
@@ -333,6 +342,61 @@
     })
 }
 
+impl From<usage::Report> for peers::UsageCounts {
+    fn from(report: usage::Report) -> Self {
+        let window = |window: usage::Window| {
+            let rows = window.counts.into_iter();
+            let (accounts, counts) = rows
+                .map(|(account, count)| (account.to_string(), count))
+                .unzip();
+            peers::UsageWindow {
+                index: window.index,
+                total: window.total,
+                at_risk: window.at_risk,
+                open: window.open,
+                accounts,
+                counts,
+            }
+        };
+        Self {
+            incarnation: report.incarnation,
+            since_ms: report.since_ms,
+            until_ms: report.until_ms,
+            windows: texts(report.windows, window),
+        }
+    }
+}
+
+impl TryFrom<peers::UsageCounts> for usage::Report {
+    type Error = Invalid;
+
+    fn try_from(report: peers::UsageCounts) -> Result<Self, Invalid> {
+        let window = |window: peers::UsageWindow| {
+            if window.accounts.len() != window.counts.len() {
+                return Err(Invalid::Lengths { part: "accounts" });
+            }
+            let accounts = window.accounts.into_iter().map(Arc::from);
+            Ok(usage::Window {
+                index: window.index,
+                total: window.total,
+                at_risk: window.at_risk,
+                open: window.open,
+                counts: accounts.zip(window.counts).collect(),
+            })
+        };
+        Ok(Self {
+            incarnation: report.incarnation,
+            since_ms: report.since_ms,
+            until_ms: report.until_ms,
+            windows: report
+                .windows
+                .into_iter()
+                .map(window)
+                .collect::<Result<_, _>>()?,
+        })
+    }
+}
+
 impl From<Successor> for peers::Successor {
     fn from(successor: Successor) -> Self {
         Self {
--- a/coordination/src/dissemination/node.rs
+++ b/coordination/src/dissemination/node.rs
@@ -10,6 +10,7 @@
 use crate::reader_election::{Election, Rank};
 use crate::retry_budget::{Others, Usage};
 
+use super::counts::Exchange;
 use super::crash_news::CrashNews;
 use super::ledger::{Count, Ledger, Summary};
 use super::members::{Change, Members};
@@ -18,6 +19,7 @@
 use super::roster::{Contact, Roster};
 use super::{Scope, ServerLimit, Successor, Tag};
 
+mod counting;
 mod receiving;
 mod sending;
 
@@ -59,6 +61,8 @@
     pub store_available: bool,
     /// Whether it is stopping.
     pub leaving: bool,
+    /// Time of its wall clock, in Unix milliseconds; `None` if it does no duties.
+    pub wall_ms: Option<u64>,
 }
 
 /// What was sent last in one scope.
@@ -96,6 +100,8 @@
     prompts: CrashNews,
     calls: CrashNews,
     limits: news::News<ServerLimit>,
+    /// Counts of requests; `None` if this entry does not count any.
+    counts: Option<Exchange>,
     election: Election,
     sent: [Sent; Scope::COUNT],
     hub: bool,
@@ -132,6 +138,7 @@
             prompts: CrashNews::default(),
             calls: CrashNews::default(),
             limits: news::News::with_capacity(LIMITS),
+            counts: None,
             sent: [Sent::default(); Scope::COUNT],
             hub: false,
             started_at: now,
@@ -336,6 +343,7 @@
             return;
         }
         self.hub = hub;
+        self.update_summing(now);
         self.ledger.clear(&self.identity.failure_domain);
         self.sent[Scope::Members.index()].sequence = 0;
         let servers = self.members.sums().map(|(server, _)| server).collect();
--- a/coordination/src/dissemination/node/receiving.rs
+++ b/coordination/src/dissemination/node/receiving.rs
@@ -18,6 +18,9 @@
         if sender.entry == self.identity.contact.entry {
             return Received::default();
         }
+        if let Some((counts, wall_ms)) = self.counts.as_mut().zip(sender.wall_ms) {
+            counts.record_clock(&sender.entry, wall_ms, now);
+        }
         let contact = Contact {
             entry: Arc::clone(&sender.entry),
             address: from,
@@ -47,6 +50,9 @@
             return Received::default();
         }
         let changed = self.members.record(&sender.entry, Some(from), &report, now);
+        if let Some((counts, report)) = self.counts.as_mut().zip(report.counts) {
+            counts.record_report(&sender.entry, report, now);
+        }
         self.joined |= changed.joined;
         self.changed_reports += u32::from(changed.streams);
         self.update_sums(changed, now);
@@ -100,8 +106,18 @@
             prompts,
             calls,
             limits,
+            counts,
+            usage_settled,
             ..
         } = digest;
+        if let Some(exchange) = &mut self.counts {
+            if let Some(sums) = counts {
+                exchange.record_sums(&sender.failure_domain, &sender.entry, sums, now);
+            }
+            if let Some(settled) = usage_settled {
+                exchange.settle(settled, now);
+            }
+        }
         let received = Received {
             lost,
             successors,
--- a/coordination/src/dissemination/node/sending.rs
+++ b/coordination/src/dissemination/node/sending.rs
@@ -6,6 +6,7 @@
 
 use crate::reader_election::READER_ANNOUNCE_INTERVAL;
 
+use super::super::counts::Exchange;
 use super::super::roster::Contact;
 use super::super::{Content, Digest, Message, Outgoing, Report, Scope, Sender};
 use super::{CONTACTS, Node, Own, Sent};
@@ -48,6 +49,7 @@
                 outgoing.extend(self.send(scope, now));
             }
         }
+        outgoing.extend(self.send_sums(now));
         outgoing
     }
 
@@ -55,7 +57,8 @@
     #[must_use]
     pub fn next_poll(&self, now: Duration) -> Duration {
         let due = Scope::ALL.map(|scope| self.due_in(scope, now));
-        due.into_iter().min().unwrap_or(REPORT_INTERVAL)
+        let due = due.into_iter().chain(self.sums_due(now));
+        due.min().unwrap_or(REPORT_INTERVAL)
     }
 
     /// Returns the time until a message of a scope is due.
@@ -87,7 +90,11 @@
             Scope::Report => REPORT_INTERVAL,
             Scope::Members | Scope::Hubs => DIGEST_INTERVAL,
         };
-        (at + interval).saturating_sub(now)
+        let due = (at + interval).saturating_sub(now);
+        let counts_due = self.counts.as_ref().filter(|_| scope == Scope::Report);
+        let soonest = (at + MIN_INTERVAL).saturating_sub(now);
+        let counts_due = counts_due.map(|counts| counts.report_due(now).max(soonest));
+        counts_due.map_or(due, |counts_due| counts_due.min(due))
     }
 
     /// Returns whether something is unsent in a scope that other entries must know at once.
@@ -167,17 +174,18 @@
             leaving: self.own.leaving,
         };
         let message = Message {
-            sender: self.sender(),
+            sender: self.sender(periodic),
             content,
         };
         (!recipients.is_empty()).then_some(Outgoing {
             scope,
             recipients,
             message,
+            direct: false,
         })
     }
 
-    fn sender(&self) -> Sender {
+    pub(super) fn sender(&self, periodic: bool) -> Sender {
         let Contact {
             entry, link_mbps, ..
         } = &self.identity.contact;
@@ -189,6 +197,7 @@
             reads_store: self.own.reads_store,
             store_available: self.own.store_available,
             leaving: self.own.leaving,
+            wall_ms: self.own.wall_ms.filter(|_| periodic),
         }
     }
 
@@ -196,6 +205,7 @@
     fn report(&mut self, periodic: bool, now: Duration) -> Report {
         let lost = self.lost.batch(Scope::Report, periodic, now);
         let successors = self.successors.batch(Scope::Report, periodic, now);
+        let counts = self.counts.as_mut().zip(self.own.wall_ms);
         let report = Report {
             streams: self.own.streams.clone(),
             lost,
@@ -205,6 +215,7 @@
             prompts: self.prompts.batch(Scope::Report, periodic, now),
             calls: self.calls.batch(Scope::Report, periodic, now),
             limits: self.limits.batch(Scope::Report, periodic, now),
+            counts: counts.and_then(|(counts, wall_ms)| counts.report(wall_ms, now)),
         };
         self.reported = self.own.clone();
         let streams = report.streams.iter().copied();
@@ -232,6 +243,12 @@
             } else {
                 Vec::new()
             },
+            counts: None,
+            usage_settled: self
+                .counts
+                .as_ref()
+                .filter(|_| periodic)
+                .and_then(Exchange::settled),
         }
     }
 
--- a/coordination/src/dissemination/roster.rs
+++ b/coordination/src/dissemination/roster.rs
@@ -142,6 +142,14 @@
         contacts.take(number).collect()
     }
 
+    /// Returns the address of an entry.
+    #[must_use]
+    pub fn address(&self, entry: &str) -> Option<SocketAddr> {
+        let mut records = self.records.values();
+        let record = records.find(|record| *record.contact.entry == *entry);
+        record.map(|record| record.contact.address)
+    }
+
     /// Returns whether no entry is known.
     #[must_use]
     pub fn is_empty(&self) -> bool {
--- a/coordination/src/duty.rs
+++ b/coordination/src/duty.rs
@@ -155,6 +155,8 @@
     pub token: u64,
     /// Revision of the lock.
     pub revision: u64,
+    /// Era of the store in which the lock was written.
+    pub era: u64,
     /// Time until which the lease is certain to last.
     pub until: Duration,
     /// Time from which calls may be sent.
@@ -564,6 +566,7 @@
             subject: subject.clone(),
             token: token(held.era, held.revision),
             revision: held.revision,
+            era: held.era,
             until: lease.until,
             usable_at: held.acquired_at + self.policy.call_timeout,
         })
--- a/coordination/src/lib.rs
+++ b/coordination/src/lib.rs
@@ -38,4 +38,6 @@
 pub mod server_limit;
 pub mod server_pause;
 pub mod store_outage;
+pub mod true_time;
+pub mod usage;
 pub mod warmup;
--- a/relay/src/broadcast.rs
+++ b/relay/src/broadcast.rs
@@ -113,6 +113,10 @@
         }
         let mut pause = MIN_INTERVAL;
         for outgoing in relay.poll_messages() {
+            if outgoing.direct {
+                pause += send(relay, socket, outgoing, None).await;
+                continue;
+            }
             let sent_revision = &mut sent_revisions[outgoing.scope.index()];
             let passes_on = match outgoing.scope {
                 Scope::Report => false,
@@ -138,6 +142,7 @@
         scope,
         recipients,
         message,
+        ..
     } = outgoing;
     let bytes = match datagram::encode(message, updates) {
         Ok(bytes) => bytes,
--- a/relay/src/call.rs
+++ b/relay/src/call.rs
@@ -56,6 +56,8 @@
     arrivals: u32,
     retries_withdrawn: u32,
     in_flight: bool,
+    /// Whether the request was counted as one that began to run.
+    counted: bool,
     full: bool,
     /// The server of the current attempt, and when the request was sent to it.
     current: Option<(Arc<Backend>, Duration)>,
@@ -142,7 +144,12 @@
         let sent_at = relay.clock.now();
         progress.current = Some((Arc::clone(&backend), sent_at));
         let received = match attempt::send(relay, &backend, &job.original, &dispatch).await {
-            Ok(answer) => read_response(relay, &backend, answer, job.deadline).await,
+            Ok(answer) => {
+                if !std::mem::replace(&mut progress.counted, true) {
+                    relay.count_run(job.account.as_deref());
+                }
+                read_response(relay, &backend, answer, job.deadline).await
+            }
             Err(failure) => Err(failure),
         };
         progress.current = None;
--- a/relay/src/codec.rs
+++ b/relay/src/codec.rs
@@ -10,6 +10,7 @@
 use bytes::Bytes;
 use hyper::http::response::Parts;
 use hyper::{HeaderMap, Method, StatusCode};
+use medlarfall_coordination::duty::Subject;
 use medlarfall_coordination::registry::Server;
 use medlarfall_coordination::routing::Table;
 use medlarfall_coordination::server_limit::Named;
@@ -172,6 +173,13 @@
         /// The record, in the form of [`crate::quarantine`]; `None` if it was removed.
         value: Option<String>,
     },
+    /// The lock of a duty's subject.
+    Lock {
+        /// The subject.
+        subject: Subject,
+        /// The lock, in the form of [`crate::duty`]; `None` if it was removed.
+        value: Option<String>,
+    },
     /// A key that the relay does not use.
     Other,
 }
@@ -253,6 +261,13 @@
     /// Returns the key under which a blocked combination of prompt parts is recorded.
     fn blocked_prompt_key(&self, name: &str) -> String;
 
+    /// Returns the key of the lock of a duty's subject.
+    fn duty_key(&self, subject: &Subject) -> String;
+
+    /// Returns the key under which the counts of usage windows are recorded, one for each `slot`; with
+    /// `None`, the prefix of all of them.
+    fn usage_key(&self, slot: Option<usize>) -> String;
+
     /// Returns the server's name if `key` is the key of a server's registration.
     fn server_id<'key>(&self, key: &'key str) -> Option<&'key str>;
 }
--- a/relay/src/daemon.rs
+++ b/relay/src/daemon.rs
@@ -15,10 +15,11 @@
 use medlarfall_runtime::store::Store;
 
 use crate::codec::Codec;
+use crate::duty::Provider;
 use crate::state::Relay;
 use crate::{
-    broadcast, changelog, internal_http, lapses, listener, moves, quarantine, rediscover,
-    registration, store_watch, supervisor,
+    broadcast, changelog, duty, internal_http, lapses, listener, moves, quarantine, rediscover,
+    registration, store_watch, supervisor, usage,
 };
 
 /// Time from the stop signal until idle connections are closed. The platform polls readiness once a
@@ -31,10 +32,11 @@
 
 const METRICS_PATH: &str = "/metrics";
 
-/// Serves until `stop` resolves, then stops gracefully.
-pub async fn run<C: Codec, S: Store>(
+/// Serves until `stop` resolves, then stops gracefully. Without a `provider` there are no duties.
+pub async fn run<C: Codec, S: Store, P: Provider>(
     relay: Arc<Relay<C>>,
     store: S,
+    provider: Option<P>,
     callers: TcpListener,
     readiness: TcpListener,
     stop: impl Future<Output = ()>,
@@ -58,6 +60,7 @@
     supervise(&relay, "rediscover", move || {
         rediscover::run(Arc::clone(&searching))
     });
+    start_duties(&relay, &store, provider);
     let readiness_address = bound_address(&readiness);
     tokio::spawn(serve_status(Arc::clone(&relay), readiness));
     if let Some(address) = relay.settings.peer_address {
@@ -96,6 +99,7 @@
     let _ = relay.ends_at.set(relay.clock.now() + grace);
     relay.stopping.send_replace(true);
     relay.streams_changed.notify_one();
+    relay.notify_duties();
     let end = tokio::time::Instant::now() + grace;
     tokio::time::sleep(ROTATION_DELAY.min(grace)).await;
     relay.draining.send_replace(true);
@@ -105,6 +109,28 @@
     log::info!(connections = tracker.len(), whole = ended.is_ok(); "stop");
 }
 
+/// Starts the tasks that do duties.
+fn start_duties<C: Codec, S: Store, P: Provider>(
+    relay: &Arc<Relay<C>>,
+    store: &S,
+    provider: Option<P>,
+) {
+    let Some((settings, provider)) = relay.settings.duties.zip(provider) else {
+        return;
+    };
+    let locking = (Arc::clone(relay), store.clone());
+    supervise(relay, "duty", move || {
+        duty::run(Arc::clone(&locking.0), locking.1.clone())
+    });
+    if settings.usage_reporting {
+        let reporting = (Arc::clone(relay), store.clone(), provider);
+        supervise(relay, "usage", move || {
+            let (relay, store, provider) = reporting.clone();
+            usage::run(relay, store, provider, settings)
+        });
+    }
+}
+
 /// Spawns a task that is started again whenever it ends.
 fn supervise<C: Codec, F>(
     relay: &Arc<Relay<C>>,
--- a/relay/src/lib.rs
+++ b/relay/src/lib.rs
@@ -37,3 +37,4 @@
 pub mod store_watch;
 pub mod stream;
 pub mod supervisor;
+pub mod usage;
--- a/relay/src/metrics/labels.rs
+++ b/relay/src/metrics/labels.rs
@@ -34,6 +34,29 @@
     pub kind: &'static str,
 }
 
+/// Label of the subject of a duty.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct SubjectLabels {
+    /// The subject.
+    pub subject: String,
+}
+
+/// Labels of a call to the provider.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct DutyCallLabels {
+    /// The duty.
+    pub duty: &'static str,
+    /// How the call ended.
+    pub outcome: &'static str,
+}
+
+/// Label of a usage window.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct OutcomeLabels {
+    /// What became of the window.
+    pub outcome: &'static str,
+}
+
 /// Label of a service. A configuration has few of them.
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 pub struct ServiceLabels {
@@ -60,6 +83,10 @@
     MoveEnd,
     /// Records a blocked combination of prompt parts, or removes its record.
     BlockedPrompt,
+    /// Writes or deletes the lock of a duty.
+    Lock,
+    /// Records the counts of a usage window.
+    UsageRecord,
 }
 
 impl StoreCall {
@@ -75,6 +102,8 @@
             Self::Registration => "registration",
             Self::MoveEnd => "move_end",
             Self::BlockedPrompt => "blocked_prompt",
+            Self::Lock => "lock",
+            Self::UsageRecord => "usage_record",
         }
     }
 }
--- a/relay/src/state.rs
+++ b/relay/src/state.rs
@@ -7,12 +7,12 @@
 use std::time::Duration;
 
 use medlarfall_coordination::dissemination::{Contact, Identity, Node};
-use medlarfall_coordination::duty::{Duties, Policy};
+use medlarfall_coordination::duty::Duties;
 use medlarfall_coordination::retry_budget::Bounds;
 use medlarfall_coordination::routing::{Limits, Table};
 use medlarfall_coordination::{canary, liveness};
 use medlarfall_runtime::budget;
-use medlarfall_runtime::clock::{BootClock, Clock};
+use medlarfall_runtime::clock::{BootClock, Clock, wall_ms};
 use tokio::sync::{Notify, watch};
 
 use crate::changelog::Changelog;
@@ -125,15 +125,16 @@
             },
             failure_domain: Arc::clone(&settings.failure_domain),
         };
-        let node = Node::new(identity, clock.now());
+        let mut node = Node::new(identity, clock.now());
         let boot_clock = BootClock::start();
         let duties = settings.duties.map(|duties| {
-            let policy = Policy {
-                lease: duties.lease,
-                call_timeout: duty::CALL_TIMEOUT,
-            };
+            let policy = duty::policy(&duties);
             let entry = Arc::clone(&settings.entry);
-            Mutex::new(Duties::new(policy, entry, rand::random(), boot_clock.now()))
+            let incarnation = rand::random();
+            if duties.usage_reporting {
+                node.enable_counts(incarnation, duties.window, wall_ms());
+            }
+            Mutex::new(Duties::new(policy, entry, incarnation, boot_clock.now()))
         });
         Self {
             boot_clock,
--- a/relay/src/state/peers.rs
+++ b/relay/src/state/peers.rs
@@ -10,6 +10,7 @@
 };
 use medlarfall_coordination::quarantine::Kind;
 use medlarfall_coordination::retry_budget::Usage;
+use medlarfall_runtime::clock::wall_ms;
 
 use crate::codec::Codec;
 
@@ -86,6 +87,7 @@
         let leaving = *self.stopping.borrow();
         let reads_store = self.reads_store.load(Ordering::Relaxed);
         let streams = self.own_streams();
+        let counts = self.settings.duties.is_some_and(|it| it.usage_reporting);
         let (was_hub, outgoing) = self.view(|view| {
             let own = Own {
                 streams,
@@ -94,6 +96,7 @@
                 reads_store,
                 store_available: view.registry.store_available(),
                 leaving,
+                wall_ms: counts.then(wall_ms),
             };
             view.node.set_own(own);
             if view.registry.store_available() {
--- a/relay/src/state/servers.rs
+++ b/relay/src/state/servers.rs
@@ -104,6 +104,7 @@
         if !restored {
             return;
         }
+        self.notify_duties();
         let now = self.clock.now();
         self.view(|view| view.registry.store_restored(now));
         log::warn!(
--- a/relay/src/store_watch.rs
+++ b/relay/src/store_watch.rs
@@ -19,6 +19,7 @@
 use medlarfall_runtime::store::{Change, Changes, Error, Listing, Store};
 
 use crate::codec::{Codec, Record};
+use crate::duty;
 use crate::metrics::StoreCall;
 use crate::quarantine;
 use crate::registration;
@@ -334,6 +335,10 @@
 /// restore all keys are read anew. So is one that a newer change of its key has replaced: a watch from an
 /// older page of a list returns it again.
 pub fn apply<C: Codec>(relay: &Relay<C>, era: u64, change: &Change) {
+    // Only the entry that reports usage needs these records, and reads them itself: they are not passed on.
+    if change.key.starts_with(&relay.codec.usage_key(None)) {
+        return;
+    }
     if !relay.changelog(|changelog| changelog.insert(era, change)) {
         return;
     }
@@ -372,6 +377,9 @@
         Ok(Record::BlockedPrompt { key, value }) => {
             quarantine::apply(relay, &key, value.as_deref(), revision);
         }
+        Ok(Record::Lock { subject, value }) => {
+            duty::apply(relay, &subject, value.as_deref(), change.revision);
+        }
         Ok(Record::Other) => {}
         Err(invalid) => {
             log::error!(
--- a/relay/src/stream.rs
+++ b/relay/src/stream.rs
@@ -82,6 +82,8 @@
     run_events: u32,
     /// Whether a server has begun to answer the prompt.
     answered: bool,
+    /// Whether the request was counted as one that began to run, here or before the caller resumed it.
+    counted: bool,
     retry_withdrawn: bool,
     /// Requests that servers got, or may have got.
     arrivals: u32,
@@ -135,6 +137,7 @@
             replacement: None,
             run_events: 0,
             answered: false,
+            counted: job.head.last_event.is_some_and(|last| last > 0),
             retry_withdrawn: false,
             arrivals: 0,
             ran: 0,
--- a/relay/src/stream/forwarding.rs
+++ b/relay/src/stream/forwarding.rs
@@ -221,6 +221,9 @@
                     self.record_answered();
                 }
                 if event.id.is_some() || event.has_data() {
+                    if !std::mem::replace(&mut self.counted, true) {
+                        self.relay.count_run(self.job.account.as_deref());
+                    }
                     progress_at = Instant::now();
                 }
                 self.last_event = event.id.or(self.last_event);
--- a/relay/tests/datagram.rs
+++ b/relay/tests/datagram.rs
@@ -12,6 +12,7 @@
 use medlarfall_coordination::quarantine::Loss;
 use medlarfall_coordination::retry_budget::Usage;
 use medlarfall_coordination::server_limit::Named;
+use medlarfall_coordination::usage;
 use medlarfall_relay::datagram::{self, Error, Updates};
 use medlarfall_runtime::store::{Change, Changes};
 
@@ -25,6 +26,7 @@
             reads_store: true,
             store_available: true,
             leaving: false,
+            wall_ms: Some(1_780_000_000_123),
         },
         content,
     }
@@ -36,6 +38,19 @@
         prefilling: server % 2,
     };
     Digest {
+        counts: Some(usage::Report {
+            incarnation: u64::MAX,
+            since_ms: 1_780_000_000_000,
+            until_ms: 1_780_000_005_000,
+            windows: vec![usage::Window {
+                index: 356_000_000,
+                total: 9,
+                at_risk: 1,
+                open: true,
+                counts: vec![(Arc::from("desk"), 5), (Arc::from("field"), 4)],
+            }],
+        }),
+        usage_settled: Some(355_999_999),
         summaries: vec![Summary {
             failure_domain: Arc::from("cage-b"),
             entries: 49,
--- a/relay/tests/panics.rs
+++ b/relay/tests/panics.rs
@@ -7,6 +7,7 @@
 
 use hyper::http::response::Parts;
 use hyper::{HeaderMap, StatusCode};
+use medlarfall_coordination::duty::Subject;
 use medlarfall_coordination::retry_budget::Bounds;
 use medlarfall_coordination::{canary, liveness};
 use medlarfall_relay::codec::{
@@ -99,6 +100,14 @@
         unimplemented!()
     }
 
+    fn duty_key(&self, _: &Subject) -> String {
+        unimplemented!()
+    }
+
+    fn usage_key(&self, _: Option<usize>) -> String {
+        unimplemented!()
+    }
+
     fn blocked_prompt_key(&self, _: &str) -> String {
         unimplemented!()
     }
--- a/runtime/src/clock.rs
+++ b/runtime/src/clock.rs
@@ -1,6 +1,6 @@
 //! Clocks that give the time as a duration since their creation.
 
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use rustix::time::{ClockId, clock_gettime};
 use tokio::time::Instant;
@@ -65,3 +65,10 @@
     let time = clock_gettime(ClockId::Boottime);
     Duration::try_from(time).unwrap_or_default()
 }
+
+/// Returns what the machine's wall clock shows, in Unix milliseconds.
+#[must_use]
+pub fn wall_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    u64::try_from(since.unwrap_or_default().as_millis()).unwrap_or(u64::MAX)
+}
