feat(coordination): decide how many servers the load needs

coordination::autoscaling derives the need of each failure domain from prompt work, memory and slots, such that after the loss of any one failure domain the others use at most 85% of their capacity. Orders are raised at once, also by growth over the startup time that is significant among random arrivals, and lowered by at most a third each 1.5 s once 2.5 s of demand are known. Needs of the last 20 s are remembered, so troughs of a load that swings do not release servers. Nothing is lowered while counts are missing, a failure domain's servers are lost, or no requests arrive.

--- a/coordination/src/lib.rs
+++ b/coordination/src/lib.rs
@@ -5,6 +5,7 @@
 //! through any order of events. Times are [`std::time::Duration`]s since an arbitrary origin and
 //! never decrease.
 
+pub mod autoscaling;
 pub mod balance;
 pub mod canary;
 pub mod claim;
