feat(relay): measure and share the demand for services whose servers are scaled

Orders of servers need the load of all entries, and the speed of a server. Usage has requests by service only, over the window of the retry budget.

The sums carry the number of entries that they count, so a failure domain with an entry that does not report counts as unknown.

--- a/coordination/src/autoscaling/fleet/state.rs
+++ b/coordination/src/autoscaling/fleet/state.rs
@@ -59,6 +59,8 @@
     recent: VecDeque<(Duration, u32)>,
     /// Since when it is lost, and the number of servers before.
     lost: Option<(Duration, u32)>,
+    /// When it was first observed.
+    observed_from: Option<Duration>,
     /// Last known demand, and when it was known.
     demand: Option<(Duration, Demand)>,
     pub(super) history: History,
@@ -78,6 +80,7 @@
 
 impl State {
     pub(super) fn observe(&mut self, domain: &Domain, now: Duration) {
+        self.observed_from.get_or_insert(now);
         self.servers = domain.servers;
         if let Some(demand) = domain.demand {
             self.demand = Some((now, demand));
@@ -116,16 +119,16 @@
 
     /// Returns whether the demand is known now, or has been unknown for so long that there is none.
     pub(super) fn is_known(&self, now: Duration) -> bool {
-        self.demand.is_some_and(|(at, _)| {
-            let age = now.saturating_sub(at);
-            age.is_zero() || age >= UNKNOWN_LIMIT
-        })
+        let since = self.demand.map(|(at, _)| at);
+        let unknown = now.saturating_sub(since.or(self.observed_from).unwrap_or(now));
+        since == Some(now) || unknown >= UNKNOWN_LIMIT
     }
 
     pub(super) fn is_serving(&self, now: Duration) -> bool {
-        let lost = self.lost;
-        self.servers.ready > 0
-            && lost.is_none_or(|(at, _)| now.saturating_sub(at) < LOST_CONFIRMATION)
+        match self.lost {
+            Some((at, _)) => now.saturating_sub(at) < LOST_CONFIRMATION,
+            None => self.servers.ready > 0,
+        }
     }
 
     /// Returns whether nothing is left of the failure domain.
--- a/coordination/src/dissemination.rs
+++ b/coordination/src/dissemination.rs
@@ -12,6 +12,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::autoscaling::Demand;
 use crate::history::Revision;
 use crate::placement::name_hash;
 use crate::quarantine::{Loss, Part};
@@ -134,6 +135,8 @@
     pub calls: Crashes,
     /// What servers said of their limits, and how long ago.
     pub limits: Vec<(ServerLimit, Duration)>,
+    /// Its demand, by service whose servers are scaled.
+    pub demands: Vec<(Arc<str>, Demand)>,
 }
 
 /// State of failure domains.
--- a/coordination/src/dissemination/codec.rs
+++ b/coordination/src/dissemination/codec.rs
@@ -6,6 +6,7 @@
 use medlarfall_schema::peers;
 use snafu::Snafu;
 
+use crate::autoscaling::Demand;
 use crate::canary;
 use crate::evidence::{Cohort, Observation};
 use crate::history::Revision;
@@ -117,6 +118,7 @@
             call_losses: texts(report.calls.losses, encode_loss),
             call_answers: texts(report.calls.answers, encode_answer),
             server_limits: encode_limits(&report.limits),
+            demands: texts(report.demands, encode_demand),
         }
     }
 }
@@ -134,6 +136,7 @@
             prompts: decode_crashes(report.prompt_losses, report.prompt_answers),
             calls: decode_crashes(report.call_losses, report.call_answers),
             limits: decode_limits(report.server_limits)?,
+            demands: texts(report.demands, decode_demand),
         })
     }
 }
@@ -145,6 +148,7 @@
             entries: summary.entries,
             streams: encode_streams(&summary.streams),
             retries: encode_usage(summary.usage),
+            demands: texts(summary.demands, encode_demand),
         };
         let contact = |contact: Contact| peers::Contact {
             entry: contact.entry.to_string(),
@@ -177,6 +181,7 @@
                 entries: summary.entries,
                 streams: decode_streams(summary.streams)?,
                 usage: decode_usage(summary.retries),
+                demands: texts(summary.demands, decode_demand),
             })
         };
         let contact = |contact: peers::Contact| {
@@ -333,6 +338,32 @@
     })
 }
 
+fn encode_demand((service, demand): (Arc<str>, Demand)) -> peers::Demand {
+    peers::Demand {
+        service: service.to_string(),
+        entries: demand.entries,
+        requests: demand.requests,
+        prompt_tokens: demand.prompt_tokens,
+        running: demand.running,
+        waiting: demand.waiting,
+        measured: demand.measured,
+        prefill_ns: demand.prefill_ns,
+    }
+}
+
+fn decode_demand(demand: peers::Demand) -> (Arc<str>, Demand) {
+    let value = Demand {
+        entries: demand.entries,
+        requests: demand.requests,
+        prompt_tokens: demand.prompt_tokens,
+        running: demand.running,
+        waiting: demand.waiting,
+        measured: demand.measured,
+        prefill_ns: demand.prefill_ns,
+    };
+    (Arc::from(demand.service), value)
+}
+
 impl From<Successor> for peers::Successor {
     fn from(successor: Successor) -> Self {
         Self {
--- a/coordination/src/dissemination/ledger.rs
+++ b/coordination/src/dissemination/ledger.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::autoscaling::Demand;
 use crate::reader_election::Rank;
 use crate::retry_budget::Usage;
 
@@ -65,6 +66,8 @@
     pub streams: Vec<(Tag, Count)>,
     /// Requests and retries of all entries, by service.
     pub usage: Vec<(Arc<str>, Usage)>,
+    /// Demand of all entries, by service whose servers are scaled.
+    pub demands: Vec<(Arc<str>, Demand)>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -82,6 +85,8 @@
     rows: BTreeMap<Tag, Row>,
     usage: HashMap<Arc<str>, Usage>,
     usage_changed: u64,
+    /// Demand by service, and when it was known.
+    demands: HashMap<Arc<str>, (Demand, Duration)>,
     /// For each scope, the first server whose value is repeated next.
     next_repeated: [Tag; Scope::COUNT],
 }
@@ -122,6 +127,9 @@
         let domain = self.domains.entry(summary.failure_domain).or_default();
         domain.heard_at = now;
         domain.entries = summary.entries;
+        for (service, demand) in summary.demands {
+            domain.demands.insert(service, (demand, now));
+        }
         for (service, usage) in summary.usage {
             let known = domain.usage.insert(service, usage);
             if known.is_none_or(|known| known.retries != usage.retries) {
@@ -176,6 +184,7 @@
             }
         }
         domain.usage.clear();
+        domain.demands.clear();
     }
 
     /// Returns the streams of the other entries at a server.
@@ -221,6 +230,23 @@
         total.minus(own.copied().unwrap_or_default())
     }
 
+    /// Returns the demand for a service in each failure domain that has entries; `None` where that of any
+    /// entry is unknown.
+    pub fn demands(
+        &self,
+        service: &str,
+        now: Duration,
+    ) -> impl Iterator<Item = (&Arc<str>, Option<Demand>)> {
+        let domains = self.domains.iter().filter(|(_, domain)| domain.entries > 0);
+        domains.map(move |(name, domain)| {
+            let demand = domain.demands.get(service);
+            let known = demand.filter(|(demand, at)| {
+                now.saturating_sub(*at) < FRESH && demand.entries >= domain.entries
+            });
+            (name, known.map(|(demand, _)| *demand))
+        })
+    }
+
     /// Returns the number of known entries, whether or not they reported recently.
     #[must_use]
     pub fn entries(&self) -> u32 {
@@ -293,11 +319,21 @@
         } else {
             Vec::new()
         };
+        // Only hubs order servers.
+        let demands = if repeat && scope == Scope::Hubs {
+            let demands = self.demands.iter();
+            demands
+                .map(|(service, (demand, _))| (Arc::clone(service), *demand))
+                .collect()
+        } else {
+            Vec::new()
+        };
         Summary {
             failure_domain: Arc::clone(name),
             entries: self.entries,
             streams,
             usage,
+            demands,
         }
     }
 }
--- a/coordination/src/dissemination/members.rs
+++ b/coordination/src/dissemination/members.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::autoscaling::Demand;
 use crate::retry_budget::Usage;
 
 use super::ledger::Count;
@@ -25,6 +26,7 @@
     counted: bool,
     streams: Vec<(Tag, Count)>,
     usage: Vec<(Arc<str>, Usage)>,
+    demands: Vec<(Arc<str>, Demand)>,
 }
 
 /// What a report changed.
@@ -63,6 +65,7 @@
             counted: true,
             streams: report.streams.clone(),
             usage: report.usage.clone(),
+            demands: report.demands.clone(),
         };
         let before = self.members.insert(Arc::clone(entry), member);
         let joined = before.as_ref().is_none_or(|before| !before.counted);
@@ -100,6 +103,7 @@
             }
             member.counted = false;
             member.usage.clear();
+            member.demands.clear();
             change.usage = true;
             for (server, count) in std::mem::take(&mut member.streams) {
                 if let Some(sum) = self.sums.get_mut(&server) {
@@ -143,6 +147,19 @@
             .collect()
     }
 
+    /// Returns the demand of all entries, by service.
+    pub(super) fn demands(&self) -> Vec<(Arc<str>, Demand)> {
+        let mut sums: HashMap<&Arc<str>, Demand> = HashMap::new();
+        let members = self.members.values().filter(|member| member.counted);
+        for (service, demand) in members.flat_map(|member| &member.demands) {
+            let sum = sums.entry(service).or_default();
+            *sum = sum.plus(*demand);
+        }
+        let sums = sums.into_iter();
+        sums.map(|(service, demand)| (Arc::clone(service), demand))
+            .collect()
+    }
+
     /// Returns the addresses of the entries to send digests to, those of silent ones only with
     /// `silent`.
     pub(super) fn addresses(&self, silent: bool) -> Vec<SocketAddr> {
--- a/coordination/src/dissemination/node.rs
+++ b/coordination/src/dissemination/node.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::autoscaling::Demand;
 use crate::history::Revision;
 use crate::quarantine::{Kind, Loss, Part};
 use crate::reader_election::{Election, Rank};
@@ -51,6 +52,8 @@
     pub streams: Vec<(Tag, Count)>,
     /// Its requests and retries, by service.
     pub usage: Vec<(Arc<str>, Usage)>,
+    /// Its demand, by service whose servers are scaled.
+    pub demands: Vec<(Arc<str>, Demand)>,
     /// Revision of the store up to which it knows all changes.
     pub revision: Revision,
     /// Whether it reads the store and its last call succeeded.
@@ -206,6 +209,18 @@
         }
     }
 
+    /// Returns the demand for a service at the entries of each failure domain; `None` where that of any entry
+    /// is unknown. Only hubs know it.
+    #[must_use]
+    pub fn demands(&self, service: &str, now: Duration) -> BTreeMap<Arc<str>, Option<Demand>> {
+        let registered = self.registered.values();
+        let registered = registered.map(|(name, _)| (Arc::clone(name), None));
+        let mut demands: BTreeMap<_, _> = registered.collect();
+        let known = self.ledger.demands(service, now);
+        demands.extend(known.map(|(name, demand)| (Arc::clone(name), demand)));
+        demands
+    }
+
     /// Returns the number of known entries, this one included.
     #[must_use]
     pub fn entries(&self) -> u32 {
@@ -317,6 +332,7 @@
             entries: self.members.counted(),
             streams: Vec::new(),
             usage,
+            demands: self.members.demands(),
         };
         self.ledger.apply(summary, now);
     }
--- a/coordination/src/dissemination/node/sending.rs
+++ b/coordination/src/dissemination/node/sending.rs
@@ -205,6 +205,7 @@
             prompts: self.prompts.batch(Scope::Report, periodic, now),
             calls: self.calls.batch(Scope::Report, periodic, now),
             limits: self.limits.batch(Scope::Report, periodic, now),
+            demands: self.own.demands.clone(),
         };
         self.reported = self.own.clone();
         let streams = report.streams.iter().copied();
--- a/relay/src/state.rs
+++ b/relay/src/state.rs
@@ -21,6 +21,7 @@
 use crate::metrics::Metrics;
 
 mod backend;
+mod demand;
 mod duties;
 mod gauges;
 mod limits;
--- a/relay/src/state/peers.rs
+++ b/relay/src/state/peers.rs
@@ -90,6 +90,7 @@
             let own = Own {
                 streams,
                 usage: view.retry_usage(now),
+                demands: view.own_demands(now),
                 revision,
                 reads_store,
                 store_available: view.registry.store_available(),
--- a/relay/src/state/view.rs
+++ b/relay/src/state/view.rs
@@ -1,5 +1,6 @@
 //! This entry's view of the configuration, the servers and the other entries.
 
+use medlarfall_coordination::autoscaling::meter::Meter;
 use medlarfall_coordination::canary::{Canary, Order};
 use medlarfall_coordination::dissemination::Node;
 use medlarfall_coordination::evidence::Cohort;
@@ -36,6 +37,8 @@
     pub(super) registry: Registry,
     pub(super) backends: HashMap<Arc<str>, Vec<Arc<Backend>>>,
     pub(super) retry_windows: HashMap<Arc<str>, Window>,
+    /// Demand for the services whose servers are scaled.
+    pub(super) demand_meters: HashMap<Arc<str>, Meter>,
     /// Last ordered move of each service.
     pub(super) canaries: HashMap<Arc<str>, Canary>,
     /// Orders that the store has since a restore and that may be older than the known ones, with their
@@ -81,6 +84,7 @@
             registry: Registry::default(),
             backends: HashMap::new(),
             retry_windows: HashMap::new(),
+            demand_meters: HashMap::new(),
             canaries: HashMap::new(),
             unsettled_orders: HashMap::new(),
             recorded_moves: HashSet::new(),
--- a/relay/src/stream.rs
+++ b/relay/src/stream.rs
@@ -52,6 +52,8 @@
     occupancy: Occupancy<C>,
     /// Measures the run, for the comparison of versions.
     meter: Meter,
+    /// Tokens of the prompt, if it was the only one at the server when it was sent.
+    idle_prompt: Option<u64>,
 }
 
 impl<C: Codec> Run<C> {
@@ -316,12 +318,14 @@
             "stream sent"
         );
         let prefilling = !cached && dispatch.resume_from.is_none();
+        let idle = prefilling && self.relay.is_idle(backend);
         let mut run = Run {
             backend: Arc::clone(backend),
             subscription: monitor::subscribe(&self.relay, backend),
             lost_at: None,
             occupancy: Occupancy::start(&self.relay, backend, prefilling),
             meter: Meter::new(began),
+            idle_prompt: self.job.head.prompt_tokens.filter(|_| idle),
         };
         let (relay, job) = (Arc::clone(&self.relay), Arc::clone(&self.job));
         self.run_events = 0;
--- a/relay/src/stream/forwarding.rs
+++ b/relay/src/stream/forwarding.rs
@@ -226,6 +226,10 @@
                 self.last_event = event.id.or(self.last_event);
                 self.record_event(now);
                 if let Some(measurement) = source.run.meter.event(now) {
+                    let prompt = source.run.idle_prompt.zip(measurement.first);
+                    if let Some((tokens, took)) = prompt {
+                        self.relay.record_prefill(&source.run.backend, tokens, took);
+                    }
                     let backend = &source.run.backend;
                     self.relay
                         .record_measurement(backend, &self.job.route.name, measurement);
