--- a/relay/tests/datagram.rs
+++ b/relay/tests/datagram.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bolero::check;
+use medlarfall_coordination::autoscaling::Demand;
 use medlarfall_coordination::dissemination::{
     Contact, Content, Count, Crashes, Digest, Message, Report, Sender, ServerLimit, Successor,
     Summary,
@@ -12,6 +13,7 @@
 use medlarfall_coordination::quarantine::Loss;
 use medlarfall_coordination::retry_budget::Usage;
 use medlarfall_coordination::server_limit::Named;
+use medlarfall_coordination::usage;
 use medlarfall_relay::datagram::{self, Error, Updates};
 use medlarfall_runtime::store::{Change, Changes};
 
@@ -25,6 +27,7 @@
             reads_store: true,
             store_available: true,
             leaving: false,
+            wall_ms: Some(1_780_000_000_123),
         },
         content,
     }
@@ -36,6 +39,19 @@
         prefilling: server % 2,
     };
     Digest {
+        counts: Some(usage::Report {
+            incarnation: u64::MAX,
+            since_ms: 1_780_000_000_000,
+            until_ms: 1_780_000_005_000,
+            windows: vec![usage::Window {
+                index: 356_000_000,
+                total: 9,
+                at_risk: 1,
+                open: true,
+                counts: vec![(Arc::from("desk"), 5), (Arc::from("field"), 4)],
+            }],
+        }),
+        usage_settled: Some(355_999_999),
         summaries: vec![Summary {
             failure_domain: Arc::from("cage-b"),
             entries: 49,
@@ -47,6 +63,18 @@
                     retries: 2,
                 },
             )],
+            demands: vec![(
+                Arc::from("briefs"),
+                Demand {
+                    entries: 49,
+                    requests: 120,
+                    prompt_tokens: 624_000,
+                    running: 105,
+                    waiting: 60,
+                    measured: 900,
+                    prefill_ns: 180_000_000,
+                },
+            )],
         }],
         lost: vec![(7, Duration::from_millis(120))],
         successors: vec![Successor {
