feat(relay): send scaling orders

relay::autoscaling decides once a second for the subjects whose lock this entry holds, sends an order when its number changes, and repeats it each 10 s. Each hub observes all scaled services, so a new holder knows the load when it takes over; its first number is that of the registered servers. A refused or lost order is repeated with backoff, and the permit is checked right before each call.

Metric desired_servers{service,failure_domain}, and a log line for each order with its inputs. Active only with the task autoscaling in the settings and autoscaling of a service in the configuration.

--- a/relay/src/daemon.rs
+++ b/relay/src/daemon.rs
@@ -18,8 +18,8 @@
 use crate::duty::Provider;
 use crate::state::Relay;
 use crate::{
-    broadcast, changelog, duty, internal_http, lapses, listener, moves, quarantine, rediscover,
-    registration, store_watch, supervisor, usage,
+    autoscaling, broadcast, changelog, duty, internal_http, lapses, listener, moves, quarantine,
+    rediscover, registration, store_watch, supervisor, usage,
 };
 
 /// Time from the stop signal until idle connections are closed. The platform polls readiness once a
@@ -122,6 +122,12 @@
     supervise(relay, "duty", move || {
         duty::run(Arc::clone(&locking.0), locking.1.clone())
     });
+    if settings.autoscaling {
+        let ordering = (Arc::clone(relay), provider.clone());
+        supervise(relay, "autoscaling", move || {
+            autoscaling::run(Arc::clone(&ordering.0), ordering.1.clone())
+        });
+    }
     if settings.usage_reporting {
         let reporting = (Arc::clone(relay), store.clone(), provider);
         supervise(relay, "usage", move || {
--- a/relay/src/lib.rs
+++ b/relay/src/lib.rs
@@ -11,6 +11,7 @@
 
 pub mod answer;
 pub mod attempt;
+pub mod autoscaling;
 pub mod backup;
 pub mod broadcast;
 pub mod call;
--- a/relay/src/metrics.rs
+++ b/relay/src/metrics.rs
@@ -18,8 +18,8 @@
 mod labels;
 
 pub use labels::{
-    CauseLabels, DutyCallLabels, EndLabels, KindLabels, OutcomeLabels, RouteLabels, ServiceLabels,
-    StoreCall, SubjectLabels,
+    CauseLabels, DutyCallLabels, EndLabels, GroupLabels, KindLabels, OutcomeLabels, RouteLabels,
+    ServiceLabels, StoreCall, SubjectLabels,
 };
 
 /// Upper bound of the first latency bucket, in seconds.
@@ -127,6 +127,8 @@
     pub duty_unheld: Family<SubjectLabels, Gauge<f64, AtomicU64>>,
     /// Calls to the provider by duty and outcome.
     pub duty_calls: Family<DutyCallLabels, Counter>,
+    /// Servers that this entry ordered last, by service and failure domain whose orders it gives.
+    pub desired_servers: Family<GroupLabels, Gauge>,
     /// Usage windows by outcome: `reported`, `uncounted` or `abandoned`.
     pub usage_windows: Family<OutcomeLabels, Counter>,
     registry: Mutex<Registry>,
@@ -241,6 +243,12 @@
                 "Calls to the provider",
                 Family::default(),
             ),
+            desired_servers: add(
+                new,
+                "desired_servers",
+                "Servers ordered last",
+                Family::default(),
+            ),
             usage_windows: add(
                 new,
                 "usage_windows",
@@ -338,6 +346,21 @@
         self.duty_calls.get_or_create(&labels).inc();
     }
 
+    /// Sets the number of servers that this entry ordered last; `None` if another entry gives the orders.
+    pub fn set_desired(&self, service: &str, failure_domain: &str, desired: Option<u32>) {
+        let labels = GroupLabels {
+            service: service.to_owned(),
+            failure_domain: failure_domain.to_owned(),
+        };
+        match desired {
+            Some(desired) => {
+                let gauge = self.desired_servers.get_or_create(&labels).clone();
+                gauge.set(i64::from(desired));
+            }
+            None => drop(self.desired_servers.remove(&labels)),
+        }
+    }
+
     /// Counts a usage window.
     pub fn count_usage_window(&self, outcome: &'static str) {
         let labels = OutcomeLabels { outcome };
--- a/relay/src/metrics/labels.rs
+++ b/relay/src/metrics/labels.rs
@@ -64,6 +64,15 @@
     pub service: String,
 }
 
+/// Labels of a service in one failure domain.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct GroupLabels {
+    /// The service.
+    pub service: String,
+    /// The failure domain.
+    pub failure_domain: String,
+}
+
 /// Kinds of calls to the store.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum StoreCall {
--- a/relay/src/state/demand.rs
+++ b/relay/src/state/demand.rs
@@ -13,8 +13,18 @@
 use super::{Backend, Relay};
 
 impl<C: Codec> Relay<C> {
+    /// Returns whether servers are scaled in this deployment.
+    #[must_use]
+    pub fn scales(&self) -> bool {
+        let duties = self.settings.duties;
+        duties.is_some_and(|duties| duties.autoscaling)
+    }
+
     /// Counts a request of a caller for a service, if its servers are scaled.
     pub fn count_demand(&self, service: &Arc<str>, prompt_tokens: u64) {
+        if !self.scales() {
+            return;
+        }
         let now = self.clock.now();
         self.view(|view| {
             if view.limits(service).is_some() {
@@ -24,10 +34,13 @@
         });
     }
 
-    /// Returns whether no stream at a server waits for its first event, as far as is known, and the server
-    /// does not warm up.
+    /// Returns whether the time of a prompt at a server is measured: no stream there waits for its first
+    /// event, as far as is known, and the server does not warm up.
     #[must_use]
-    pub fn is_idle(&self, backend: &Backend) -> bool {
+    pub fn measures_prefill(&self, backend: &Backend) -> bool {
+        if !self.scales() {
+            return false;
+        }
         let now = self.clock.now();
         let own = backend.load(|load| load.streams());
         self.view(|view| {
--- a/relay/src/state/peers.rs
+++ b/relay/src/state/peers.rs
@@ -87,12 +87,17 @@
         let leaving = *self.stopping.borrow();
         let reads_store = self.reads_store.load(Ordering::Relaxed);
         let streams = self.own_streams();
+        let scales = self.scales();
         let counts = self.settings.duties.is_some_and(|it| it.usage_reporting);
         let (was_hub, outgoing) = self.view(|view| {
             let own = Own {
                 streams,
                 usage: view.retry_usage(now),
-                demands: view.own_demands(now),
+                demands: if scales {
+                    view.own_demands(now)
+                } else {
+                    Vec::new()
+                },
                 revision,
                 reads_store,
                 store_available: view.registry.store_available(),
--- a/relay/src/stream.rs
+++ b/relay/src/stream.rs
@@ -321,7 +321,7 @@
             "stream sent"
         );
         let prefilling = !cached && dispatch.resume_from.is_none();
-        let idle = prefilling && self.relay.is_idle(backend);
+        let idle = prefilling && self.relay.measures_prefill(backend);
         let mut run = Run {
             backend: Arc::clone(backend),
             subscription: monitor::subscribe(&self.relay, backend),
