--- a/coordination/src/duty.rs
+++ b/coordination/src/duty.rs
@@ -314,10 +314,9 @@
     }
 
     /// Applies the era of the store. In another era the locks and leases of the earlier one are worth
-    /// nothing.
+    /// nothing. The first known era may have begun just now.
     pub fn set_era(&mut self, era: u64, now: Duration) {
-        let known = self.era.replace(era);
-        if known.is_none_or(|known| known == era) {
+        if self.era.replace(era) == Some(era) {
             return;
         }
         self.drop_lease("the store was restored");
--- a/coordination/src/usage/reporter.rs
+++ b/coordination/src/usage/reporter.rs
@@ -14,7 +14,7 @@
 const SETTLE: Duration = Duration::from_millis(2_400);
 
 /// Time that remains for the record and the call when an incomplete window is decided on.
-const DECISION_MARGIN: Duration = Duration::from_millis(1_000);
+const DECISION_MARGIN: Duration = Duration::from_secs(1);
 
 /// Time for which a new holder waits for the sums of the other failure domains.
 const TAKE_OVER: Duration = Duration::from_millis(1_500);
--- a/relay/src/state/servers.rs
+++ b/relay/src/state/servers.rs
@@ -101,6 +101,8 @@
         self.metrics
             .store_era
             .set(i64::try_from(current).unwrap_or(i64::MAX));
+        let booted = self.boot_clock.now();
+        self.duties(|duties| duties.set_era(current, booted));
         if !restored {
             return;
         }
