--- a/coordination/src/dissemination/node/sending.rs
+++ b/coordination/src/dissemination/node/sending.rs
@@ -215,6 +215,7 @@
             prompts: self.prompts.batch(Scope::Report, periodic, now),
             calls: self.calls.batch(Scope::Report, periodic, now),
             limits: self.limits.batch(Scope::Report, periodic, now),
+            demands: self.own.demands.clone(),
             counts: counts.and_then(|(counts, wall_ms)| counts.report(wall_ms, now)),
         };
         self.reported = self.own.clone();
--- a/relay/tests/datagram.rs
+++ b/relay/tests/datagram.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bolero::check;
+use medlarfall_coordination::autoscaling::Demand;
 use medlarfall_coordination::dissemination::{
     Contact, Content, Count, Crashes, Digest, Message, Report, Sender, ServerLimit, Successor,
     Summary,
@@ -62,6 +63,18 @@
                     retries: 2,
                 },
             )],
+            demands: vec![(
+                Arc::from("briefs"),
+                Demand {
+                    entries: 49,
+                    requests: 120,
+                    prompt_tokens: 624_000,
+                    running: 105,
+                    waiting: 60,
+                    measured: 900,
+                    prefill_ns: 180_000_000,
+                },
+            )],
         }],
         lost: vec![(7, Duration::from_millis(120))],
         successors: vec![Successor {
