fix(relay): no truncated response looks complete to a caller of HTTP/1.0

Cause: a response to a caller of HTTP/1.0 that states no length ends with its connection. When the server truncated a response that was already being forwarded, the entry closed the caller's connection without an error, which is the end of a complete response.

Change: the entry resets the connection of such a caller when the body of its response fails. Callers of HTTP/1.1 are not affected: they miss the last chunk.

Checked, and not found: a server that answers 200 without a length during a long upload and resets the connection (SO_LINGER 0, or bytes unread when it closes). Responses without a length that end with a FIN are delivered, also when it arrives during the upload.

--- a/relay/src/listener.rs
+++ b/relay/src/listener.rs
@@ -5,12 +5,15 @@
 use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::task::Poll;
 use std::time::Duration;
 
 use futures::FutureExt;
+use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
+use hyper::{Request, Version};
 use hyper_util::rt::TokioIo;
 use medlarfall_coordination::routing::Limits;
 use tokio::net::{TcpListener, TcpStream};
@@ -68,7 +71,10 @@
     let mut limits = relay.limits.subscribe();
     let mut draining = relay.draining.subscribe();
     let discarded = Arc::new(Notify::new());
-    let service = service_fn(|request| {
+    // For a caller of HTTP/1.0, the end of the connection is the end of a response without a length.
+    let ends_by_close = AtomicBool::new(false);
+    let service = service_fn(|request: Request<Incoming>| {
+        ends_by_close.store(request.version() < Version::HTTP_11, Ordering::Relaxed);
         let guard = tracker.begin();
         let handling = ingress::handle(Arc::clone(&relay), request);
         handling.map(|(response, unread)| {
@@ -125,7 +131,9 @@
     };
     let Err(error) = ended else { return };
     log::debug!(reason = error.to_string().as_str(); "connection of a caller ended with an error");
-    if error.is_parse() {
+    if error.is_user() && ends_by_close.load(Ordering::Relaxed) {
+        connection.into_parts().io.into_inner().reset();
+    } else if error.is_parse() {
         let limit = relay.limits.borrow().body_bytes;
         let socket = connection.into_parts().io.into_inner();
         discard::run_after_head(socket, limit).await;
--- a/relay/src/listener/socket.rs
+++ b/relay/src/listener/socket.rs
@@ -63,6 +63,13 @@
         Self { stream, tracker }
     }
 
+    /// Closes the connection with a reset, which tells the caller that the response is truncated.
+    pub(super) fn reset(self) {
+        if let Err(error) = self.stream.set_zero_linger() {
+            log::debug!(reason = error.to_string().as_str(); "connection of a caller not reset");
+        }
+    }
+
     fn record_sent(&self, sent: &Poll<io::Result<usize>>) {
         if matches!(sent, Poll::Ready(Ok(length)) if *length > 0) {
             let now = self.tracker.clock.now();
