fix(relay): requests that reached no server are rejected as not run

Cause: a call counted as in flight from before its connection was opened, and stayed so after a rejection by a server, so that the deadline gave 504 for a request that was still connecting. A stream counted as run from the same moment. A connection that was reset after it had been opened counted as one whose request may have run, whether or not a byte of it had been written, so that callers of non-idempotent routes got 502.

Change: attempt::socket::Transmission records whether bytes were written to the server's socket. A failure or deadline before the first byte is `NotSent`: the next server is tried, or the caller gets 503 with Retry-After (`too_late` has one now). A request of which a byte was written may still have run. A server that has ended a connection without a response is likely over its limit: for a second, new connections to it are watched for a reset for up to 5 ms before the first byte, since the reset follows the kernel's accept by a moment and a request that is written in between may have run. A reset server is not searched for, since it is alive.

--- a/relay/src/attempt.rs
+++ b/relay/src/attempt.rs
@@ -20,14 +20,24 @@
 use snafu::Snafu;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
+use tokio::time::timeout;
 
 use crate::codec::{Codec, Command, Dispatch, Health, Reply, Report};
 use crate::state::{Backend, Relay};
 
+use self::socket::{Socket, Transmission};
+
+pub mod socket;
+
 /// Longest time to connect. A connection within a region takes a few milliseconds. If the first
 /// packet is lost, a new connection is faster than TCP's retransmission after 1 s.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
 
+/// Time for which a connection to a server that has reset one lately is watched before the request is sent:
+/// a server over its limit resets each new connection as soon as it accepts it. A request whose connection is
+/// reset before a byte is written certainly did not run, and a few milliseconds are little for a call.
+const RESET_WATCH: Duration = Duration::from_millis(5);
+
 /// Largest status report of a server, or response of a peer, in bytes.
 const REPORT_LIMIT: usize = 256 << 10;
 
@@ -61,6 +71,18 @@
     },
 }
 
+impl Failure {
+    /// Returns the failure of an attempt whose request may have run, or that it was not sent if no byte of it
+    /// was written.
+    #[must_use]
+    pub fn unless_unsent(self, transmission: &Transmission) -> Self {
+        match self {
+            Self::Lost { reason, .. } if transmission.withdraw() => Self::NotSent { reason },
+            failure => failure,
+        }
+    }
+}
+
 /// Closes the connection and ends the count of the request when dropped.
 #[derive(Debug)]
 pub struct Guard {
@@ -114,7 +136,7 @@
 /// Connects to a server within [`CONNECT_TIMEOUT`].
 async fn connect(address: SocketAddr) -> io::Result<TcpStream> {
     let connecting = TcpStream::connect(address);
-    let stream = tokio::time::timeout(CONNECT_TIMEOUT, connecting)
+    let stream = timeout(CONNECT_TIMEOUT, connecting)
         .await
         .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
     stream.set_nodelay(true)?;
@@ -123,12 +145,23 @@
 
 type Sender = http1::SendRequest<Full<Bytes>>;
 
-/// Opens an HTTP connection.
-async fn open(address: SocketAddr) -> Result<(Sender, Connection), String> {
-    let stream = connect(address).await.map_err(|error| error.to_string())?;
+/// Waits for the end of a new connection, up to [`RESET_WATCH`].
+async fn watch_for_reset(stream: &TcpStream) -> io::Result<()> {
+    match timeout(RESET_WATCH, stream.peek(&mut [0])).await {
+        Ok(Ok(0)) => Err(io::ErrorKind::ConnectionReset.into()),
+        Ok(Err(error)) => Err(error),
+        Ok(Ok(_)) | Err(_) => Ok(()),
+    }
+}
+
+/// Starts HTTP on a connection.
+async fn start(
+    stream: TcpStream,
+    transmission: Transmission,
+) -> Result<(Sender, Connection), String> {
     let (sender, connection) = http1::Builder::new()
         .max_buf_size(READ_BUFFER)
-        .handshake(TokioIo::new(stream))
+        .handshake(TokioIo::new(Socket::new(stream, transmission)))
         .await
         .map_err(|error| error.to_string())?;
     let task = tokio::spawn(async move {
@@ -139,7 +172,43 @@
     Ok((sender, Connection(task.abort_handle())))
 }
 
-/// Sends a request to `backend`.
+/// Connects to a server for a request.
+async fn open<C: Codec>(
+    relay: &Relay<C>,
+    backend: &Arc<Backend>,
+    transmission: &Transmission,
+) -> Result<(Sender, Connection), Failure> {
+    let opened = async {
+        let stream = connect(backend.server.address).await?;
+        if backend.has_reset(relay.clock.now()) {
+            watch_for_reset(&stream).await?;
+        }
+        Ok(stream)
+    };
+    let stream = opened.await.map_err(|error: io::Error| {
+        // A server that resets a connection is alive.
+        if error.kind() == io::ErrorKind::ConnectionReset {
+            record_reset(relay, backend);
+        } else {
+            relay.record_unreachable(backend);
+        }
+        Failure::NotSent {
+            reason: error.to_string(),
+        }
+    })?;
+    let started = start(stream, transmission.clone()).await;
+    started.map_err(|reason| Failure::NotSent { reason })
+}
+
+/// Records that a server reset a connection without a response.
+fn record_reset<C: Codec>(relay: &Relay<C>, backend: &Backend) {
+    let now = relay.clock.now();
+    backend.record_reset(now);
+    backend.load(|load| load.record_outcome(true, now));
+}
+
+/// Sends a request to `backend`. `transmission` tells whether bytes of it were written, also when the attempt
+/// is dropped.
 ///
 /// # Errors
 ///
@@ -149,14 +218,11 @@
     backend: &Arc<Backend>,
     original: &Original,
     dispatch: &Dispatch,
+    transmission: &Transmission,
 ) -> Result<Answer, Failure> {
     // Before the connection opens, so that requests that are placed meanwhile see it.
     relay.take_from_limit(backend);
-    let opened = open(backend.server.address).await;
-    let (mut sender, connection) = opened.map_err(|reason| {
-        relay.record_unreachable(backend);
-        Failure::NotSent { reason }
-    })?;
+    let (mut sender, connection) = open(relay, backend, transmission).await?;
     backend.load(medlarfall_coordination::balance::Load::request_started);
     let guard = Guard {
         backend: Arc::clone(backend),
@@ -167,12 +233,12 @@
     *request.uri_mut() = original.uri.clone();
     *request.headers_mut() = relay.codec.request_headers(&original.headers, dispatch);
     let response = sender.send_request(request).await.map_err(|error| {
-        let now = relay.clock.now();
-        backend.load(|load| load.record_outcome(true, now));
-        Failure::Lost {
+        record_reset(relay, backend);
+        let lost = Failure::Lost {
             reason: error.to_string(),
             disconnected: true,
-        }
+        };
+        lost.unless_unsent(transmission)
     })?;
     let (parts, body) = response.into_parts();
     let reply = relay.codec.decode_reply(&original.request_id, &parts);
@@ -228,7 +294,8 @@
 ///
 /// Returns why there is no valid response.
 pub async fn fetch(address: SocketAddr, command: Command) -> Result<(Parts, Bytes), String> {
-    let (mut sender, connection) = open(address).await?;
+    let stream = connect(address).await.map_err(|error| error.to_string())?;
+    let (mut sender, connection) = start(stream, Transmission::default()).await?;
     let request = Request::builder()
         .method(command.method)
         .uri(command.path)
--- a/relay/src/call.rs
+++ b/relay/src/call.rs
@@ -12,6 +12,7 @@
 use tokio::sync::mpsc;
 
 use crate::answer::{Content, Part, Reason, Refusal};
+use crate::attempt::socket::Transmission;
 use crate::attempt::{self, Answer, Failure};
 use crate::codec::{Codec, Dispatch};
 use crate::ingress::{Job, SHORT_WAIT};
@@ -55,10 +56,16 @@
     refusals: u32,
     arrivals: u32,
     retries_withdrawn: u32,
-    in_flight: bool,
     full: bool,
-    /// The server of the current attempt, and when the request was sent to it.
-    current: Option<(Arc<Backend>, Duration)>,
+    current: Option<Current>,
+}
+
+/// The current attempt.
+#[derive(Debug)]
+struct Current {
+    backend: Arc<Backend>,
+    began: Duration,
+    transmission: Transmission,
 }
 
 /// Handles a call.
@@ -67,10 +74,7 @@
     let mut progress = Progress::default();
     let deadline = relay.clock.instant(job.deadline);
     let outcome = tokio::time::timeout_at(deadline, run(relay, &job, &mut progress)).await;
-    let outcome = outcome.unwrap_or_else(|_| {
-        record_timeout(relay, &job, &progress);
-        Err(Refusal::new(timeout_reason(&progress)))
-    });
+    let outcome = outcome.unwrap_or_else(|_| Err(time_out(relay, &job, &progress)));
     let (status, reason) = match &outcome {
         Ok(received) => (received.status, "answered"),
         Err(refusal) => (refusal.reason.status(), refusal.reason.name()),
@@ -101,12 +105,20 @@
     }
 }
 
-fn timeout_reason(progress: &Progress) -> Reason {
-    if progress.in_flight {
-        Reason::TimedOut
-    } else {
-        Reason::TooLate
+/// Returns the refusal of a call that was not answered by its deadline. One of which no byte reached a server
+/// was not run.
+fn time_out<C: Codec>(relay: &Relay<C>, job: &Job, progress: &Progress) -> Refusal {
+    let current = progress.current.as_ref();
+    let sent = current.filter(|current| !current.transmission.withdraw());
+    if let Some(current) = sent {
+        record_timeout(relay, job, current);
     }
+    if progress.ran > 0 || sent.is_some() {
+        return Refusal::new(Reason::TimedOut);
+    }
+    let wait = relay.limit_wait(criteria(relay, job, progress));
+    let pause = wait.map_or(FULL_PAUSE, |wait| relay.limit_pause(&job.service, wait));
+    Refusal::with_retry(Reason::TooLate, pause)
 }
 
 /// Sends a call to one server after another, as far as the route's kind and the retry budget allow.
@@ -137,11 +149,16 @@
         }
         progress.retries_withdrawn = progress.arrivals;
         progress.tried.push(Arc::clone(&backend.server.id));
-        progress.in_flight = true;
         let dispatch = dispatch(relay, job, &backend);
         let sent_at = relay.clock.now();
-        progress.current = Some((Arc::clone(&backend), sent_at));
-        let received = match attempt::send(relay, &backend, &job.original, &dispatch).await {
+        let transmission = Transmission::default();
+        progress.current = Some(Current {
+            backend: Arc::clone(&backend),
+            began: sent_at,
+            transmission: transmission.clone(),
+        });
+        let sending = attempt::send(relay, &backend, &job.original, &dispatch, &transmission);
+        let received = match sending.await {
             Ok(answer) => read_response(relay, &backend, answer, job.deadline).await,
             Err(failure) => Err(failure),
         };
@@ -156,12 +173,10 @@
                 progress.record_run(&mut failed, Some(received));
             }
             Err(Failure::NotSent { reason }) => {
-                progress.in_flight = progress.arrivals > 0;
                 progress.refusals += 1;
                 log_failure(job, &backend, "not_sent", &reason);
             }
             Err(Failure::NotRun { status, .. }) => {
-                progress.in_flight = progress.ran > 0;
                 progress.arrivals += 1;
                 progress.refusals += 1;
                 progress.full |= status != 421;
@@ -211,16 +226,13 @@
 }
 
 /// Records an attempt that was not answered by the deadline: it failed, and took at least this long.
-fn record_timeout<C: Codec>(relay: &Relay<C>, job: &Job, progress: &Progress) {
-    let Some((backend, sent_at)) = &progress.current else {
-        return;
-    };
+fn record_timeout<C: Codec>(relay: &Relay<C>, job: &Job, current: &Current) {
     let measurement = Measurement {
         failed: Some(true),
-        call: Some(relay.clock.now().saturating_sub(*sent_at)),
+        call: Some(relay.clock.now().saturating_sub(current.began)),
         ..Measurement::default()
     };
-    relay.record_measurement(backend, &job.route.name, measurement);
+    relay.record_measurement(&current.backend, &job.route.name, measurement);
 }
 
 impl Progress {
--- a/relay/src/state/backend.rs
+++ b/relay/src/state/backend.rs
@@ -1,6 +1,6 @@
 //! One backend server as this entry sees it.
 
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -17,6 +17,9 @@
 use super::placement::{Criteria, Measure};
 use super::view::Group;
 
+/// Time for which a server that has reset a connection is expected to reset others.
+const RESET_MEMORY: Duration = Duration::from_secs(1);
+
 /// A server with its load, monitor and search state.
 #[derive(Debug)]
 pub struct Backend {
@@ -32,6 +35,8 @@
     limited: AtomicBool,
     searching: AtomicBool,
     unconfirmed: AtomicBool,
+    /// Milliseconds until which further resets are expected; 0 if there was none.
+    resets_until: AtomicU64,
     /// Number of streams of this entry at the server.
     pub streams: AtomicUsize,
 }
@@ -65,6 +70,18 @@
         self.limited.load(Ordering::Relaxed)
     }
 
+    /// Records that the server ended a connection without a response.
+    pub fn record_reset(&self, now: Duration) {
+        let until = u64::try_from((now + RESET_MEMORY).as_millis()).unwrap_or(u64::MAX);
+        self.resets_until.store(until, Ordering::Relaxed);
+    }
+
+    /// Returns whether the server has ended a connection without a response lately.
+    #[must_use]
+    pub fn has_reset(&self, now: Duration) -> bool {
+        now.as_millis() < u128::from(self.resets_until.load(Ordering::Relaxed))
+    }
+
     /// Returns which start of the server this is.
     pub(super) fn start(&self) -> Start<'_> {
         Start {
@@ -108,6 +125,7 @@
             limited: AtomicBool::new(false),
             searching: AtomicBool::new(false),
             unconfirmed: AtomicBool::new(false),
+            resets_until: AtomicU64::new(0),
             streams: AtomicUsize::new(0),
         }
     }
--- a/relay/src/stream.rs
+++ b/relay/src/stream.rs
@@ -12,6 +12,7 @@
 use tokio::time::Instant;
 
 use crate::answer::{Content, Reason, Refusal};
+use crate::attempt::socket::Transmission;
 use crate::attempt::{self, Answer, Failure};
 use crate::backup::Replacement;
 use crate::codec::{Backup, Codec, Dispatch};
@@ -87,6 +88,8 @@
     arrivals: u32,
     /// Requests that servers ran, or may have run.
     ran: u32,
+    /// The attempt whose response has not begun.
+    sending: Option<Transmission>,
     resumes: u32,
     silences: u32,
     first_event_at: Option<Duration>,
@@ -108,12 +111,11 @@
     let mut stream = Stream::new(Arc::clone(relay), job);
     let opened = tokio::time::timeout_at(deadline, stream.open()).await;
     let opened = opened.unwrap_or_else(|_| {
-        let reason = if stream.ran > 0 {
-            Reason::TimedOut
-        } else {
-            Reason::TooLate
-        };
-        Err(Refusal::new(reason))
+        stream.record_unsent();
+        Err(match stream.ran {
+            0 => Refusal::with_retry(Reason::TooLate, NO_SERVER_PAUSE),
+            _ => Refusal::new(Reason::TimedOut),
+        })
     });
     match opened {
         Ok(opened) => stream.respond(opened).await,
@@ -138,6 +140,7 @@
             retry_withdrawn: false,
             arrivals: 0,
             ran: 0,
+            sending: None,
             resumes: 0,
             silences: 0,
             first_event_at: None,
@@ -241,6 +244,15 @@
         self.retry_withdrawn = false;
     }
 
+    /// Takes back the record of an attempt that ends at the deadline before a byte was sent.
+    fn record_unsent(&mut self) {
+        let sending = self.sending.take();
+        if sending.is_some_and(|transmission| transmission.withdraw()) {
+            self.arrivals -= 1;
+            self.ran -= 1;
+        }
+    }
+
     fn may_retry(&self) -> bool {
         self.resumable() && self.ran < self.job.route.attempts
     }
@@ -326,9 +338,11 @@
         let (relay, job) = (Arc::clone(&self.relay), Arc::clone(&self.job));
         self.run_events = 0;
         self.record_sending();
+        let transmission = Transmission::default();
+        self.sending = Some(transmission.clone());
         let answer = tokio::select! {
             biased;
-            answer = attempt::send(&relay, backend, &job.original, &dispatch) => answer,
+            answer = attempt::send(&relay, backend, &job.original, &dispatch, &transmission) => answer,
             silence = self.final_silence(&mut run, Instant::now()) => match silence {
                 Silence::Server => lost_answer("the server was lost", true),
                 Silence::Run => {
@@ -339,7 +353,9 @@
             () = relay.to_be_blocked(&job.fingerprint) => {
                 lost_answer("requests like this one crash servers", false)
             }
-        }?;
+        };
+        self.sending = None;
+        let answer = answer.map_err(|failure| failure.unless_unsent(&transmission))?;
         if answer.response.status().is_server_error() {
             self.record_server_failure(backend);
         }
