--- a/relay/src/duty.rs
+++ b/relay/src/duty.rs
@@ -61,7 +61,7 @@
     pub token: u64,
     /// Name of the entry that holds the subject.
     pub holder: Arc<str>,
-    pub(crate) permit: duty::Permit,
+    pub(crate) granted: duty::Permit,
     pub(crate) clock: BootClock,
 }
 
@@ -69,25 +69,25 @@
     /// Returns whether a call may be sent now that ends within `call_timeout`.
     #[must_use]
     pub fn allows(&self, call_timeout: Duration) -> bool {
-        self.permit.allows(self.clock.now(), call_timeout)
+        self.granted.allows(self.clock.now(), call_timeout)
     }
 
     /// Returns the time until the first call may be sent.
     #[must_use]
     pub fn usable_in(&self) -> Duration {
-        self.permit.usable_at.saturating_sub(self.clock.now())
+        self.granted.usable_at.saturating_sub(self.clock.now())
     }
 
     /// Returns the revision of the lock.
     #[must_use]
     pub fn revision(&self) -> u64 {
-        self.permit.revision
+        self.granted.revision
     }
 
     /// Returns the era of the store in which the lock was written.
     #[must_use]
     pub fn era(&self) -> u64 {
-        self.permit.era
+        self.granted.era
     }
 }
 
@@ -275,7 +275,7 @@
         states.collect::<Vec<_>>()
     });
     for (subject, held, unheld) in states.unwrap_or_default() {
-        relay.metrics.set_duty(subject, held, unheld);
+        relay.metrics.duties.set_subject(subject, held, unheld);
     }
 }
 
--- a/relay/src/metrics.rs
+++ b/relay/src/metrics.rs
@@ -15,12 +15,10 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::{Metric, Registry};
 
+mod duties;
 mod labels;
 
-pub use labels::{
-    CauseLabels, DutyCallLabels, EndLabels, KindLabels, OutcomeLabels, RouteLabels, ServiceLabels,
-    StoreCall, SubjectLabels,
-};
+pub use labels::{CauseLabels, EndLabels, KindLabels, RouteLabels, ServiceLabels, StoreCall};
 
 /// Upper bound of the first latency bucket, in seconds.
 const FIRST_BUCKET: f64 = 0.005;
@@ -121,14 +119,8 @@
     pub store_up: Gauge,
     /// Era of the store, which increases with each restore.
     pub store_era: Gauge,
-    /// Whether this entry holds a subject: 1 or 0.
-    pub duty_held: Family<SubjectLabels, Gauge>,
-    /// Time for which no entry has held a subject, in seconds.
-    pub duty_unheld: Family<SubjectLabels, Gauge<f64, AtomicU64>>,
-    /// Calls to the provider by duty and outcome.
-    pub duty_calls: Family<DutyCallLabels, Counter>,
-    /// Usage windows by outcome: `reported`, `uncounted` or `abandoned`.
-    pub usage_windows: Family<OutcomeLabels, Counter>,
+    /// Duties towards the provider.
+    pub duties: duties::Metrics,
     registry: Mutex<Registry>,
 }
 
@@ -223,30 +215,7 @@
             configuration: add(new, "configuration", "Version in force", gauge()),
             store_up: add(new, "store_up", "Whether the store answers", gauge()),
             store_era: add(new, "store_era", "Restores of the store, plus 1", gauge()),
-            duty_held: add(
-                new,
-                "duty_held",
-                "Whether this entry holds a duty",
-                Family::default(),
-            ),
-            duty_unheld: add(
-                new,
-                "duty_unheld_seconds",
-                "Time without a holder of a duty",
-                Family::default(),
-            ),
-            duty_calls: add(
-                new,
-                "duty_calls",
-                "Calls to the provider",
-                Family::default(),
-            ),
-            usage_windows: add(
-                new,
-                "usage_windows",
-                "Usage windows by outcome",
-                Family::default(),
-            ),
+            duties: duties::Metrics::new(new),
             age: add(
                 new,
                 "age_seconds",
@@ -332,27 +301,6 @@
             .inc_by(number(recipients.saturating_mul(bytes)));
     }
 
-    /// Counts a call to the provider.
-    pub fn count_duty_call(&self, duty: &'static str, outcome: &'static str) {
-        let labels = DutyCallLabels { duty, outcome };
-        self.duty_calls.get_or_create(&labels).inc();
-    }
-
-    /// Counts a usage window.
-    pub fn count_usage_window(&self, outcome: &'static str) {
-        let labels = OutcomeLabels { outcome };
-        self.usage_windows.get_or_create(&labels).inc();
-    }
-
-    /// Sets whether this entry holds a subject, and for how long nobody has.
-    pub fn set_duty(&self, subject: String, held: bool, unheld: Duration) {
-        let labels = SubjectLabels { subject };
-        let gauge = self.duty_held.get_or_create(&labels).clone();
-        gauge.set(i64::from(held));
-        let gauge = self.duty_unheld.get_or_create(&labels).clone();
-        gauge.set(unheld.as_secs_f64());
-    }
-
     /// Counts a late response of a route.
     pub fn count_late(&self, route: &str) {
         let route = route.to_owned();
--- a/relay/src/metrics/labels.rs
+++ b/relay/src/metrics/labels.rs
@@ -34,29 +34,6 @@
     pub kind: &'static str,
 }
 
-/// Label of the subject of a duty.
-#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
-pub struct SubjectLabels {
-    /// The subject.
-    pub subject: String,
-}
-
-/// Labels of a call to the provider.
-#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
-pub struct DutyCallLabels {
-    /// The duty.
-    pub duty: &'static str,
-    /// How the call ended.
-    pub outcome: &'static str,
-}
-
-/// Label of a usage window.
-#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
-pub struct OutcomeLabels {
-    /// What became of the window.
-    pub outcome: &'static str,
-}
-
 /// Label of a service. A configuration has few of them.
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 pub struct ServiceLabels {
--- a/relay/src/state/duties.rs
+++ b/relay/src/state/duties.rs
@@ -27,15 +27,15 @@
     #[must_use]
     pub fn permit(&self, subject: &Subject) -> Option<Permit> {
         let now = self.boot_clock.now();
-        let permit = self
+        let granted = self
             .duties(|duties| duties.permit(subject, now))
             .flatten()?;
         Some(Permit {
-            subject: permit.subject.clone(),
-            token: permit.token,
+            subject: granted.subject.clone(),
+            token: granted.token,
             holder: Arc::clone(&self.settings.entry),
             clock: self.boot_clock,
-            permit,
+            granted,
         })
     }
 
--- a/relay/src/usage.rs
+++ b/relay/src/usage.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use medlarfall_coordination::usage::{Bounds, Counts, Record, Reporter, Step, WINDOWS};
-use medlarfall_runtime::store::{Error, Guard, Item, Store};
+use medlarfall_runtime::store::{Guard, Item, Store};
 use serde::{Deserialize, Serialize};
 use tokio::time::{sleep, timeout};
 
@@ -112,12 +112,12 @@
             Step::Record(record) => self.write(permit, record).await,
             Step::Send(window, counts) => return self.send(permit, window, &counts).await,
             Step::Uncounted(window, reason) => {
-                relay.metrics.count_usage_window("uncounted");
+                relay.metrics.duties.count_window("uncounted");
                 log::warn!(window, reason; "usage window not counted");
                 self.settle();
             }
             Step::Abandoned(window) => {
-                relay.metrics.count_usage_window("abandoned");
+                relay.metrics.duties.count_window("abandoned");
                 log::error!(window; "usage window given up: the provider has not accepted it");
             }
         }
@@ -174,20 +174,22 @@
         relay.metrics.count_store_call(StoreCall::UsageRecord);
         let writing = self.store.put_guarded(&key, value, None, guard);
         let written = with_timeout(Duration::ZERO, writing).await;
-        let written = written.and_then(|written| match written.era == permit.era() {
-            true => Ok(written),
-            false => Err(Error::LeaseEnded),
-        });
-        match written {
-            Ok(_) => {
+        // In another era the lock with this revision may be that of another holder.
+        let reason = match written {
+            Ok(written) if written.era == permit.era() => None,
+            Ok(_) => Some("the store was restored".to_owned()),
+            Err(error) => Some(error.to_string()),
+        };
+        match reason {
+            None => {
                 self.reporter.record_written(window);
                 self.settle();
             }
-            Err(error) => {
+            Some(reason) => {
                 let now_ms = relay.true_ms();
                 self.reporter
                     .record_failed(window, None, rand::random(), now_ms);
-                log::warn!(window, reason = error.to_string().as_str(); "record of a usage window not written");
+                log::warn!(window, reason = reason.as_str(); "record of a usage window not written");
             }
         }
     }
@@ -202,13 +204,13 @@
         relay.duties(|duties| duties.begin_call(&Subject::Usage, ends_at));
         let outcome = self.provider.report_usage(permit, window, counts).await;
         let duty = Subject::Usage.duty();
-        relay.metrics.count_duty_call(duty, outcome.name());
+        relay.metrics.duties.count_call(duty, outcome.name());
         let now_ms = relay.true_ms();
         let late_ms = (window + 1) * u64::try_from(self.reporter.window().as_millis()).unwrap_or(1);
         let late_ms = now_ms.saturating_sub(late_ms);
         let requests: u64 = counts.values().sum();
         if outcome == Outcome::Accepted {
-            relay.metrics.count_usage_window("reported");
+            relay.metrics.duties.count_window("reported");
             self.reporter.record_delivered(window);
             log::info!(window, token = permit.token, accounts = counts.len(), requests, after_end_ms = late_ms; "usage window reported");
             return Duration::ZERO;
