--- a/relay/src/autoscaling.rs
+++ b/relay/src/autoscaling.rs
@@ -149,7 +149,7 @@
             } = subject
             {
                 let metrics = &self.relay.metrics;
-                metrics.set_desired(service, failure_domain, None);
+                metrics.duties.set_desired(service, failure_domain, None);
             }
         }
         self.sent = held;
@@ -168,7 +168,8 @@
         let subject = &call.permit.subject;
         self.relay
             .metrics
-            .count_duty_call(subject.duty(), outcome.name());
+            .duties
+            .count_call(subject.duty(), outcome.name());
         if let Some(sent) = self.sent.get_mut(subject) {
             let pause = match outcome {
                 Outcome::Accepted => {
@@ -184,7 +185,9 @@
         }
         if *outcome == Outcome::Accepted {
             let metrics = &self.relay.metrics;
-            metrics.set_desired(service, failure_domain, Some(order.desired));
+            metrics
+                .duties
+                .set_desired(service, failure_domain, Some(order.desired));
         }
         let reason = outcome.reason();
         log::info!(
