feat(coordination): one estimate of a server's load and speed

Cause: placement, admission and prompt caching need one belief about a server: its work, its present slowness, and how long a request takes there.

Change: coordination::server_load has Report (checked values of the load header) and Estimate; codec::Reply.load replaces requests, and each Backend has an estimate that its requests and reports update. Placement does not use it yet.

--- a/coordination/src/lib.rs
+++ b/coordination/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod routing;
 pub mod schedule;
 pub mod server_limit;
+pub mod server_load;
 pub mod server_pause;
 pub mod store_outage;
 pub mod warmup;
--- /dev/null
+++ b/coordination/src/server_load.rs
@@ -0,0 +1,500 @@
+//! Estimate of one server: the work ahead of a new request, its present slowness, and how long a
+//! request takes there.
+//!
+//! An entry knows its own requests exactly. Those of other entries, and the server's slowness, come
+//! from the load header of the server's responses and are out of date between responses. Each value
+//! therefore decays with its age towards that server's mean.
+//!
+//! ```
+//! use medlarfall_coordination::server_load::{Estimate, Report, Work};
+//! use std::time::Duration;
+//!
+//! let now = Duration::from_secs(1);
+//! let mut estimate = Estimate::new(4);
+//! let idle = estimate.expected_time(Work::Call, now);
+//! let report = Report::checked(4, 8, Some(4), Some(250.0)).expect("plausible");
+//! estimate.record_report(report, now);
+//! assert!(estimate.reports_slowness());
+//! assert!(estimate.expected_time(Work::Call, now) > 2 * idle);
+//! assert_eq!(Report::checked(u32::MAX, 0, None, None), None);
+//! ```
+
+use std::time::Duration;
+
+use crate::dissemination::Count;
+
+/// Most requests at one server, and most slots, that a report may state.
+const MAX_REQUESTS: u32 = 1_000_000;
+
+/// Range of plausible slowness: from a twentieth of the usual time to a hundred times it.
+const SLOWNESS: std::ops::RangeInclusive<f64> = 0.05..=100.0;
+
+/// Time within which a reported slowness decays towards the server's mean. Slowness changes many
+/// times a second.
+const SLOWNESS_DECAY: Duration = Duration::from_millis(100);
+
+/// Time over which the mean slowness and the mean number of other entries' requests are taken.
+const MEAN_WINDOW: Duration = Duration::from_secs(5);
+
+/// Time that a report counts for in these means: it says little about later times.
+const REPORT_VALIDITY: Duration = Duration::from_millis(200);
+
+/// Most samples in a mean: a server's permanent speed is known after this many requests, and a change
+/// of it is noticed after as many.
+const MEAN_SAMPLES: u32 = 64;
+
+/// Weight, in samples, of the service's usual value in the mean of one server.
+const USUAL_SAMPLES: f64 = 3.0;
+
+/// Age at which the mean of a server counts half. A server that was believed to be slow and got no
+/// request since is tried again.
+const MEAN_HALF_AGE: Duration = Duration::from_secs(20);
+
+/// Duration of a call until the first one of the service has ended.
+const INITIAL_CALL: Duration = Duration::from_millis(50);
+
+/// Time to process a prompt token until the first prompt of the service is processed.
+const INITIAL_TOKEN: Duration = Duration::from_micros(200);
+
+/// Length of a prompt, in tokens, until the first one was sent.
+const INITIAL_PROMPT: f64 = 2_000.0;
+
+/// Variance, in requests, of the number of requests at a server beyond that of the reports' age: requests
+/// of other entries are on their way.
+const MIN_VARIANCE: f64 = 0.5;
+
+/// Work of a stream that produces events, relative to a prompt in prefill: it lengthens each engine
+/// step by a few percent.
+const GENERATION_WORK: f64 = 0.2;
+
+/// Change of a server's mean time that is announced, as a share of it.
+const ANNOUNCED_CHANGE: f64 = 0.25;
+
+/// Samples before the first announcement.
+const ANNOUNCED_SAMPLES: u32 = 16;
+
+/// Least time between two announcements of one server.
+const ANNOUNCE_INTERVAL: Duration = Duration::from_secs(10);
+
+/// Load header of a server.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Report {
+    /// Requests that run at the server.
+    pub running: u32,
+    /// Requests that wait in its queue.
+    pub waiting: u32,
+    /// Requests that it processes concurrently; 0 if it does not state it.
+    pub slots: u32,
+    /// Time that work takes at present relative to the usual time, 1.0; `None` if the server does not
+    /// state it.
+    pub slowness: Option<f64>,
+}
+
+impl Report {
+    /// Returns a report, or `None` if its counts are implausible. Implausible slots and slowness are
+    /// treated as not stated. `slowness_percent` is 100 at the usual speed.
+    #[must_use]
+    pub fn checked(
+        running: u32,
+        waiting: u32,
+        slots: Option<u32>,
+        slowness_percent: Option<f64>,
+    ) -> Option<Self> {
+        let slowness = slowness_percent.map(|percent| percent / 100.0);
+        (running <= MAX_REQUESTS && waiting <= MAX_REQUESTS).then(|| Self {
+            running,
+            waiting,
+            slots: slots.filter(|slots| *slots <= MAX_REQUESTS).unwrap_or(0),
+            slowness: slowness.filter(|slowness| SLOWNESS.contains(slowness)),
+        })
+    }
+
+    /// Returns the requests at the server, running and waiting.
+    #[must_use]
+    pub fn requests(&self) -> u32 {
+        self.running.saturating_add(self.waiting)
+    }
+}
+
+/// Work of a request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Work {
+    /// A call.
+    Call,
+    /// A stream.
+    Stream {
+        /// Length of its prompt, in tokens; `None` if it is not stated.
+        prompt_tokens: Option<u64>,
+        /// Streams of other entries at the server.
+        peers: Count,
+    },
+}
+
+/// Usual values of a service, which stand in for those of a server that are not known yet.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Usual {
+    /// Duration of a call at usual slowness, in seconds.
+    pub call: f64,
+    /// Time to process a prompt token at usual slowness, in seconds.
+    pub token: f64,
+    /// Length of a prompt, in tokens.
+    pub prompt: f64,
+}
+
+impl Default for Usual {
+    fn default() -> Self {
+        Self {
+            call: INITIAL_CALL.as_secs_f64(),
+            token: INITIAL_TOKEN.as_secs_f64(),
+            prompt: INITIAL_PROMPT,
+        }
+    }
+}
+
+/// A moving mean of samples, and its age.
+#[derive(Clone, Copy, Debug, Default)]
+struct Mean {
+    value: f64,
+    samples: u32,
+    updated_at: Duration,
+}
+
+impl Mean {
+    fn add(&mut self, sample: f64, now: Duration) {
+        if !sample.is_finite() {
+            return;
+        }
+        self.samples = (self.samples + 1).min(MEAN_SAMPLES);
+        self.value += (sample - self.value) / f64::from(self.samples);
+        self.updated_at = now;
+    }
+
+    /// Returns the mean, drawn towards the usual value if it is of few samples or old.
+    fn value(&self, usual: f64, now: Duration) -> f64 {
+        let age = now.saturating_sub(self.updated_at).as_secs_f64();
+        let samples = f64::from(self.samples) / (1.0 + age / MEAN_HALF_AGE.as_secs_f64());
+        usual + (self.value - usual) * samples / (samples + USUAL_SAMPLES)
+    }
+}
+
+/// Estimate of one server, as known to this entry.
+#[derive(Clone, Copy, Debug)]
+pub struct Estimate {
+    slots: u32,
+    own_requests: u32,
+    /// Requests sent since the last report.
+    sent_since_report: u32,
+    /// Requests of other entries in the last report, and their mean.
+    other_requests: f64,
+    mean_other_requests: f64,
+    reported_at: Option<Duration>,
+    /// Slowness in the last report that stated it, its mean, and when it was stated.
+    slowness: f64,
+    mean_slowness: f64,
+    slowness_at: Option<Duration>,
+    /// Duration of a call without waiting at usual slowness, in seconds.
+    call: Mean,
+    /// Time to process a prompt token at usual slowness, in seconds.
+    token: Mean,
+    /// Length of a prompt, in tokens.
+    prompt: Mean,
+    /// Time between two events of a stream, in seconds.
+    event_gap: Mean,
+    /// Tokens of this entry's prompts that wait for their first event.
+    prompt_tokens: u64,
+    usual: Usual,
+    announced: f64,
+    announced_at: Duration,
+}
+
+impl Default for Estimate {
+    fn default() -> Self {
+        Self::new(1)
+    }
+}
+
+impl Estimate {
+    /// Returns the estimate of a server that nothing was heard of, with the number of slots in its
+    /// registration.
+    #[must_use]
+    pub fn new(slots: u32) -> Self {
+        Self {
+            slots: slots.max(1),
+            own_requests: 0,
+            sent_since_report: 0,
+            other_requests: 0.0,
+            mean_other_requests: 0.0,
+            reported_at: None,
+            slowness: 1.0,
+            mean_slowness: 1.0,
+            slowness_at: None,
+            call: Mean::default(),
+            token: Mean::default(),
+            prompt: Mean::default(),
+            event_gap: Mean::default(),
+            prompt_tokens: 0,
+            usual: Usual::default(),
+            announced: 0.0,
+            announced_at: Duration::ZERO,
+        }
+    }
+
+    /// Records the load that the server reports, which includes this entry's requests.
+    pub fn record_report(&mut self, report: Report, now: Duration) {
+        if report.slots > 0 {
+            self.slots = report.slots;
+        }
+        let others = f64::from(report.requests().saturating_sub(self.own_requests));
+        let weight = report_weight(self.reported_at, now);
+        self.mean_other_requests += (others - self.mean_other_requests) * weight;
+        self.other_requests = others;
+        self.reported_at = Some(now);
+        self.sent_since_report = 0;
+        if let Some(slowness) = report.slowness {
+            let weight = report_weight(self.slowness_at, now);
+            self.mean_slowness += (slowness - self.mean_slowness) * weight;
+            self.slowness = slowness;
+            self.slowness_at = Some(now);
+        }
+    }
+
+    /// Counts a request sent to the server.
+    pub fn request_sent(&mut self, _now: Duration) {
+        self.own_requests = self.own_requests.saturating_add(1);
+        self.sent_since_report = self.sent_since_report.saturating_add(1);
+    }
+
+    /// Counts a request that ended; `took` is its duration if the server answered a call.
+    pub fn request_ended(&mut self, took: Option<Duration>, now: Duration) {
+        if let Some(took) = took {
+            // By Little's law a call takes its service time for each full round of requests at the server.
+            let rounds = (self.work_ahead(now) / f64::from(self.slots)).max(1.0);
+            let slowness = self.slowness(now);
+            self.call.add(took.as_secs_f64() / rounds / slowness, now);
+        }
+        self.own_requests = self.own_requests.saturating_sub(1);
+    }
+
+    /// Sets the usual values of the service.
+    pub fn set_usual(&mut self, usual: Usual) {
+        self.usual = usual;
+    }
+
+    /// Returns the server's values, drawn towards the usual ones of the service where they are little known.
+    #[must_use]
+    pub fn usual(&self, now: Duration) -> Usual {
+        Usual {
+            call: self.call.value(self.usual.call, now),
+            token: self.token.value(self.usual.token, now),
+            prompt: self.prompt.value(self.usual.prompt, now),
+        }
+    }
+
+    /// Returns whether the server has reported its slowness.
+    #[must_use]
+    pub fn reports_slowness(&self) -> bool {
+        self.slowness_at.is_some()
+    }
+
+    /// Returns the number of slots.
+    #[must_use]
+    pub fn slots(&self) -> u32 {
+        self.slots
+    }
+
+    /// Returns the number of this entry's requests in progress at the server.
+    #[must_use]
+    pub fn own_requests(&self) -> u32 {
+        self.own_requests
+    }
+
+    /// Returns the number of requests sent since the last report.
+    #[must_use]
+    pub fn sent_since_report(&self) -> u32 {
+        self.sent_since_report
+    }
+
+    /// Returns the age of the last report, if there was one.
+    #[must_use]
+    pub fn report_age(&self, now: Duration) -> Option<Duration> {
+        self.reported_at.map(|at| now.saturating_sub(at))
+    }
+
+    /// Returns the time that work takes at present relative to the usual time.
+    #[must_use]
+    pub fn slowness(&self, now: Duration) -> f64 {
+        let Some(at) = self.slowness_at else {
+            return 1.0;
+        };
+        let decay = decay(now.saturating_sub(at), SLOWNESS_DECAY.as_secs_f64());
+        self.mean_slowness + (self.slowness - self.mean_slowness) * decay
+    }
+
+    /// Returns the requests at the server: this entry's, and those of others from the last report, which
+    /// decay towards their mean over the duration of a call.
+    #[must_use]
+    pub fn work_ahead(&self, now: Duration) -> f64 {
+        f64::from(self.own_requests) + self.others(now).0
+    }
+
+    /// Returns the expected requests of other entries, and their variance.
+    fn others(&self, now: Duration) -> (f64, f64) {
+        let Some(at) = self.reported_at else {
+            return (0.0, 0.0);
+        };
+        let age = now.saturating_sub(at);
+        let call = self.call.value(self.usual.call, now) * self.mean_slowness;
+        let decay_now = decay(age, call.max(1e-3));
+        let mean = self.mean_other_requests / (1.0 + age.as_secs_f64() / MEAN_WINDOW.as_secs_f64());
+        let others = mean + (self.other_requests - mean) * decay_now;
+        (others, others * (1.0 - decay_now))
+    }
+
+    /// Returns the time that a call takes at the server's present speed once it runs, in seconds.
+    fn service_time(&self, now: Duration) -> f64 {
+        self.call.value(self.usual.call, now) * self.slowness(now)
+    }
+
+    /// Returns the wait for a free slot, in slot times, for a request that is sent now.
+    fn rounds_of_wait(&self, now: Duration) -> f64 {
+        let (others, variance) = self.others(now);
+        let slots = f64::from(self.slots);
+        let excess = f64::from(self.own_requests) + others + 1.0 - slots;
+        // Smooth positive part: the number of requests is not known exactly, so that even a server with
+        // few free slots may make a request wait.
+        let positive = f64::midpoint(excess, (excess * excess + variance + MIN_VARIANCE).sqrt());
+        positive / slots
+    }
+
+    /// Returns the expected time until a call that is sent now begins to run.
+    #[must_use]
+    pub fn expected_wait(&self, now: Duration) -> Duration {
+        seconds(self.rounds_of_wait(now) * self.service_time(now))
+    }
+
+    /// Returns the expected time until a call that is sent now is answered, or until a stream that is
+    /// sent now has its first event, with the delay of its events by other streams.
+    #[must_use]
+    pub fn expected_time(&self, work: Work, now: Duration) -> Duration {
+        seconds(self.expected_seconds(work, now))
+    }
+
+    pub(crate) fn expected_seconds(&self, work: Work, now: Duration) -> f64 {
+        match work {
+            Work::Call => (1.0 + self.rounds_of_wait(now)) * self.service_time(now),
+            Work::Stream {
+                prompt_tokens,
+                peers,
+            } => {
+                let usual = self.usual(now);
+                let own = prompt_tokens.map_or(usual.prompt, tokens);
+                let generating = f64::from(self.own_requests.saturating_add(peers.streams));
+                let ahead =
+                    self.tokens_ahead(peers, now) + generating * GENERATION_WORK * usual.prompt;
+                (ahead + own) * usual.token * self.slowness(now)
+            }
+        }
+    }
+
+    /// Returns the prompt tokens at the server that wait for their first event.
+    #[must_use]
+    pub fn tokens_ahead(&self, peers: Count, now: Duration) -> f64 {
+        let prompt = self.prompt.value(self.usual.prompt, now);
+        tokens(self.prompt_tokens) + f64::from(peers.prefilling) * prompt
+    }
+
+    /// Counts a prompt that waits for its first event.
+    pub fn prompt_sent(&mut self, prompt_tokens: Option<u64>, now: Duration) {
+        let length = prompt_tokens.unwrap_or_else(|| self.whole_usual_prompt());
+        self.prompt_tokens = self.prompt_tokens.saturating_add(length);
+        if prompt_tokens.is_some() {
+            self.prompt.add(tokens(length), now);
+        }
+    }
+
+    /// Counts a prompt that no longer waits. `processed` is the time until its first event and the prompt
+    /// tokens that were ahead of it, if it had one.
+    pub fn prompt_ended(
+        &mut self,
+        prompt_tokens: Option<u64>,
+        processed: Option<(Duration, f64)>,
+        now: Duration,
+    ) {
+        let length = prompt_tokens.unwrap_or_else(|| self.whole_usual_prompt());
+        self.prompt_tokens = self.prompt_tokens.saturating_sub(length);
+        if let (Some((took, ahead)), Some(length)) = (processed, prompt_tokens.filter(|n| *n > 0)) {
+            let time = took.as_secs_f64() / (ahead + tokens(length));
+            self.token.add(time / self.slowness(now), now);
+        }
+    }
+
+    /// Records the mean time between events of a stream.
+    pub fn record_event_gap(&mut self, gap: Duration, now: Duration) {
+        self.event_gap.add(gap.as_secs_f64(), now);
+    }
+
+    /// Returns the mean time between events of a stream at the server, if it is known.
+    #[must_use]
+    pub fn event_gap(&self) -> Option<Duration> {
+        (self.event_gap.samples > 0).then(|| seconds(self.event_gap.value))
+    }
+
+    fn whole_usual_prompt(&self) -> u64 {
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "a positive mean of lengths"
+        )]
+        let length = self.usual.prompt as u64;
+        length
+    }
+
+    /// Returns the number of free slots, in requests.
+    #[must_use]
+    pub fn room(&self, now: Duration) -> f64 {
+        (f64::from(self.slots) - self.work_ahead(now)).max(0.0)
+    }
+
+    /// Returns the calls a second that the server serves at its present speed.
+    #[must_use]
+    pub fn throughput(&self, now: Duration) -> f64 {
+        f64::from(self.slots) / self.service_time(now).max(1e-6)
+    }
+
+    /// Returns the server's mean duration of a call, relative to the service's, if it must be announced
+    /// since it has changed.
+    pub fn announce_speed(&mut self, now: Duration) -> Option<f64> {
+        let mean = self.call.value * self.mean_slowness;
+        let changed = (mean - self.announced).abs() > ANNOUNCED_CHANGE * self.announced;
+        let due = self.announced_at.is_zero()
+            || now.saturating_sub(self.announced_at) >= ANNOUNCE_INTERVAL;
+        if !changed || !due || self.call.samples < ANNOUNCED_SAMPLES || !self.reports_slowness() {
+            return None;
+        }
+        self.announced = mean;
+        self.announced_at = now;
+        Some(mean / self.usual.call.max(1e-6))
+    }
+}
+
+/// Returns the weight of a report in a mean over [`MEAN_WINDOW`].
+fn report_weight(before: Option<Duration>, now: Duration) -> f64 {
+    let Some(before) = before else {
+        return 1.0;
+    };
+    let validity = now.saturating_sub(before).min(REPORT_VALIDITY);
+    validity.as_secs_f64() / MEAN_WINDOW.as_secs_f64()
+}
+
+fn decay(age: Duration, time: f64) -> f64 {
+    (-age.as_secs_f64() / time).exp()
+}
+
+/// Returns a number of tokens as a float.
+fn tokens(number: u64) -> f64 {
+    f64::from(u32::try_from(number).unwrap_or(u32::MAX))
+}
+
+fn seconds(seconds: f64) -> Duration {
+    Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX)
+}
--- a/relay/src/attempt.rs
+++ b/relay/src/attempt.rs
@@ -17,6 +17,7 @@
 use hyper::http::response::Parts;
 use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri};
 use hyper_util::rt::TokioIo;
+use medlarfall_runtime::clock::Clock;
 use snafu::Snafu;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
@@ -65,6 +66,9 @@
 #[derive(Debug)]
 pub struct Guard {
     backend: Arc<Backend>,
+    clock: Clock,
+    sent_at: Duration,
+    answered: bool,
     _connection: Connection,
 }
 
@@ -80,8 +84,9 @@
 
 impl Drop for Guard {
     fn drop(&mut self) {
-        self.backend
-            .load(medlarfall_coordination::balance::Load::request_ended);
+        let now = self.clock.now();
+        let took = self.answered.then(|| now.saturating_sub(self.sent_at));
+        self.backend.request_ended(took, now);
     }
 }
 
@@ -157,9 +162,13 @@
         relay.record_unreachable(backend);
         Failure::NotSent { reason }
     })?;
-    backend.load(medlarfall_coordination::balance::Load::request_started);
-    let guard = Guard {
+    let sent_at = relay.clock.now();
+    backend.request_sent(sent_at);
+    let mut guard = Guard {
         backend: Arc::clone(backend),
+        clock: relay.clock,
+        sent_at,
+        answered: false,
         _connection: connection,
     };
     let mut request = Request::new(Full::new(original.body.clone()));
@@ -177,8 +186,8 @@
     let (parts, body) = response.into_parts();
     let reply = relay.codec.decode_reply(&original.request_id, &parts);
     let now = relay.clock.now();
-    if let Some(requests) = reply.requests {
-        backend.load(|load| load.record_report(requests, now));
+    if let Some(report) = reply.load {
+        backend.record_report(report, now);
     }
     if reply.matches {
         relay.record_limit(backend, reply.limit);
@@ -215,6 +224,8 @@
     }
     backend.load(|load| load.record_outcome(parts.status.is_server_error(), now));
     relay.record_response(backend);
+    // An error takes less time than an answer.
+    guard.answered = !parts.status.is_server_error();
     Ok(Answer {
         response: Response::from_parts(parts, body),
         reply,
--- a/relay/src/codec.rs
+++ b/relay/src/codec.rs
@@ -13,6 +13,7 @@
 use medlarfall_coordination::registry::Server;
 use medlarfall_coordination::routing::Table;
 use medlarfall_coordination::server_limit::Named;
+use medlarfall_coordination::server_load;
 use snafu::Snafu;
 
 use medlarfall_runtime::store::Change;
@@ -68,7 +69,7 @@
 }
 
 /// Decoded head of a server's response.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Reply {
     /// Whether the response carries the identifier of the request that was sent.
     pub matches: bool,
@@ -76,8 +77,8 @@
     pub not_run: bool,
     /// Whether the response carries a server's signature.
     pub signed: bool,
-    /// Requests at the server, running and queued.
-    pub requests: Option<u32>,
+    /// Load of the server.
+    pub load: Option<server_load::Report>,
     /// Pause before a retry, if the server states one.
     pub retry_after: Option<Duration>,
     /// Requests that the server takes from all entries.
--- a/relay/src/state/backend.rs
+++ b/relay/src/state/backend.rs
@@ -9,6 +9,7 @@
 use medlarfall_coordination::placement::{Proximity, name_hash};
 use medlarfall_coordination::registry::Server;
 use medlarfall_coordination::server_limit::Limit;
+use medlarfall_coordination::server_load::{Estimate, Report};
 use medlarfall_coordination::server_pause::Start;
 
 use crate::monitor::Monitor;
@@ -28,6 +29,7 @@
     tag: Tag,
     pub(super) proximity: Proximity,
     load: Mutex<Load>,
+    estimate: Mutex<Estimate>,
     limit: Mutex<Limit>,
     limited: AtomicBool,
     searching: AtomicBool,
@@ -86,6 +88,29 @@
     pub fn load<T>(&self, act: impl FnOnce(&mut Load) -> T) -> T {
         act(&mut self.load.lock().unwrap_or_else(PoisonError::into_inner))
     }
+
+    /// Reads or changes the estimate of the server.
+    pub fn estimate<T>(&self, act: impl FnOnce(&mut Estimate) -> T) -> T {
+        act(&mut self.estimate.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// Counts a request sent to the server.
+    pub fn request_sent(&self, now: Duration) {
+        self.load(Load::request_started);
+        self.estimate(|estimate| estimate.request_sent(now));
+    }
+
+    /// Counts a request that ended; `took` is its duration if the server answered it.
+    pub fn request_ended(&self, took: Option<Duration>, now: Duration) {
+        self.load(Load::request_ended);
+        self.estimate(|estimate| estimate.request_ended(took, now));
+    }
+
+    /// Records the load that the server reports.
+    pub fn record_report(&self, report: Report, now: Duration) {
+        self.load(|load| load.record_report(report.requests(), now));
+        self.estimate(|estimate| estimate.record_report(report, now));
+    }
 }
 
 impl Backend {
@@ -97,6 +122,7 @@
             domain if region(domain) == region(own) => Proximity::Region,
             _ => Proximity::Anywhere,
         };
+        let server_slots = server.slots;
         Self {
             hash: name_hash(&server.id),
             tag: dissemination::tag(&server.id),
@@ -104,6 +130,7 @@
             server,
             monitor: Monitor::default(),
             load: Mutex::default(),
+            estimate: Mutex::new(Estimate::new(server_slots)),
             limit: Mutex::default(),
             limited: AtomicBool::new(false),
             searching: AtomicBool::new(false),
