feat(relay): place calls by expected time where servers report their slowness

Cause: servers differ in speed for good and for moments, and the placement by counted requests sends as much to slow ones; its fixed penalty of half a request keeps work from other failure domains.

Another failure domain costs the round trips of the link. Other services are placed as before.

--- a/coordination/src/balance.rs
+++ b/coordination/src/balance.rs
@@ -209,6 +209,65 @@
         .map(|(index, _)| index)
 }
 
+/// A server that the request can be sent to, with the time that it is expected to take there.
+#[derive(Clone, Copy, Debug)]
+pub struct TimedCandidate {
+    /// Hash of the server's name, from [`crate::placement::name_hash`].
+    pub hash: u64,
+    /// Expected time, in seconds, with the delay of the link.
+    pub time: f64,
+    /// Share of its recent requests that failed.
+    pub failure_rate: f64,
+    /// Whether the server was unreachable recently.
+    pub suspect: bool,
+}
+
+/// Returns the index of the candidate to send the request to, if there is any: the better of two that
+/// the hash of the request selects among those whose expected time exceeds the shortest by at most
+/// `tolerance`, in seconds. `usual` is the time of a request at a usual server without load.
+///
+/// Entries with the same reports therefore do not all select the same server, and none selects one that
+/// is known to be much slower. Source: M. Mitzenmacher, "How Useful Is Old Information?", 2000.
+#[must_use]
+pub fn choose_by_time(
+    candidates: &[TimedCandidate],
+    usual: f64,
+    tolerance: f64,
+    request_hash: u64,
+) -> Option<usize> {
+    let lowest_failure_rate = candidates
+        .iter()
+        .map(|candidate| candidate.failure_rate)
+        .fold(f64::INFINITY, f64::min);
+    let cost = |candidate: &TimedCandidate| {
+        let excess = candidate.failure_rate - lowest_failure_rate;
+        candidate.time + FAILURE_LOAD * excess * usual
+    };
+    let only_suspect = candidates.iter().all(|candidate| candidate.suspect);
+    let usable = |candidate: &TimedCandidate| only_suspect || !candidate.suspect;
+    let lowest = candidates.iter().filter(|candidate| usable(candidate));
+    let limit = lowest.map(cost).fold(f64::INFINITY, f64::min) + tolerance;
+    let mut chosen: [Option<(u64, f64, usize)>; 2] = [None, None];
+    for (index, candidate) in candidates.iter().enumerate() {
+        let cost = cost(candidate);
+        if cost > limit || !usable(candidate) {
+            continue;
+        }
+        let weight = mix(candidate.hash ^ request_hash);
+        let outranks =
+            |other: Option<(u64, f64, usize)>| other.is_none_or(|(other, ..)| weight > other);
+        if outranks(chosen[0]) {
+            chosen = [Some((weight, cost, index)), chosen[0]];
+        } else if outranks(chosen[1]) {
+            chosen[1] = Some((weight, cost, index));
+        }
+    }
+    match chosen {
+        [Some((_, first, _)), Some((_, second, index))] if second < first => Some(index),
+        [first, _] => first.map(|(_, _, index)| index),
+    }
+}
+
 /// Share of the returned servers, as a fraction, that is taken from the entry's own failure domain,
 /// where most streams run.
 const LOCAL_SHARE: (usize, usize) = (5, 8);
--- a/coordination/src/server_load.rs
+++ b/coordination/src/server_load.rs
@@ -30,8 +30,9 @@
 const SLOWNESS: std::ops::RangeInclusive<f64> = 0.05..=100.0;
 
 /// Time within which a reported slowness decays towards the server's mean. Slowness changes many
-/// times a second.
-const SLOWNESS_DECAY: Duration = Duration::from_millis(100);
+/// times a second. In simulations with slowdowns of half a second, 100 ms gave longer waits and 200 ms
+/// the same ones.
+const SLOWNESS_DECAY: Duration = Duration::from_millis(150);
 
 /// Time over which the mean slowness and the mean number of other entries' requests are taken.
 const MEAN_WINDOW: Duration = Duration::from_secs(5);
@@ -61,7 +62,7 @@
 
 /// Variance, in requests, of the number of requests at a server beyond that of the reports' age: requests
 /// of other entries are on their way.
-const MIN_VARIANCE: f64 = 0.5;
+const MIN_VARIANCE: f64 = 1.0;
 
 /// Work of a stream that produces events, relative to a prompt in prefill: it lengthens each engine
 /// step by a few percent.
--- a/relay/src/metrics.rs
+++ b/relay/src/metrics.rs
@@ -84,6 +84,8 @@
     pub resume_gap: Histogram,
     /// Probes of servers by kind.
     pub probes: Family<KindLabels, Counter>,
+    /// Servers that were chosen, by measure: `expected_time` or `load`.
+    pub placements: Family<KindLabels, Counter>,
     /// Servers that the monitor declared lost.
     pub servers_lost: Counter,
     /// Retries withdrawn from the budgets.
@@ -180,6 +182,7 @@
             ),
             resume_gap: add(new, "resume_gap_seconds", "Pause of a resume", latency()),
             probes: add(new, "questions", "Questions to servers", Family::default()),
+            placements: add(new, "placements", "Servers chosen", Family::default()),
             servers_lost: add(new, "servers_lost", "Servers found lost", counter()),
             retries: add(new, "retries", "Repeats sent", counter()),
             retries_refused: add(new, "retries_refused", "Repeats refused", counter()),
@@ -275,6 +278,11 @@
         self.task_restarts.get_or_create(&KindLabels { kind }).inc();
     }
 
+    /// Counts a server that was chosen by a measure.
+    pub fn count_placement(&self, kind: &'static str) {
+        self.placements.get_or_create(&KindLabels { kind }).inc();
+    }
+
     /// Counts a probe of a server.
     pub fn count_probe(&self, kind: &'static str) {
         self.probes.get_or_create(&KindLabels { kind }).inc();
--- a/relay/src/state.rs
+++ b/relay/src/state.rs
@@ -19,6 +19,7 @@
 use crate::metrics::Metrics;
 
 mod backend;
+mod expected_time;
 mod gauges;
 mod limits;
 mod moves;
--- a/relay/src/state/backend.rs
+++ b/relay/src/state/backend.rs
@@ -4,12 +4,12 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use medlarfall_coordination::balance::{Candidate, Load};
+use medlarfall_coordination::balance::{Candidate, Load, TimedCandidate};
 use medlarfall_coordination::dissemination::{self, Count, Tag};
 use medlarfall_coordination::placement::{Proximity, name_hash};
 use medlarfall_coordination::registry::Server;
 use medlarfall_coordination::server_limit::Limit;
-use medlarfall_coordination::server_load::{Estimate, Report};
+use medlarfall_coordination::server_load::{Estimate, Report, Usual, Work};
 use medlarfall_coordination::server_pause::Start;
 
 use crate::monitor::Monitor;
@@ -34,6 +34,7 @@
     limited: AtomicBool,
     searching: AtomicBool,
     unconfirmed: AtomicBool,
+    reports_slowness: AtomicBool,
     /// Number of streams of this entry at the server.
     pub streams: AtomicUsize,
 }
@@ -110,6 +111,15 @@
     pub fn record_report(&self, report: Report, now: Duration) {
         self.load(|load| load.record_report(report.requests(), now));
         self.estimate(|estimate| estimate.record_report(report, now));
+        if report.slowness.is_some() {
+            self.reports_slowness.store(true, Ordering::Relaxed);
+        }
+    }
+
+    /// Returns whether the server has reported its slowness.
+    #[must_use]
+    pub fn reports_slowness(&self) -> bool {
+        self.reports_slowness.load(Ordering::Relaxed)
     }
 }
 
@@ -135,6 +145,7 @@
             limited: AtomicBool::new(false),
             searching: AtomicBool::new(false),
             unconfirmed: AtomicBool::new(false),
+            reports_slowness: AtomicBool::new(false),
             streams: AtomicUsize::new(0),
         }
     }
@@ -157,6 +168,27 @@
         }
     }
 
+    /// Returns the server for placement by expected time, and its own values. The values that are not
+    /// known yet are the `usual` ones of the service.
+    pub(super) fn timed_candidate(
+        &self,
+        now: Duration,
+        work: Work,
+        usual: Usual,
+    ) -> (TimedCandidate, Usual) {
+        let (time, own) = self.estimate(|estimate| {
+            estimate.set_usual(usual);
+            (estimate.expected_time(work, now), estimate.usual(now))
+        });
+        let candidate = self.load(|load| TimedCandidate {
+            hash: self.hash,
+            time: time.as_secs_f64(),
+            failure_rate: load.failure_rate(),
+            suspect: load.suspect(now),
+        });
+        (candidate, own)
+    }
+
     pub(super) fn candidate(&self, now: Duration, criteria: Criteria, peers: Count) -> Candidate {
         let requests = |load: &mut Load| match criteria.measure {
             Measure::Calls { horizon } => load.estimate(now, horizon),
--- a/relay/src/state/placement.rs
+++ b/relay/src/state/placement.rs
@@ -9,7 +9,7 @@
 
 use crate::codec::Codec;
 
-use super::{Backend, Relay};
+use super::{Backend, Relay, expected_time};
 
 /// Most servers of a group that one entry searches for at the same time. Entries share the servers
 /// that they find, and thousands of probes a second would fill the links of a large fleet.
@@ -193,6 +193,19 @@
             if fitting.is_empty() {
                 fitting = backends.iter().filter(fits).collect();
             }
+            let timed = matches!(criteria.measure, Measure::Calls { .. })
+                && expected_time::applies(&fitting);
+            if timed {
+                let usual = view.usual.get(criteria.service).copied();
+                let usual = usual.unwrap_or_default();
+                let (chosen, usual) =
+                    expected_time::choose(&fitting, criteria, usual, &view.node, now)?;
+                let chosen = Arc::clone(fitting[chosen]);
+                let service = Arc::clone(&chosen.server.service);
+                view.usual.insert(service, usual);
+                self.metrics.count_placement("expected_time");
+                return Some(chosen);
+            }
             let candidates: Vec<Candidate> = fitting
                 .iter()
                 .map(|backend| {
@@ -202,6 +215,7 @@
                 .collect();
             let chosen =
                 balance::choose(&candidates, criteria.remote_penalty, criteria.request_hash)?;
+            self.metrics.count_placement("load");
             Some(Arc::clone(fitting[chosen]))
         })
     }
--- a/relay/src/state/view.rs
+++ b/relay/src/state/view.rs
@@ -10,6 +10,7 @@
 use medlarfall_coordination::retry_budget::{Bounds, Window};
 use medlarfall_coordination::routing::Table;
 use medlarfall_coordination::server_limit::Returns;
+use medlarfall_coordination::server_load::Usual;
 use medlarfall_coordination::server_pause::Pauses;
 use medlarfall_coordination::warmup::Warmups;
 use std::collections::{HashMap, HashSet};
@@ -60,6 +61,8 @@
     pub(super) pauses: Pauses,
     /// When callers that limits or pauses refused return, by service.
     pub(super) returns: HashMap<Arc<str>, Returns>,
+    /// Usual values of each service whose servers report their slowness.
+    pub(super) usual: HashMap<Arc<str>, Usual>,
     /// What this entry shares with the others, and what it knows of them.
     pub(super) node: Node,
 }
@@ -93,6 +96,7 @@
             lost_quarantine_records: HashSet::new(),
             pauses: Pauses::default(),
             returns: HashMap::new(),
+            usual: HashMap::new(),
             node,
         }
     }
