--- a/coordination/src/server_load.rs
+++ b/coordination/src/server_load.rs
@@ -34,8 +34,12 @@
 /// the same ones.
 const SLOWNESS_DECAY: Duration = Duration::from_millis(150);
 
-/// Time over which the mean slowness and the mean number of other entries' requests are taken.
-const MEAN_WINDOW: Duration = Duration::from_secs(5);
+/// Time over which the mean number of other entries' requests is taken.
+const REQUESTS_WINDOW: Duration = Duration::from_secs(5);
+
+/// Time over which the mean slowness is taken: several slowdowns of half a second, so that none of them
+/// counts as the permanent speed.
+const SLOWNESS_WINDOW: Duration = Duration::from_secs(15);
 
 /// Time that a report counts for in these means: it says little about later times.
 const REPORT_VALIDITY: Duration = Duration::from_millis(200);
@@ -178,6 +182,21 @@
     }
 }
 
+/// Time that reports have counted for in a mean, up to its window.
+#[derive(Clone, Copy, Debug, Default)]
+struct Seen(Duration);
+
+impl Seen {
+    /// Returns the weight of a report in the mean. The one before came at `before`.
+    fn weight(&mut self, before: Option<Duration>, window: Duration, now: Duration) -> f64 {
+        let validity = before.map_or(REPORT_VALIDITY, |before| {
+            now.saturating_sub(before).min(REPORT_VALIDITY)
+        });
+        self.0 = (self.0 + validity).min(window);
+        validity.as_secs_f64() / self.0.as_secs_f64()
+    }
+}
+
 /// Estimate of one server, as known to this entry.
 #[derive(Clone, Copy, Debug)]
 pub struct Estimate {
@@ -188,10 +207,12 @@
     /// Requests of other entries in the last report, and their mean.
     other_requests: f64,
     mean_other_requests: f64,
+    requests_seen: Seen,
     reported_at: Option<Duration>,
     /// Slowness in the last report that stated it, its mean, and when it was stated.
     slowness: f64,
     mean_slowness: f64,
+    slowness_seen: Seen,
     slowness_at: Option<Duration>,
     /// Duration of a call without waiting at usual slowness, in seconds.
     call: Mean,
@@ -225,9 +246,11 @@
             sent_since_report: 0,
             other_requests: 0.0,
             mean_other_requests: 0.0,
+            requests_seen: Seen::default(),
             reported_at: None,
             slowness: 1.0,
             mean_slowness: 1.0,
+            slowness_seen: Seen::default(),
             slowness_at: None,
             call: Mean::default(),
             token: Mean::default(),
@@ -246,13 +269,17 @@
             self.slots = report.slots;
         }
         let others = f64::from(report.requests().saturating_sub(self.own_requests));
-        let weight = report_weight(self.reported_at, now);
+        let weight = self
+            .requests_seen
+            .weight(self.reported_at, REQUESTS_WINDOW, now);
         self.mean_other_requests += (others - self.mean_other_requests) * weight;
         self.other_requests = others;
         self.reported_at = Some(now);
         self.sent_since_report = 0;
         if let Some(slowness) = report.slowness {
-            let weight = report_weight(self.slowness_at, now);
+            let weight = self
+                .slowness_seen
+                .weight(self.slowness_at, SLOWNESS_WINDOW, now);
             self.mean_slowness += (slowness - self.mean_slowness) * weight;
             self.slowness = slowness;
             self.slowness_at = Some(now);
@@ -346,7 +373,8 @@
         let age = now.saturating_sub(at);
         let call = self.call.value(self.usual.call, now) * self.mean_slowness;
         let decay_now = decay(age, call.max(1e-3));
-        let mean = self.mean_other_requests / (1.0 + age.as_secs_f64() / MEAN_WINDOW.as_secs_f64());
+        let mean =
+            self.mean_other_requests / (1.0 + age.as_secs_f64() / REQUESTS_WINDOW.as_secs_f64());
         let others = mean + (self.other_requests - mean) * decay_now;
         (others, others * (1.0 - decay_now))
     }
@@ -478,15 +506,6 @@
     }
 }
 
-/// Returns the weight of a report in a mean over [`MEAN_WINDOW`].
-fn report_weight(before: Option<Duration>, now: Duration) -> f64 {
-    let Some(before) = before else {
-        return 1.0;
-    };
-    let validity = now.saturating_sub(before).min(REPORT_VALIDITY);
-    validity.as_secs_f64() / MEAN_WINDOW.as_secs_f64()
-}
-
 fn decay(age: Duration, time: f64) -> f64 {
     (-age.as_secs_f64() / time).exp()
 }
