--- a/relay/src/state.rs
+++ b/relay/src/state.rs
@@ -23,6 +23,7 @@
 mod backend;
 mod demand;
 mod duties;
+mod expected_time;
 mod gauges;
 mod limits;
 mod moves;
--- a/relay/src/state/backend.rs
+++ b/relay/src/state/backend.rs
@@ -4,11 +4,12 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use medlarfall_coordination::balance::{Candidate, Load};
+use medlarfall_coordination::balance::{Candidate, Load, TimedCandidate};
 use medlarfall_coordination::dissemination::{self, Count, Tag};
 use medlarfall_coordination::placement::{Proximity, name_hash};
 use medlarfall_coordination::registry::Server;
 use medlarfall_coordination::server_limit::Limit;
+use medlarfall_coordination::server_load::{Estimate, Report, Usual, Work};
 use medlarfall_coordination::server_pause::Start;
 
 use crate::monitor::Monitor;
@@ -31,12 +32,14 @@
     tag: Tag,
     pub(super) proximity: Proximity,
     load: Mutex<Load>,
+    estimate: Mutex<Estimate>,
     limit: Mutex<Limit>,
     limited: AtomicBool,
     searching: AtomicBool,
     unconfirmed: AtomicBool,
     /// Milliseconds until which further resets are expected; 0 if there was none.
     resets_until: AtomicU64,
+    reports_slowness: AtomicBool,
     /// Number of streams of this entry at the server.
     pub streams: AtomicUsize,
 }
@@ -103,6 +106,38 @@
     pub fn load<T>(&self, act: impl FnOnce(&mut Load) -> T) -> T {
         act(&mut self.load.lock().unwrap_or_else(PoisonError::into_inner))
     }
+
+    /// Reads or changes the estimate of the server.
+    pub fn estimate<T>(&self, act: impl FnOnce(&mut Estimate) -> T) -> T {
+        act(&mut self.estimate.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// Counts a request sent to the server.
+    pub fn request_sent(&self, now: Duration) {
+        self.load(Load::request_started);
+        self.estimate(|estimate| estimate.request_sent(now));
+    }
+
+    /// Counts a request that ended; `took` is its duration if the server answered it.
+    pub fn request_ended(&self, took: Option<Duration>, now: Duration) {
+        self.load(Load::request_ended);
+        self.estimate(|estimate| estimate.request_ended(took, now));
+    }
+
+    /// Records the load that the server reports.
+    pub fn record_report(&self, report: Report, now: Duration) {
+        self.load(|load| load.record_report(report.requests(), now));
+        self.estimate(|estimate| estimate.record_report(report, now));
+        if report.slowness.is_some() {
+            self.reports_slowness.store(true, Ordering::Relaxed);
+        }
+    }
+
+    /// Returns whether the server has reported its slowness.
+    #[must_use]
+    pub fn reports_slowness(&self) -> bool {
+        self.reports_slowness.load(Ordering::Relaxed)
+    }
 }
 
 impl Backend {
@@ -114,6 +149,7 @@
             domain if region(domain) == region(own) => Proximity::Region,
             _ => Proximity::Anywhere,
         };
+        let server_slots = server.slots;
         Self {
             hash: name_hash(&server.id),
             tag: dissemination::tag(&server.id),
@@ -121,11 +157,13 @@
             server,
             monitor: Monitor::default(),
             load: Mutex::default(),
+            estimate: Mutex::new(Estimate::new(server_slots)),
             limit: Mutex::default(),
             limited: AtomicBool::new(false),
             searching: AtomicBool::new(false),
             unconfirmed: AtomicBool::new(false),
             resets_until: AtomicU64::new(0),
+            reports_slowness: AtomicBool::new(false),
             streams: AtomicUsize::new(0),
         }
     }
@@ -148,6 +186,27 @@
         }
     }
 
+    /// Returns the server for placement by expected time, and its own values. The values that are not
+    /// known yet are the `usual` ones of the service.
+    pub(super) fn timed_candidate(
+        &self,
+        now: Duration,
+        work: Work,
+        usual: Usual,
+    ) -> (TimedCandidate, Usual) {
+        let (time, own) = self.estimate(|estimate| {
+            estimate.set_usual(usual);
+            (estimate.expected_time(work, now), estimate.usual(now))
+        });
+        let candidate = self.load(|load| TimedCandidate {
+            hash: self.hash,
+            time: time.as_secs_f64(),
+            failure_rate: load.failure_rate(),
+            suspect: load.suspect(now),
+        });
+        (candidate, own)
+    }
+
     pub(super) fn candidate(&self, now: Duration, criteria: Criteria, peers: Count) -> Candidate {
         let requests = |load: &mut Load| match criteria.measure {
             Measure::Calls { horizon } => load.estimate(now, horizon),
