feat(relay): place streams and backups by memory where servers are scaled

Cause: with 132 servers in place of 178 the backups of streams filled the memory of single servers: 49 requests were preempted, first events took 5 to 9 s, and backups found no memory. Servers that hold backups were not counted.

Change: entries count backups at servers and share them with the streams, for services whose servers are scaled. Streams avoid servers whose memory is nearly full, backups go where most is free.

--- a/coordination/src/balance.rs
+++ b/coordination/src/balance.rs
@@ -42,6 +42,7 @@
 pub struct Load {
     own_requests: u32,
     prefilling: u32,
+    backups: u32,
     other_requests: f64,
     reported_at: Duration,
     failure_rate: f64,
@@ -83,9 +84,20 @@
         Count {
             streams: self.own_requests,
             prefilling: self.prefilling,
+            backups: self.backups,
         }
     }
 
+    /// Counts a backup of a stream of this entry that the server holds.
+    pub fn backup_started(&mut self) {
+        self.backups = self.backups.saturating_add(1);
+    }
+
+    /// Counts a backup that the server no longer holds.
+    pub fn backup_ended(&mut self) {
+        self.backups = self.backups.saturating_sub(1);
+    }
+
     /// Returns whether none of this entry's streams at the server has received an event yet.
     #[must_use]
     pub fn only_prefilling(&self) -> bool {
--- a/coordination/src/dissemination/codec.rs
+++ b/coordination/src/dissemination/codec.rs
@@ -226,6 +226,11 @@
         servers: streams.iter().map(|(server, _)| *server).collect(),
         streams: streams.iter().map(|(_, count)| count.streams).collect(),
         prefilling: streams.iter().map(|(_, count)| count.prefilling).collect(),
+        backups: if streams.iter().any(|(_, count)| count.backups > 0) {
+            streams.iter().map(|(_, count)| count.backups).collect()
+        } else {
+            Vec::new()
+        },
     })
 }
 
@@ -235,11 +240,18 @@
     if streams.streams.len() != length || streams.prefilling.len() != length {
         return Err(Invalid::Lengths { part: "streams" });
     }
+    if !streams.backups.is_empty() && streams.backups.len() != length {
+        return Err(Invalid::Lengths { part: "backups" });
+    }
+    let backups = streams.backups.into_iter().chain(std::iter::repeat(0));
     let counts = streams.streams.into_iter().zip(streams.prefilling);
-    let counts = counts.map(|(streams, prefilling)| Count {
-        streams,
-        prefilling,
-    });
+    let counts = counts
+        .zip(backups)
+        .map(|((streams, prefilling), backups)| Count {
+            streams,
+            prefilling,
+            backups,
+        });
     Ok(streams.servers.into_iter().zip(counts).collect())
 }
 
--- a/coordination/src/dissemination/ledger.rs
+++ b/coordination/src/dissemination/ledger.rs
@@ -33,6 +33,8 @@
     pub streams: u32,
     /// Streams in prefill, which wait for their first event.
     pub prefilling: u32,
+    /// Backups of streams at other servers. Only those of services whose servers are scaled are counted.
+    pub backups: u32,
 }
 
 impl Count {
@@ -42,6 +44,7 @@
         Self {
             streams: self.streams.saturating_add(other.streams),
             prefilling: self.prefilling.saturating_add(other.prefilling),
+            backups: self.backups.saturating_add(other.backups),
         }
     }
 
@@ -51,8 +54,15 @@
         Self {
             streams: self.streams.saturating_sub(other.streams),
             prefilling: self.prefilling.saturating_sub(other.prefilling),
+            backups: self.backups.saturating_sub(other.backups),
         }
     }
+
+    /// Returns whether there is neither a stream nor a backup.
+    #[must_use]
+    pub fn is_empty(self) -> bool {
+        self.streams == 0 && self.backups == 0
+    }
 }
 
 /// State of the entries of one failure domain, in part.
@@ -170,7 +180,7 @@
                 fresh
             });
         }
-        self.totals.retain(|_, total| total.streams > 0);
+        self.totals.retain(|_, total| !total.is_empty());
     }
 
     /// Drops all values of a failure domain but the number of its entries.
@@ -201,6 +211,7 @@
             let before = in_report(before).unwrap_or_default();
             own.streams = own.streams.min(before.streams);
             own.prefilling = own.prefilling.min(before.prefilling);
+            own.backups = own.backups.min(before.backups);
         }
         total.minus(own)
     }
--- a/coordination/src/dissemination/members.rs
+++ b/coordination/src/dissemination/members.rs
@@ -114,7 +114,7 @@
         }
         self.members
             .retain(|_, member| now.saturating_sub(member.heard_at) < REMEMBERED);
-        self.sums.retain(|_, sum| sum.streams > 0);
+        self.sums.retain(|_, sum| !sum.is_empty());
         change
     }
 
--- a/coordination/src/lib.rs
+++ b/coordination/src/lib.rs
@@ -38,6 +38,7 @@
 pub mod schedule;
 pub mod server_limit;
 pub mod server_load;
+pub mod server_memory;
 pub mod server_pause;
 pub mod store_outage;
 pub mod true_time;
--- a/coordination/tests/balance.rs
+++ b/coordination/tests/balance.rs
@@ -93,6 +93,7 @@
     let count = Count {
         streams: 2,
         prefilling: 1,
+        backups: 0,
     };
     ledger.set(&domain, tag("s1"), count, Duration::ZERO);
     ledger.set(&domain, tag("s1"), count, Duration::ZERO);
--- a/coordination/tests/dissemination.rs
+++ b/coordination/tests/dissemination.rs
@@ -262,7 +262,7 @@
                         server,
                         Count {
                             streams: 1,
-                            prefilling: 0,
+                            ..Count::default()
                         },
                     ));
                 }
@@ -488,6 +488,7 @@
                     Count {
                         streams: 1,
                         prefilling: 1,
+                        ..Count::default()
                     },
                 )),
             }
@@ -569,6 +570,7 @@
                     Count {
                         streams,
                         prefilling,
+                        ..Count::default()
                     },
                 ));
             }
@@ -664,7 +666,7 @@
         1,
         Count {
             streams: 9,
-            prefilling: 0,
+            ..Count::default()
         },
     )];
     let now = fleet.now;
--- a/relay/src/backup.rs
+++ b/relay/src/backup.rs
@@ -1,4 +1,5 @@
-//! Maintains a backup of a run's KV cache on another server, to replace one that was lost.
+//! Backups of runs' KV caches: counts each at the server that holds it, and maintains one on another server to
+//! replace one that was lost.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -7,6 +8,8 @@
 use tokio::sync::watch;
 use tokio::task::AbortHandle;
 
+use medlarfall_coordination::balance::Load;
+
 use crate::attempt;
 use crate::codec::{Backup, Codec};
 use crate::state::{Backend, Relay};
@@ -17,23 +20,54 @@
 /// Longest wait for a copy command: a long prompt takes some tens of milliseconds.
 const COPY_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// The server that holds the backup of a stream, counted there until this is dropped.
+pub struct Holder<C: Codec> {
+    /// The server.
+    pub backend: Arc<Backend>,
+    relay: Arc<Relay<C>>,
+    counted: bool,
+}
+
+impl<C: Codec> Holder<C> {
+    /// Returns the holder of a backup, which is counted if `counted`.
+    pub fn start(relay: &Arc<Relay<C>>, backend: Arc<Backend>, counted: bool) -> Self {
+        if counted {
+            backend.load(Load::backup_started);
+            relay.streams_changed.notify_one();
+        }
+        Self {
+            backend,
+            relay: Arc::clone(relay),
+            counted,
+        }
+    }
+}
+
+impl<C: Codec> Drop for Holder<C> {
+    fn drop(&mut self) {
+        if self.counted {
+            self.backend.load(Load::backup_ended);
+            self.relay.streams_changed.notify_one();
+        }
+    }
+}
+
 /// A backup that is refreshed until this is dropped.
-#[derive(Debug)]
-pub struct Replacement {
+pub struct Replacement<C: Codec> {
     /// Server that holds the backup.
-    pub holder: Arc<Backend>,
+    pub holder: Holder<C>,
     source: SocketAddr,
     handle: watch::Receiver<Option<Arc<str>>>,
     task: AbortHandle,
 }
 
-impl Drop for Replacement {
+impl<C: Codec> Drop for Replacement<C> {
     fn drop(&mut self) {
         self.task.abort();
     }
 }
 
-impl Replacement {
+impl<C: Codec> Replacement<C> {
     /// Returns the backup, once it is made.
     #[must_use]
     pub fn backup(&self) -> Option<Backup> {
@@ -45,7 +79,7 @@
     }
 
     /// Frees the backup at both servers.
-    pub fn free<C: Codec>(self, relay: &Arc<Relay<C>>) {
+    pub fn free(self, relay: &Arc<Relay<C>>) {
         let Some(handle) = self.handle.borrow().clone() else {
             return;
         };
@@ -66,11 +100,11 @@
     relay: &Arc<Relay<C>>,
     request_id: &Arc<str>,
     source: &Arc<Backend>,
-    holder: Arc<Backend>,
-) -> Replacement {
+    holder: Holder<C>,
+) -> Replacement<C> {
     let (sender, handle) = watch::channel(None);
     let source = source.server.address;
-    let target = holder.server.address;
+    let target = holder.backend.server.address;
     let relay = Arc::clone(relay);
     let request_id = Arc::clone(request_id);
     let task = tokio::spawn(async move {
--- a/relay/src/state/backend.rs
+++ b/relay/src/state/backend.rs
@@ -211,6 +211,10 @@
         let requests = |load: &mut Load| match criteria.measure {
             Measure::Calls { horizon } => load.estimate(now, horizon),
             Measure::Streams => load.stream_load(peers),
+            Measure::StreamsAndMemory(demand) => {
+                load.stream_load(peers) + demand.load(load.streams().plus(peers))
+            }
+            Measure::BackupMemory(demand) => demand.backup_load(load.streams().plus(peers)),
         };
         self.load(|load| Candidate {
             hash: self.hash,
--- a/relay/src/state/placement.rs
+++ b/relay/src/state/placement.rs
@@ -6,6 +6,7 @@
 use medlarfall_coordination::balance::{self, Candidate};
 use medlarfall_coordination::evidence::Cohort;
 use medlarfall_coordination::registry::Server;
+use medlarfall_coordination::server_memory;
 
 use crate::codec::Codec;
 
@@ -26,6 +27,10 @@
     },
     /// By streams of this entry and of its peers.
     Streams,
+    /// By streams, and by the memory that these and backups occupy.
+    StreamsAndMemory(server_memory::Demand),
+    /// By the memory that a backup finds.
+    BackupMemory(server_memory::Demand),
 }
 
 /// Criteria for the choice of a server.
--- a/relay/src/stream.rs
+++ b/relay/src/stream.rs
@@ -9,12 +9,13 @@
 
 use hyper::Response;
 use medlarfall_coordination::routing::Kind;
+use medlarfall_coordination::server_memory;
 use tokio::time::Instant;
 
 use crate::answer::{Content, Reason, Refusal};
 use crate::attempt::socket::Transmission;
 use crate::attempt::{self, Answer, Failure};
-use crate::backup::Replacement;
+use crate::backup::{Holder, Replacement};
 use crate::codec::{Backup, Codec, Dispatch};
 use crate::ingress::Job;
 use crate::metrics::Open;
@@ -41,6 +42,9 @@
 /// Retry delay when no server is available or all are at capacity.
 const NO_SERVER_PAUSE: Duration = Duration::from_millis(300);
 
+/// Part of a prompt's length that the generated events usually take in memory.
+const GENERATED_PART: u64 = 7;
+
 /// Consecutive attempts that reached no server or were refused by one, after which the search ends.
 const REFUSAL_LIMIT: u32 = 6;
 
@@ -79,8 +83,8 @@
     refused_by: Vec<Arc<str>>,
     /// Failure domains in which the stream lost a server or could not reach one.
     avoided_domains: Vec<Arc<str>>,
-    backup: Option<Arc<Backend>>,
-    replacement: Option<Replacement>,
+    backup: Option<Holder<C>>,
+    replacement: Option<Replacement<C>>,
     /// Events that arrived from the current run.
     run_events: u32,
     /// Whether a server has begun to answer the prompt.
@@ -167,13 +171,28 @@
         self.resumable() && service.is_some_and(|service| service.backups)
     }
 
+    /// Returns the memory that the stream needs, if the service's servers are scaled to their load and have
+    /// little spare memory.
+    fn memory_demand(&self) -> Option<server_memory::Demand> {
+        let service = self.job.table.service(&self.job.service)?;
+        let prompt_tokens = self.job.head.prompt_tokens?;
+        (service.autoscaling.is_some() && service.memory_tokens > 0).then_some(
+            server_memory::Demand {
+                request_tokens: prompt_tokens + prompt_tokens / GENERATED_PART,
+                memory_tokens: service.memory_tokens,
+            },
+        )
+    }
+
     fn criteria<'this>(&'this self, avoided_domains: &'this [Arc<str>]) -> Criteria<'this> {
         Criteria {
             service: &self.job.service,
             excluded: &self.excluded,
             avoided_domains,
             remote_penalty: REMOTE_PENALTY,
-            measure: Measure::Streams,
+            measure: self
+                .memory_demand()
+                .map_or(Measure::Streams, Measure::StreamsAndMemory),
             cohort: if self.arrivals == 0 && self.excluded.is_empty() {
                 self.job.cohort
             } else {
@@ -314,12 +333,13 @@
     ) -> Result<Opened<C>, Failure> {
         let began = self.relay.clock.now();
         let backup = self.choose_backup(backend);
+        let backup = backup.map(|backup| self.hold_backup(backup));
         let dispatch = Dispatch {
             server: Arc::clone(&backend.server),
             account: self.job.account.as_ref().map(|a| Arc::clone(&a.name)),
             priority: self.job.priority(),
             remaining: self.job.deadline.saturating_sub(began),
-            backup_target: backup.as_ref().map(|backup| backup.server.address),
+            backup_target: backup.as_ref().map(|backup| backup.backend.server.address),
             resume_from,
             last_event: self.last_event,
         };
@@ -327,7 +347,7 @@
             request = &*self.job.original.request_id, server = &*backend.server.id,
             failure_domain = &*backend.server.failure_domain, version = &*backend.server.version,
             load = self.relay.stream_load(backend), own = backend.load(|load| load.own_requests()),
-            backup = backup.as_ref().map_or("", |backup| &*backup.server.id),
+            backup = backup.as_ref().map_or("", |backup| &*backup.backend.server.id),
             copy = dispatch.resume_from.as_ref().map_or("", |backup| &*backup.handle),
             last_event = self.last_event.unwrap_or(0);
             "stream sent"
--- a/relay/src/stream/backups.rs
+++ b/relay/src/stream/backups.rs
@@ -2,9 +2,9 @@
 
 use std::sync::Arc;
 
-use crate::backup;
+use crate::backup::{self, Holder};
 use crate::codec::{Backup, Codec};
-use crate::state::{Backend, Criteria};
+use crate::state::{Backend, Criteria, Measure};
 
 use super::Stream;
 
@@ -13,7 +13,7 @@
     /// and of a version that is in use. A run that has sent no event has no usable backup.
     pub(super) fn take_backup(&mut self) -> Option<(Arc<Backend>, Option<Backup>)> {
         let replacement = self.replacement.take();
-        let server = self.backup.take();
+        let server = self.backup.take().map(|holder| Arc::clone(&holder.backend));
         if self.run_events == 0 {
             return None;
         }
@@ -22,9 +22,11 @@
                 && !self.relay.is_paused(holder)
                 && self.relay.is_version_in_use(holder)
         };
-        if let Some(replacement) = replacement.filter(|replacement| usable(&replacement.holder)) {
+        if let Some(replacement) =
+            replacement.filter(|replacement| usable(&replacement.holder.backend))
+        {
             let backup = replacement.backup();
-            let holder = Arc::clone(&replacement.holder);
+            let holder = Arc::clone(&replacement.holder.backend);
             return backup.map(|backup| (holder, Some(backup)));
         }
         let server = server.filter(usable)?;
@@ -38,8 +40,8 @@
     /// Starts a replacement backup on another server if the holder of the current one is gone.
     pub(super) fn maintain_backup(&mut self, source: &Arc<Backend>) {
         let holder = match (&self.replacement, &self.backup) {
-            (Some(replacement), _) => &replacement.holder,
-            (None, Some(backup)) => backup,
+            (Some(replacement), _) => &replacement.holder.backend,
+            (None, Some(backup)) => &backup.backend,
             (None, None) => return,
         };
         if self.relay.is_current(holder) || !self.relay.is_current(source) {
@@ -50,11 +52,17 @@
             replaced.free(&self.relay);
         }
         self.replacement = self.choose_backup(source).map(|holder| {
+            let holder = self.hold_backup(holder);
             let request_id = &self.job.original.request_id;
             backup::maintain(&self.relay, request_id, source, holder)
         });
     }
 
+    /// Counts a backup of the stream at the server that holds it.
+    pub(super) fn hold_backup(&self, backend: Arc<Backend>) -> Holder<C> {
+        Holder::start(&self.relay, backend, self.memory_demand().is_some())
+    }
+
     /// Chooses a server in another failure domain to hold a backup.
     pub(super) fn choose_backup(&self, primary: &Backend) -> Option<Arc<Backend>> {
         if !self.has_backups() {
@@ -68,6 +76,9 @@
             excluded: &excluded,
             version: Some(&primary.server.version),
             request_hash: self.job.request_hash().rotate_left(17),
+            measure: self
+                .memory_demand()
+                .map_or(Measure::Streams, Measure::BackupMemory),
             ..self.criteria(&avoided_domains)
         };
         let backup = self.relay.choose(Criteria {
--- a/relay/src/stream/resumption.rs
+++ b/relay/src/stream/resumption.rs
@@ -113,7 +113,7 @@
             failure_domain = &*failed.server.failure_domain, version = &*failed.server.version, cause,
             last_event = self.last_event.unwrap_or(0),
             silent_ms = now.saturating_sub(self.last_event_at).as_millis(),
-            copy = self.backup.as_ref().map_or("", |backup| &*backup.server.id),
+            copy = self.backup.as_ref().map_or("", |backup| &*backup.backend.server.id),
             run_events = self.run_events, parts = self.job.parts_text().as_str();
             "stream leaves its server"
         );
--- a/relay/tests/datagram.rs
+++ b/relay/tests/datagram.rs
@@ -37,6 +37,7 @@
     let count = |server| Count {
         streams: server % 7,
         prefilling: server % 2,
+        backups: server % 3,
     };
     Digest {
         counts: Some(usage::Report {
