feat(relay): one limit on connections that all entries keep together

Cause: servers reset connections beyond a number, and the requests on them may have run. Entries opened as many as callers asked for.

Change: `max_connections` of a service in the configuration limits the connections of all entries to each of its servers. coordination::connections counts an entry's connections, those of probes and status queries included, and learns from responses how many requests are at a server. Below half of the limit nothing is held back; near it, or after a reset, an entry keeps to its share by demand. A fraction of a connection is drawn for each entry, server and second. A twentieth, or two standard deviations of the draws if that is more, stays in reserve; less is used while more than four requests for each slot wait. Placement passes over a server without a connection left; if there is none, the request is rejected as not run (`limited`), with a paced Retry-After. Metrics: connections, without_connection, truncated (by service); a log line, which the log bounds, for requests without a connection.

--- a/coordination/src/lib.rs
+++ b/coordination/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod balance;
 pub mod canary;
 pub mod claim;
+pub mod connections;
 pub mod detector;
 pub mod dissemination;
 pub mod ejection;
--- a/coordination/src/routing.rs
+++ b/coordination/src/routing.rs
@@ -98,6 +98,8 @@
     pub memory_tokens: u64,
     /// Models that its engines serve.
     pub models: Vec<Arc<str>>,
+    /// Most connections of all entries to each of its servers, if they are limited.
+    pub max_connections: Option<u32>,
 }
 
 /// A client account.
--- a/relay/src/attempt.rs
+++ b/relay/src/attempt.rs
@@ -23,7 +23,7 @@
 use tokio::time::timeout;
 
 use crate::codec::{Codec, Command, Dispatch, Health, Reply, Report};
-use crate::state::{Backend, Relay};
+use crate::state::{self, Backend, Relay};
 
 use self::socket::{Socket, Transmission};
 
@@ -88,6 +88,7 @@
 pub struct Guard {
     backend: Arc<Backend>,
     _connection: Connection,
+    _open: state::Connection,
 }
 
 /// A connection that is closed when this is dropped.
@@ -180,7 +181,8 @@
 ) -> Result<(Sender, Connection), Failure> {
     let opened = async {
         let stream = connect(backend.server.address).await?;
-        if backend.has_reset(relay.clock.now()) {
+        let now = relay.clock.now();
+        if backend.connections(|connections| connections.has_reset(now)) {
             watch_for_reset(&stream).await?;
         }
         Ok(stream)
@@ -203,7 +205,7 @@
 /// Records that a server reset a connection without a response.
 fn record_reset<C: Codec>(relay: &Relay<C>, backend: &Backend) {
     let now = relay.clock.now();
-    backend.record_reset(now);
+    backend.connections(|connections| connections.record_reset(now));
     backend.load(|load| load.record_outcome(true, now));
 }
 
@@ -222,11 +224,13 @@
 ) -> Result<Answer, Failure> {
     // Before the connection opens, so that requests that are placed meanwhile see it.
     relay.take_from_limit(backend);
+    let open_connection = backend.open_connection();
     let (mut sender, connection) = open(relay, backend, transmission).await?;
     backend.load(medlarfall_coordination::balance::Load::request_started);
     let guard = Guard {
         backend: Arc::clone(backend),
         _connection: connection,
+        _open: open_connection,
     };
     let mut request = Request::new(Full::new(original.body.clone()));
     *request.method_mut() = original.method.clone();
@@ -245,6 +249,7 @@
     let now = relay.clock.now();
     if let Some(requests) = reply.requests {
         backend.load(|load| load.record_report(requests, now));
+        backend.connections(|known| known.record_report(requests, reply.waiting, now));
     }
     if reply.matches {
         relay.record_limit(backend, reply.limit);
--- a/relay/src/call.rs
+++ b/relay/src/call.rs
@@ -336,7 +336,7 @@
 /// Reads a server's response, whole if it is within [`BUFFER_LIMIT`]; the rest of a larger one is
 /// forwarded until the deadline.
 async fn read_response<C: Codec>(
-    relay: &Relay<C>,
+    relay: &Arc<Relay<C>>,
     backend: &Backend,
     answer: Answer,
     deadline: Duration,
@@ -350,6 +350,10 @@
     let mut bytes = BytesMut::new();
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|error| {
+            relay
+                .metrics
+                .connections
+                .count_truncated(&backend.server.service);
             let now = relay.clock.now();
             backend.load(|load| load.record_outcome(true, now));
             Failure::Lost {
@@ -362,10 +366,13 @@
             let (sender, body_parts) = mpsc::channel(PART_QUEUE);
             let deadline = relay.clock.instant(deadline);
             let forwarding = forward(bytes.freeze(), body, sender, guard);
+            let (relay, service) = (Arc::clone(relay), Arc::clone(&backend.server.service));
             tokio::spawn(async move {
                 // Without its end, the response is truncated for the caller.
-                if tokio::time::timeout_at(deadline, forwarding).await.is_err() {
-                    log::warn!("large response not complete at the deadline");
+                match tokio::time::timeout_at(deadline, forwarding).await {
+                    Ok(Forwarded::Ended) => {}
+                    Ok(Forwarded::Truncated) => relay.metrics.connections.count_truncated(&service),
+                    Err(_) => log::warn!("large response not complete at the deadline"),
                 }
             });
             return Ok(Received {
@@ -386,27 +393,37 @@
     })
 }
 
+/// How the forwarding of a large response ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Forwarded {
+    /// The response is complete, or its caller left.
+    Ended,
+    /// The server truncated the response.
+    Truncated,
+}
+
 /// Forwards a large response as it arrives.
 async fn forward(
     first: Bytes,
     mut body: Incoming,
     sender: mpsc::Sender<Part>,
     guard: attempt::Guard,
-) {
+) -> Forwarded {
     let mut next = Some(first);
     while let Some(bytes) = next {
         if sender.send(Part::Data(bytes)).await.is_err() {
-            return;
+            return Forwarded::Ended;
         }
         next = match body.frame().await {
             Some(Ok(frame)) => Some(frame.into_data().unwrap_or_default()),
             Some(Err(error)) => {
                 log::warn!(reason = error.to_string().as_str(); "large response truncated by the server");
-                return;
+                return Forwarded::Truncated;
             }
             None => None,
         };
     }
     let _ = sender.send(Part::End).await;
     drop(guard);
+    Forwarded::Ended
 }
--- a/relay/src/codec.rs
+++ b/relay/src/codec.rs
@@ -78,6 +78,8 @@
     pub signed: bool,
     /// Requests at the server, running and queued.
     pub requests: Option<u32>,
+    /// Those that are queued; 0 if the server does not say.
+    pub waiting: u32,
     /// Pause before a retry, if the server states one.
     pub retry_after: Option<Duration>,
     /// Requests that the server takes from all entries.
--- a/relay/src/metrics.rs
+++ b/relay/src/metrics.rs
@@ -15,8 +15,10 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::{Metric, Registry};
 
+mod connections;
 mod labels;
 
+pub use connections::Connections;
 pub use labels::{CauseLabels, EndLabels, KindLabels, RouteLabels, ServiceLabels, StoreCall};
 
 /// Upper bound of the first latency bucket, in seconds.
@@ -52,6 +54,8 @@
     pub servers: Vec<(String, usize)>,
     /// Servers that have named a limit.
     pub limited_servers: usize,
+    /// Connections to servers, by service.
+    pub connections: Vec<(String, u32)>,
 }
 
 /// The metrics.
@@ -100,6 +104,8 @@
     pub calls_blocked: Counter,
     /// Servers that have named a limit.
     pub limited_servers: Gauge,
+    /// Connections to servers.
+    pub connections: Connections,
     /// Calls to the store by kind.
     pub store_calls: Family<KindLabels, Counter>,
     /// Messages sent to other entries by kind; one to several entries counts for each.
@@ -210,6 +216,7 @@
             ),
             hub: add(new, "hub", "Whether the entry is a hub", gauge()),
             configuration: add(new, "configuration", "Version in force", gauge()),
+            connections: Connections::new(new),
             store_up: add(new, "store_up", "Whether the store answers", gauge()),
             store_era: add(new, "store_era", "Restores of the store, plus 1", gauge()),
             age: add(
@@ -344,6 +351,9 @@
                 .clone();
             gauge.set(signed(*count));
         }
+        for (service, count) in &gauges.connections {
+            self.connections.set_open(service, *count);
+        }
         for (kind, lines) in [("folded", log.rate_limited), ("dropped", log.dropped)] {
             let counter = self
                 .log_lines_lost
--- a/relay/src/monitor.rs
+++ b/relay/src/monitor.rs
@@ -152,6 +152,7 @@
 async fn probe<C: Codec>(relay: &Relay<C>, backend: &Arc<Backend>) {
     let sent_at = relay.clock.now();
     let wait = relay.settings.liveness.probe_timeout;
+    let _open = backend.open_connection();
     let answer = attempt::fetch_report(relay, backend.server.address);
     let answer = tokio::time::timeout(wait, answer).await;
     let now = relay.clock.now();
--- a/relay/src/prompt_cache.rs
+++ b/relay/src/prompt_cache.rs
@@ -68,7 +68,12 @@
 
 /// Returns how many tokens of `part` a server has in its cache, or `None` if it does not respond in
 /// time or leaves.
-async fn cached_tokens<C: Codec>(relay: &Relay<C>, backend: &Backend, part: &str) -> Option<u64> {
+async fn cached_tokens<C: Codec>(
+    relay: &Relay<C>,
+    backend: &Arc<Backend>,
+    part: &str,
+) -> Option<u64> {
+    let _open = backend.open_connection();
     relay.metrics.count_probe("cache");
     let command = relay.codec.cache_command();
     let query = attempt::fetch(backend.server.address, command);
--- a/relay/src/rediscover.rs
+++ b/relay/src/rediscover.rs
@@ -113,7 +113,8 @@
 }
 
 /// Probes the address of a server once, and adopts a successor of the same service.
-async fn probe<C: Codec>(relay: &Relay<C>, backend: &Backend) -> Occupant {
+async fn probe<C: Codec>(relay: &Relay<C>, backend: &Arc<Backend>) -> Occupant {
+    let _open = backend.open_connection();
     let address = backend.server.address;
     let health = attempt::fetch_health(relay, address);
     let health = tokio::time::timeout(PROBE_TIMEOUT, health).await;
--- a/relay/src/state.rs
+++ b/relay/src/state.rs
@@ -28,7 +28,7 @@
 mod servers;
 mod view;
 
-pub use backend::Backend;
+pub use backend::{Backend, Connection};
 pub use moves::{Measurement, MoveEnd};
 pub use placement::{Criteria, Measure};
 pub use quarantine::{Due, parts_text};
@@ -191,6 +191,7 @@
                     .send_if_modified(|known| std::mem::replace(known, limits) != limits);
                 view.table = Some(Arc::new(table));
                 view.table_at = now;
+                view.limit_connections();
             }
             known
         });
--- a/relay/src/state/backend.rs
+++ b/relay/src/state/backend.rs
@@ -1,10 +1,11 @@
 //! One backend server as this entry sees it.
 
-use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use medlarfall_coordination::balance::{Candidate, Load};
+use medlarfall_coordination::connections::{Connections, Terms};
 use medlarfall_coordination::dissemination::{self, Count, Tag};
 use medlarfall_coordination::placement::{Proximity, name_hash};
 use medlarfall_coordination::registry::Server;
@@ -17,9 +18,6 @@
 use super::placement::{Criteria, Measure};
 use super::view::Group;
 
-/// Time for which a server that has reset a connection is expected to reset others.
-const RESET_MEMORY: Duration = Duration::from_secs(1);
-
 /// A server with its load, monitor and search state.
 #[derive(Debug)]
 pub struct Backend {
@@ -35,8 +33,11 @@
     limited: AtomicBool,
     searching: AtomicBool,
     unconfirmed: AtomicBool,
-    /// Milliseconds until which further resets are expected; 0 if there was none.
-    resets_until: AtomicU64,
+    connections: Mutex<Connections>,
+    /// Most connections of all entries; 0 if they are not limited.
+    max_connections: AtomicU32,
+    /// Hash that names this entry and the server.
+    pair: u64,
     /// Number of streams of this entry at the server.
     pub streams: AtomicUsize,
 }
@@ -70,16 +71,43 @@
         self.limited.load(Ordering::Relaxed)
     }
 
-    /// Records that the server ended a connection without a response.
-    pub fn record_reset(&self, now: Duration) {
-        let until = u64::try_from((now + RESET_MEMORY).as_millis()).unwrap_or(u64::MAX);
-        self.resets_until.store(until, Ordering::Relaxed);
+    /// Reads or changes what is known of the connections to the server.
+    pub fn connections<T>(&self, act: impl FnOnce(&mut Connections) -> T) -> T {
+        let connections = self.connections.lock();
+        act(&mut connections.unwrap_or_else(PoisonError::into_inner))
     }
 
-    /// Returns whether the server has ended a connection without a response lately.
+    /// Counts a connection to the server as open until the returned value is dropped.
     #[must_use]
-    pub fn has_reset(&self, now: Duration) -> bool {
-        now.as_millis() < u128::from(self.resets_until.load(Ordering::Relaxed))
+    pub fn open_connection(self: &Arc<Self>) -> Connection {
+        self.connections(Connections::open);
+        Connection(Arc::clone(self))
+    }
+
+    /// Sets the limit on the connections of all entries to the server.
+    pub(super) fn set_max_connections(&self, limit: Option<u32>) {
+        let limit = limit.unwrap_or(0);
+        self.max_connections.store(limit, Ordering::Relaxed);
+    }
+
+    /// Returns whether this entry may use a share only of what the server takes from all entries.
+    pub(super) fn is_shared(&self) -> bool {
+        self.is_limited() || self.max_connections.load(Ordering::Relaxed) > 0
+    }
+
+    /// Returns whether this entry may open another connection to the server; `share` is its share of the
+    /// service's requests.
+    pub(super) fn has_connection(&self, share: f64, now: Duration) -> bool {
+        let most = self.max_connections.load(Ordering::Relaxed);
+        most == 0 || {
+            let terms = Terms {
+                most,
+                slots: self.server.slots,
+                share,
+                pair: self.pair,
+            };
+            self.connections(|connections| connections.has_room(&terms, now))
+        }
     }
 
     /// Returns which start of the server this is.
@@ -105,6 +133,16 @@
     }
 }
 
+/// Counts a connection to a server as open until this is dropped.
+#[derive(Debug)]
+pub struct Connection(Arc<Backend>);
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.0.connections(Connections::close);
+    }
+}
+
 impl Backend {
     pub(super) fn new(server: Arc<Server>, settings: &Settings) -> Self {
         let region = |domain: &str| settings.regions.get(domain);
@@ -118,6 +156,7 @@
             hash: name_hash(&server.id),
             tag: dissemination::tag(&server.id),
             proximity,
+            pair: name_hash(&format!("{} {}", settings.entry, server.id)),
             server,
             monitor: Monitor::default(),
             load: Mutex::default(),
@@ -125,7 +164,8 @@
             limited: AtomicBool::new(false),
             searching: AtomicBool::new(false),
             unconfirmed: AtomicBool::new(false),
-            resets_until: AtomicU64::new(0),
+            connections: Mutex::default(),
+            max_connections: AtomicU32::new(0),
             streams: AtomicUsize::new(0),
         }
     }
--- a/relay/src/state/gauges.rs
+++ b/relay/src/state/gauges.rs
@@ -31,6 +31,16 @@
                 .flatten()
                 .filter(|backend| backend.is_limited())
                 .count(),
+            connections: view
+                .backends
+                .iter()
+                .map(|(service, backends)| {
+                    let open = backends
+                        .iter()
+                        .map(|backend| backend.connections(|known| known.count()));
+                    (service.to_string(), open.sum())
+                })
+                .collect(),
             servers: view
                 .backends
                 .iter()
--- a/relay/src/state/limits.rs
+++ b/relay/src/state/limits.rs
@@ -19,6 +19,9 @@
 /// Least pace, in requests a second, at which callers return after a pause of a second or more.
 const MIN_RETURN_PACE: f64 = 1.0;
 
+/// Time after which a connection to a server becomes free: the duration of a few calls.
+const CONNECTION_WAIT: Duration = Duration::from_millis(100);
+
 /// Steps between 0 and 1 of the part of a request that an entry may send at once.
 const START_STEPS: u32 = 1_024;
 
@@ -140,6 +143,7 @@
         let now = self.clock.now();
         self.view(|view| {
             let share = view.limit_share(service, now);
+            self.record_shortage(view, service, share, now);
             let (own, _) = view.requests(service, now);
             let arrivals = f64::from(own) / self.settings.retries.window.as_secs_f64();
             let backends = view.backends.get(service).into_iter().flatten();
@@ -158,15 +162,35 @@
     }
 }
 
+impl<C: Codec> Relay<C> {
+    /// Counts and logs a request that is rejected while this entry has no connection left at some server.
+    fn record_shortage(&self, view: &View, service: &Arc<str>, share: f64, now: Duration) {
+        let backends = view.backends.get(service).into_iter().flatten();
+        let lacking = backends.filter(|backend| !backend.has_connection(share, now));
+        let servers = lacking.count();
+        if servers > 0 {
+            self.metrics.connections.count_lacking(service);
+            log::info!(
+                service = &**service, servers, share;
+                "no connection left at servers within their limit"
+            );
+        }
+    }
+}
+
 impl View {
     /// Returns the time until a server may get a request of this entry, whose share of its limit is `share`.
     pub(super) fn wait(&self, backend: &Backend, share: f64, now: Duration) -> Duration {
         let pause = self.pauses.wait(backend.start(), now);
-        if backend.is_limited() {
+        let wait = if backend.is_limited() {
             pause.max(backend.limit(|limit| limit.wait(share, now)))
         } else {
             pause
+        };
+        if wait.is_zero() && !backend.has_connection(share, now) {
+            return CONNECTION_WAIT;
         }
+        wait
     }
 
     /// Returns this entry's share of the limits of a service's servers.
--- a/relay/src/state/placement.rs
+++ b/relay/src/state/placement.rs
@@ -154,7 +154,7 @@
         let now = self.clock.now();
         self.view(|view| {
             let backends = view.backends.get(criteria.service)?;
-            let share = if backends.iter().any(|backend| backend.is_limited()) {
+            let share = if backends.iter().any(|backend| backend.is_shared()) {
                 view.limit_share(criteria.service, now)
             } else {
                 1.0
--- a/relay/src/state/view.rs
+++ b/relay/src/state/view.rs
@@ -146,12 +146,28 @@
         let Some(server) = known else {
             return;
         };
+        let table = self.table.as_ref();
+        let service = table.and_then(|table| table.service(&server.service));
+        let max_connections = service.and_then(|service| service.max_connections);
         let backends = self
             .backends
             .entry(Arc::clone(&server.service))
             .or_default();
         if backends.iter().all(|backend| backend.server.id != *id) {
-            backends.push(Arc::new(Backend::new(Arc::clone(server), settings)));
+            let backend = Backend::new(Arc::clone(server), settings);
+            backend.set_max_connections(max_connections);
+            backends.push(Arc::new(backend));
+        }
+    }
+
+    /// Applies the configured limits on connections to the backends.
+    pub(super) fn limit_connections(&self) {
+        for (service, backends) in &self.backends {
+            let service = self.table.as_ref().and_then(|table| table.service(service));
+            let limit = service.and_then(|service| service.max_connections);
+            for backend in backends {
+                backend.set_max_connections(limit);
+            }
         }
     }
 
--- a/relay/src/stream/forwarding.rs
+++ b/relay/src/stream/forwarding.rs
@@ -148,6 +148,12 @@
             if matches!(cause, "silent" | "gap" | "not_events") {
                 self.record_server_failure(&failed);
             }
+            if matches!(cause, "connection" | "cut_event") {
+                self.relay
+                    .metrics
+                    .connections
+                    .count_truncated(&failed.server.service);
+            }
             if matches!(cause, "connection" | "server_lost" | "cut_event") {
                 self.record_unanswered(&failed);
             }
