--- a/coordination/src/lib.rs
+++ b/coordination/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod balance;
 pub mod canary;
 pub mod claim;
+pub mod connections;
 pub mod detector;
 pub mod dissemination;
 pub mod duty;
--- a/coordination/src/routing.rs
+++ b/coordination/src/routing.rs
@@ -100,6 +100,8 @@
     pub models: Vec<Arc<str>>,
     /// Bounds on the number of its servers in each failure domain; `None` if they are not scaled.
     pub autoscaling: Option<Autoscaling>,
+    /// Most connections of all entries to each of its servers, if they are limited.
+    pub max_connections: Option<u32>,
 }
 
 /// Bounds on the number of servers of a service.
--- a/relay/src/attempt.rs
+++ b/relay/src/attempt.rs
@@ -24,7 +24,7 @@
 use tokio::time::timeout;
 
 use crate::codec::{Codec, Command, Dispatch, Health, Reply, Report};
-use crate::state::{Backend, Relay};
+use crate::state::{self, Backend, Relay};
 
 use self::socket::{Socket, Transmission};
 
@@ -92,6 +92,7 @@
     sent_at: Duration,
     answered: bool,
     _connection: Connection,
+    _open: state::Connection,
 }
 
 /// A connection that is closed when this is dropped.
@@ -185,7 +186,8 @@
 ) -> Result<(Sender, Connection), Failure> {
     let opened = async {
         let stream = connect(backend.server.address).await?;
-        if backend.has_reset(relay.clock.now()) {
+        let now = relay.clock.now();
+        if backend.connections(|connections| connections.has_reset(now)) {
             watch_for_reset(&stream).await?;
         }
         Ok(stream)
@@ -208,7 +210,7 @@
 /// Records that a server reset a connection without a response.
 fn record_reset<C: Codec>(relay: &Relay<C>, backend: &Backend) {
     let now = relay.clock.now();
-    backend.record_reset(now);
+    backend.connections(|connections| connections.record_reset(now));
     backend.load(|load| load.record_outcome(true, now));
 }
 
@@ -227,6 +229,7 @@
 ) -> Result<Answer, Failure> {
     // Before the connection opens, so that requests that are placed meanwhile see it.
     relay.take_from_limit(backend);
+    let open_connection = backend.open_connection();
     let (mut sender, connection) = open(relay, backend, transmission).await?;
     let sent_at = relay.clock.now();
     backend.request_sent(sent_at);
@@ -236,6 +239,7 @@
         sent_at,
         answered: false,
         _connection: connection,
+        _open: open_connection,
     };
     let mut request = Request::new(Full::new(original.body.clone()));
     *request.method_mut() = original.method.clone();
@@ -254,6 +258,7 @@
     let now = relay.clock.now();
     if let Some(report) = reply.load {
         backend.record_report(report, now);
+        backend.connections(|known| known.record_report(report.requests(), report.waiting, now));
     }
     if reply.matches {
         relay.record_limit(backend, reply.limit);
