--- a/coordination/src/dissemination/counts.rs
+++ b/coordination/src/dissemination/counts.rs
@@ -20,7 +20,7 @@
 const OPEN_INTERVAL: Duration = Duration::from_millis(1_200);
 
 /// Time after an entry became a hub until which reports may not have been sent to it.
-const JOINING_MS: u64 = 1_100;
+const JOINING: Duration = Duration::from_millis(1_100);
 
 /// State of the counts at one entry.
 #[derive(Clone, Debug)]
@@ -30,6 +30,8 @@
     counter: Counter,
     /// Sums of the failure domain, while this entry is its hub.
     sums: Option<Sums>,
+    /// When it became a hub.
+    hub_since: Duration,
     fleet: Fleet,
     time: TrueTime,
     settled: Option<u64>,
@@ -48,6 +50,7 @@
             window_ms,
             counter: Counter::new(incarnation, window, wall_ms),
             sums: None,
+            hub_since: Duration::ZERO,
             fleet: Fleet::new(window_ms),
             time: TrueTime::default(),
             settled: None,
@@ -96,9 +99,9 @@
     }
 
     /// Starts or stops adding up the failure domain's counts.
-    pub(super) fn set_hub(&mut self, hub: bool, wall_ms: u64, now: Duration) {
-        let since_ms = self.time.at(wall_ms, now) + JOINING_MS;
-        self.sums = hub.then(|| Sums::new(self.incarnation, self.window_ms, since_ms));
+    pub(super) fn set_hub(&mut self, hub: bool, now: Duration) {
+        self.hub_since = now + JOINING;
+        self.sums = hub.then(|| Sums::new(self.incarnation, self.window_ms));
     }
 
     /// Returns the time until a report with counts is due.
@@ -153,7 +156,11 @@
         let sums = self.sums.as_mut()?;
         sums.record(own, self.counter.report(now_ms), now);
         self.sent_at = Some(now);
-        Some(sums.report(now))
+        let since_ms = self.time.at(wall_ms, now);
+        let summing = u64::try_from(now.saturating_sub(self.hub_since).as_millis());
+        let joining = u64::try_from(self.hub_since.saturating_sub(now).as_millis());
+        let since_ms = since_ms.saturating_sub(summing.unwrap_or(u64::MAX));
+        Some(sums.report(since_ms.saturating_add(joining.unwrap_or_default()), now))
     }
 
     /// Returns what is known of a window.
--- a/coordination/src/dissemination/node/counting.rs
+++ b/coordination/src/dissemination/node/counting.rs
@@ -116,8 +116,8 @@
 
     /// Starts or stops adding up counts, as this entry becomes a hub or ceases to be one.
     pub(super) fn update_summing(&mut self, now: Duration) {
-        if let Some((counts, wall_ms)) = self.counts.as_mut().zip(self.own.wall_ms) {
-            counts.set_hub(self.hub, wall_ms, now);
+        if let Some(counts) = &mut self.counts {
+            counts.set_hub(self.hub, now);
         }
     }
 }
--- a/coordination/src/duty.rs
+++ b/coordination/src/duty.rs
@@ -52,6 +52,13 @@
 /// Pause after a store call that failed.
 const RETRY_PAUSE: Duration = Duration::from_millis(400);
 
+/// Time without a response of the provider after which the holder gives the lock up: another candidate may
+/// reach it, and still report a window in time.
+const UNANSWERED: Duration = Duration::from_millis(2_500);
+
+/// Leases for which an entry does not try to acquire a lock that it gave up since the provider did not answer.
+const UNANSWERED_PAUSE: u32 = 5;
+
 /// Bits of a fencing token for the revision of the lock.
 const REVISION_BITS: u32 = 40;
 
@@ -232,6 +239,15 @@
     /// Whether the lease was renewed by a call that was sent after the lock was acquired.
     confirmed: bool,
     in_flight_until: Duration,
+    /// When the first of the calls was sent that got no response.
+    unanswered_since: Option<Duration>,
+}
+
+impl Held {
+    fn reaches_nobody(&self, now: Duration) -> bool {
+        self.unanswered_since
+            .is_some_and(|since| now.saturating_sub(since) >= UNANSWERED)
+    }
 }
 
 #[derive(Clone, Debug, Default)]
@@ -436,7 +452,7 @@
         let mut states = self.subjects.iter();
         states.find_map(|(subject, state)| {
             let held = state.held?;
-            let unwanted = self.stopping || state.position.is_none();
+            let unwanted = self.stopping || state.position.is_none() || held.reaches_nobody(now);
             let may = now >= held.acquired_at + self.policy.lease
                 && now >= held.in_flight_until
                 && now >= self.retry_at;
@@ -517,6 +533,7 @@
             acquired_at: now,
             confirmed: false,
             in_flight_until: now,
+            unanswered_since: None,
         });
         self.events
             .push(Event::Acquired(subject.clone(), token(era, revision)));
@@ -532,11 +549,15 @@
     /// Records that this entry deleted its lock.
     pub fn record_released(&mut self, subject: &Subject, now: Duration) {
         if let Some(state) = self.subjects.get_mut(subject) {
-            state.held = None;
+            let held = state.held.take();
+            let leases = match held {
+                Some(held) if held.reaches_nobody(now) => UNANSWERED_PAUSE,
+                _ => 1,
+            };
             state.lock = None;
             state.changed_at = now;
             // Another candidate is to be the next holder.
-            state.retry_at = now + self.policy.ttl();
+            state.retry_at = now + self.policy.ttl() * leases;
             self.events.push(Event::Released(subject.clone()));
         }
     }
@@ -552,6 +573,17 @@
         }
     }
 
+    /// Records whether the provider answered a call for a subject that was sent at `sent_at`.
+    pub fn end_call(&mut self, subject: &Subject, answered: bool, sent_at: Duration) {
+        let state = self.subjects.get_mut(subject);
+        if let Some(held) = state.and_then(|state| state.held.as_mut()) {
+            held.unanswered_since = match held.unanswered_since {
+                _ if answered => None,
+                since => since.or(Some(sent_at)),
+            };
+        }
+    }
+
     /// Returns the permission to act for a subject, if this entry holds it now.
     #[must_use]
     pub fn permit(&self, subject: &Subject, now: Duration) -> Option<Permit> {
--- a/coordination/src/usage.rs
+++ b/coordination/src/usage.rs
@@ -15,7 +15,7 @@
 mod sums;
 
 pub use fleet::{Count, Fleet};
-pub use reporter::{Bounds, Record, Reporter, Step};
+pub use reporter::{Bounds, Record, Reporter, Step, Term};
 pub use sums::Sums;
 
 /// Most windows that are kept without being settled: two minutes, if a window takes 5 s.
--- a/coordination/src/usage/fleet.rs
+++ b/coordination/src/usage/fleet.rs
@@ -10,6 +10,9 @@
 /// long; the registration of a failed entry lasts for 20 s.
 const REMEMBERED: Duration = Duration::from_secs(30);
 
+/// Most by which the known beginning of a hub's sums changes as true time is corrected.
+const SINCE_CORRECTION_MS: u64 = 2_000;
+
 /// What one hub has summed.
 #[derive(Clone, Debug)]
 struct Hub {
@@ -72,14 +75,16 @@
             windows: BTreeMap::new(),
             last_total: last_total.unwrap_or_default(),
         });
-        if (known.incarnation, known.since_ms) != (report.incarnation, report.since_ms) {
+        // A hub that was none for a while begins anew. True time is corrected by less than that.
+        let restarted = known.incarnation != report.incarnation
+            || report.since_ms.abs_diff(known.since_ms) > SINCE_CORRECTION_MS;
+        if restarted {
             known.incarnation = report.incarnation;
-            known.since_ms = report.since_ms;
-            known.until_ms = 0;
             known.windows.clear();
         }
         known.heard_at = now;
-        known.until_ms = known.until_ms.max(report.until_ms);
+        known.until_ms = report.until_ms;
+        known.since_ms = report.since_ms;
         for window in report.windows {
             if self.settled.is_none_or(|settled| window.index > settled) {
                 known.windows.entry(window.index).or_default().merge(window);
@@ -159,7 +164,12 @@
         }
         count.waiting.push(Arc::clone(failure_domain));
         let covered_ms = hub.until_ms.clamp(began_ms, end_ms) - began_ms;
-        let usual = hub.last_total.max(window.map_or(0, |window| window.total));
+        // The usual requests of a window: in others, or as in the part of this one that is covered.
+        let others = hub.windows.values().map(|window| window.total).max();
+        let total = window.map_or(0, |window| window.total);
+        let extrapolated = total.saturating_mul(self.window_ms).checked_div(covered_ms);
+        let usual = hub.last_total.max(others.unwrap_or_default());
+        let usual = usual.max(extrapolated.unwrap_or_default());
         let uncovered = usual.saturating_mul(self.window_ms - covered_ms);
         let unreceived = window.map_or(0, |window| window.total.saturating_sub(window.sum));
         let missing = uncovered / self.window_ms.max(1) + unreceived;
--- a/coordination/src/usage/reporter.rs
+++ b/coordination/src/usage/reporter.rs
@@ -56,6 +56,18 @@
     pub undelivered: u64,
 }
 
+/// What a holder finds when its term begins. Times are in Unix milliseconds.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Term {
+    /// Records in the store.
+    pub records: Vec<Record>,
+    /// When this process was started, in true time.
+    pub started_ms: u64,
+    /// When the store was restored from a copy, if it was since this process started: windows that had ended
+    /// then may have been reported without a record that remains.
+    pub restored_ms: Option<u64>,
+}
+
 /// The next step of the holder.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Step {
@@ -84,7 +96,6 @@
 #[derive(Clone, Debug)]
 pub struct Reporter {
     bounds: Bounds,
-    started_ms: u64,
     /// First window that is not decided on; `None` before the first take-over.
     next: Option<u64>,
     records: BTreeMap<u64, Entry>,
@@ -94,12 +105,11 @@
 }
 
 impl Reporter {
-    /// Returns the reporter of a process that starts at `started_ms`, in Unix milliseconds.
+    /// Returns the reporter of a process that has reported nothing.
     #[must_use]
-    pub fn new(bounds: Bounds, started_ms: u64) -> Self {
+    pub fn new(bounds: Bounds) -> Self {
         Self {
             bounds,
-            started_ms,
             next: None,
             records: BTreeMap::new(),
             taken_over_ms: 0,
@@ -124,10 +134,13 @@
         self.next?.checked_sub(1)
     }
 
-    /// Takes over from another holder with the records in the store. `restored_ms` is when the store was
-    /// restored from a copy, if it was since this process started: windows that had ended then may have been
-    /// reported without a record that remains.
-    pub fn take_over(&mut self, records: Vec<Record>, restored_ms: Option<u64>, now_ms: u64) {
+    /// Takes over from another holder.
+    pub fn take_over(&mut self, term: Term, now_ms: u64) {
+        let Term {
+            records,
+            started_ms,
+            restored_ms,
+        } = term;
         self.taken_over_ms = now_ms;
         let undelivered = records.iter().map(|record| record.undelivered).max();
         for record in records {
@@ -156,8 +169,8 @@
             (known, Some(after_restore)) => known.unwrap_or(0).max(after_restore),
             (Some(known), None) => known,
             (None, None) => {
-                self.first_start_ms = self.started_ms.saturating_add(millis(FIRST_START));
-                self.started_ms / self.window_ms()
+                self.first_start_ms = started_ms.saturating_add(millis(FIRST_START));
+                started_ms / self.window_ms()
             }
         };
         self.next = Some(first);
--- a/coordination/src/usage/sums.rs
+++ b/coordination/src/usage/sums.rs
@@ -32,20 +32,18 @@
 pub struct Sums {
     incarnation: u64,
     window_ms: u64,
-    since_ms: u64,
     settled: Option<u64>,
     processes: BTreeMap<(Arc<str>, u64), Process>,
     rotation: Rotation,
 }
 
 impl Sums {
-    /// Returns the sums of a hub that receives all reports from `since_ms` on.
+    /// Returns the sums of a hub that has received no reports.
     #[must_use]
-    pub fn new(incarnation: u64, window_ms: u64, since_ms: u64) -> Self {
+    pub fn new(incarnation: u64, window_ms: u64) -> Self {
         Self {
             incarnation,
             window_ms,
-            since_ms,
             settled: None,
             processes: BTreeMap::new(),
             rotation: Rotation::default(),
@@ -70,7 +68,8 @@
             rate: 0.0,
         });
         process.heard_at = now;
-        process.until_ms = process.until_ms.max(report.until_ms);
+        // A clock that was wrong at the start is put right.
+        process.until_ms = report.until_ms;
         let newest = report.windows.iter().max_by_key(|window| window.index);
         let newest = newest.map(|window| (window.index, window.total));
         if let Some((index, total)) = newest {
@@ -119,8 +118,9 @@
         });
     }
 
-    /// Returns the sums, those of some accounts if there are many.
-    pub fn report(&mut self, now: Duration) -> Report {
+    /// Returns the sums, those of some accounts if there are many. The hub has received all reports since
+    /// `since_ms`, in Unix milliseconds.
+    pub fn report(&mut self, since_ms: u64, now: Duration) -> Report {
         let mut windows: BTreeMap<u64, (Window, Counts)> = BTreeMap::new();
         let mut until_ms = u64::MAX;
         for process in self.processes.values() {
@@ -162,7 +162,7 @@
         self.rotation.limit(&mut windows);
         Report {
             incarnation: self.incarnation,
-            since_ms: self.since_ms,
+            since_ms,
             until_ms: if until_ms == u64::MAX { 0 } else { until_ms },
             windows,
         }
--- a/coordination/tests/duty.rs
+++ b/coordination/tests/duty.rs
@@ -538,3 +538,36 @@
     assert_eq!(Subject::parse("scaling/briefs"), None);
     assert_eq!(Subject::parse("scaling/briefs/cage-a/more"), None);
 }
+
+/// Guards against a holder that keeps its lock although it does not reach the provider, which other candidates
+/// may reach.
+#[test]
+fn a_holder_without_responses_of_the_provider_gives_its_lock_up() {
+    let mut duties = Duties::new(POLICY, Arc::from("entry-1"), 1, at(0));
+    duties.set_subjects(&[(Subject::Usage, Some(0))], at(0));
+    duties.record_granted(Granted { lease: 3, era: 1 }, at(3_000));
+    duties.record_acquired(&Subject::Usage, 20, 1, at(3_000));
+    let release = Action::Release {
+        subject: Subject::Usage,
+        revision: 20,
+    };
+    for now in (3_500..5_900).step_by(500) {
+        duties.record_renewed(1, at(now));
+        duties.end_call(&Subject::Usage, false, at(now));
+        assert_ne!(duties.next(at(now)), release);
+    }
+    // One response is enough to keep it.
+    let mut answered = duties.clone();
+    answered.end_call(&Subject::Usage, true, at(5_900));
+    assert_ne!(answered.next(at(6_100)), release);
+    duties.begin_call(&Subject::Usage, at(6_200));
+    assert_ne!(duties.next(at(6_100)), release, "a call is in flight");
+    assert_eq!(duties.next(at(6_200)), release);
+    duties.record_released(&Subject::Usage, at(6_210));
+    assert_eq!(
+        duties.next(at(9_300)),
+        Action::Wait {
+            until: Some(at(21_210))
+        }
+    );
+}
--- a/coordination/tests/usage.rs
+++ b/coordination/tests/usage.rs
@@ -6,7 +6,7 @@
 
 use medlarfall_coordination::true_time::TrueTime;
 use medlarfall_coordination::usage::{
-    Bounds, Count, Counter, Counts, Fleet, Record, Report, Reporter, Step, Sums,
+    Bounds, Count, Counter, Counts, Fleet, Record, Report, Reporter, Step, Sums, Term,
 };
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -56,7 +56,7 @@
         let mut counters: Vec<Counter> = (1..=6)
             .map(|incarnation| Counter::new(incarnation, WINDOW, 0))
             .collect();
-        let mut sums: Vec<Sums> = (0..2).map(|hub| Sums::new(hub, WINDOW_MS, 0)).collect();
+        let mut sums: Vec<Sums> = (0..2).map(|hub| Sums::new(hub, WINDOW_MS)).collect();
         let mut fleet = Fleet::new(WINDOW_MS);
         let mut truth: BTreeMap<u64, Counts> = BTreeMap::new();
         for now_ms in (0..14_000).step_by(20) {
@@ -87,7 +87,7 @@
                 counters[0] = Counter::new(99, WINDOW, now_ms);
             }
             for (index, domain) in ["cage-a", "cage-b"].iter().enumerate() {
-                let report = sums[index].report(at(now_ms));
+                let report = sums[index].report(0, at(now_ms));
                 if random.random_bool(0.7) {
                     fleet.record(&name(domain), &name("hub"), report, at(now_ms));
                 }
@@ -110,7 +110,7 @@
 /// up every later window.
 #[test]
 fn a_failed_entry_puts_the_counts_of_its_last_second_at_risk() {
-    let mut sums = Sums::new(1, WINDOW_MS, 0);
+    let mut sums = Sums::new(1, WINDOW_MS);
     let mut failing = Counter::new(1, WINDOW, 0);
     let mut other = Counter::new(2, WINDOW, 0);
     for now_ms in (0..3_000).step_by(10) {
@@ -118,10 +118,10 @@
     }
     sums.record(&name("entry-1"), failing.report(3_000), at(3_000));
     sums.record(&name("entry-2"), other.report(5_400), at(5_400));
-    let report = sums.report(at(5_500));
+    let report = sums.report(0, at(5_500));
     assert_eq!(report.until_ms, 3_000, "it may still report");
     sums.record(&name("entry-2"), other.report(7_000), at(7_000));
-    let report = sums.report(at(7_000));
+    let report = sums.report(0, at(7_000));
     assert_eq!(report.until_ms, 7_000);
     // It counted 100 requests a second, and reported once a second.
     assert_eq!(report.windows[0].at_risk, 110);
@@ -176,6 +176,15 @@
     assert_eq!(time.at(77_000, at(60_000)), 77_000);
 }
 
+/// Returns the begin of a term of a process that was started at `started_ms`.
+fn term(records: Vec<Record>, started_ms: u64, restored_ms: Option<u64>) -> Term {
+    Term {
+        records,
+        started_ms,
+        restored_ms,
+    }
+}
+
 /// Writes and sends every window up to `now_ms`, and returns what was sent.
 fn deliver(reporter: &mut Reporter, now_ms: u64, count: &Count) -> Vec<(u64, Counts)> {
     let mut sent = Vec::new();
@@ -195,8 +204,8 @@
 /// Guards against windows that are left out, sent twice, or sent before all have reported.
 #[test]
 fn each_window_is_reported_once_after_its_end() {
-    let mut reporter = Reporter::new(BOUNDS, 12_000);
-    reporter.take_over(Vec::new(), None, 15_500);
+    let (mut reporter, reporter_started) = (Reporter::new(BOUNDS), 12_000);
+    reporter.take_over(term(Vec::new(), reporter_started, None), 15_500);
     assert_eq!(
         reporter.next(15_500, |_| unreachable!()),
         Step::Wait(17_400)
@@ -218,8 +227,8 @@
 /// after a write whose response was lost.
 #[test]
 fn counts_are_recorded_before_they_are_sent_and_never_change() {
-    let mut reporter = Reporter::new(BOUNDS, 10_000);
-    reporter.take_over(Vec::new(), None, 13_000);
+    let (mut reporter, reporter_started) = (Reporter::new(BOUNDS), 10_000);
+    reporter.take_over(term(Vec::new(), reporter_started, None), 13_000);
     let Step::Record(first) = reporter.next(17_500, |_| complete(&[("desk", 4)])) else {
         panic!("not recorded");
     };
@@ -251,16 +260,16 @@
         counts: Arc::new(counts(&[("desk", 4)])),
         undelivered: 2,
     };
-    let mut next = Reporter::new(BOUNDS, 10_000);
-    next.take_over(vec![recorded], None, 19_000);
+    let (mut next, next_started) = (Reporter::new(BOUNDS), 10_000);
+    next.take_over(term(vec![recorded], next_started, None), 19_000);
     let sent = deliver(&mut next, 19_000, &complete(&[("desk", 5)]));
     assert_eq!(sent, [(2, counts(&[("desk", 4)]))]);
     // The window after it was not recorded: it is counted anew.
     let sent = deliver(&mut next, 22_500, &complete(&[("desk", 6)]));
     assert_eq!(sent, [(3, counts(&[("desk", 6)]))]);
     // The first holder comes back. It had decided on window 3 too, but its write failed.
-    let mut first = Reporter::new(BOUNDS, 10_000);
-    first.take_over(Vec::new(), None, 13_000);
+    let (mut first, first_started) = (Reporter::new(BOUNDS), 10_000);
+    first.take_over(term(Vec::new(), first_started, None), 13_000);
     deliver(&mut first, 17_400, &complete(&[("desk", 4)]));
     assert!(matches!(
         first.next(22_400, |_| complete(&[("desk", 9)])),
@@ -271,7 +280,7 @@
         counts: Arc::new(counts(&[("desk", 6)])),
         undelivered: 3,
     }];
-    first.take_over(records, None, 24_000);
+    first.take_over(term(records, first_started, None), 24_000);
     let sent = deliver(&mut first, 24_000, &complete(&[("desk", 9)]));
     assert_eq!(sent, [(3, counts(&[("desk", 6)]))]);
 }
@@ -286,15 +295,18 @@
         undelivered: window,
     };
     // The restored copy has window 2; windows 3 and 4 may have been reported since.
-    let mut unknowing = Reporter::new(BOUNDS, 1_000);
-    unknowing.take_over(vec![record(2)], Some(25_700), 29_000);
+    let (mut unknowing, unknowing_started) = (Reporter::new(BOUNDS), 1_000);
+    unknowing.take_over(
+        term(vec![record(2)], unknowing_started, Some(25_700)),
+        29_000,
+    );
     let sent = deliver(&mut unknowing, 33_000, &complete(&[("desk", 7)]));
     let windows: Vec<u64> = sent.iter().map(|(window, _)| *window).collect();
     assert_eq!(windows, [2, 5]);
-    let mut knowing = Reporter::new(BOUNDS, 10_000);
-    knowing.take_over(Vec::new(), None, 13_000);
+    let (mut knowing, knowing_started) = (Reporter::new(BOUNDS), 10_000);
+    knowing.take_over(term(Vec::new(), knowing_started, None), 13_000);
     deliver(&mut knowing, 22_400, &complete(&[("desk", 4)]));
-    knowing.take_over(vec![record(2)], Some(23_700), 27_000);
+    knowing.take_over(term(vec![record(2)], knowing_started, Some(23_700)), 27_000);
     let sent = deliver(&mut knowing, 27_400, &complete(&[("desk", 7)]));
     let windows: Vec<u64> = sent.iter().map(|(window, _)| *window).collect();
     assert_eq!(windows, [4], "it knows that windows 2 and 3 were accepted");
@@ -308,8 +320,8 @@
         counts: Arc::default(),
         undelivered: 5,
     };
-    let mut reporter = Reporter::new(BOUNDS, 26_000);
-    reporter.take_over(vec![record], None, 29_500);
+    let (mut reporter, reporter_started) = (Reporter::new(BOUNDS), 26_000);
+    reporter.take_over(term(vec![record], reporter_started, None), 29_500);
     let restarted = Count {
         gap: true,
         ..complete(&[("desk", 100)])
@@ -338,8 +350,8 @@
 /// Guards against a window that is decided too late to be sent, or while its counts may still arrive.
 #[test]
 fn an_incomplete_window_is_decided_on_when_it_is_due() {
-    let mut reporter = Reporter::new(BOUNDS, 10_000);
-    reporter.take_over(Vec::new(), None, 13_000);
+    let (mut reporter, reporter_started) = (Reporter::new(BOUNDS), 10_000);
+    reporter.take_over(term(Vec::new(), reporter_started, None), 13_000);
     let waiting = Count {
         waiting: vec![name("cage-b")],
         missing: 3,
@@ -362,8 +374,8 @@
 /// Guards against reports without end after a long outage of the provider.
 #[test]
 fn windows_that_the_provider_never_accepts_are_given_up() {
-    let mut reporter = Reporter::new(BOUNDS, 10_000);
-    reporter.take_over(Vec::new(), None, 13_000);
+    let (mut reporter, reporter_started) = (Reporter::new(BOUNDS), 10_000);
+    reporter.take_over(term(Vec::new(), reporter_started, None), 13_000);
     let mut given_up = 0;
     for now_ms in (13_000..400_000).step_by(100) {
         match reporter.next(now_ms, |_| complete(&[("desk", 1)])) {
@@ -382,7 +394,7 @@
 /// Guards against memory that grows with what other entries send.
 #[test]
 fn windows_without_end_are_bounded() {
-    let mut sums = Sums::new(1, WINDOW_MS, 0);
+    let mut sums = Sums::new(1, WINDOW_MS);
     for index in 0..500 {
         let window = medlarfall_coordination::usage::Window {
             index,
@@ -397,5 +409,5 @@
         };
         sums.record(&name("entry-1"), report, at(0));
     }
-    assert!(sums.report(at(0)).windows.len() <= medlarfall_coordination::usage::WINDOWS);
+    assert!(sums.report(0, at(0)).windows.len() <= medlarfall_coordination::usage::WINDOWS);
 }
--- a/relay/src/duty.rs
+++ b/relay/src/duty.rs
@@ -159,6 +159,24 @@
     ) -> impl Future<Output = Outcome> + Send;
 }
 
+/// Makes a call to the provider with the permit of a subject, and records its outcome. Drivers use it for
+/// each call.
+pub async fn call<C: Codec>(
+    relay: &Relay<C>,
+    permit: &Permit,
+    call: impl Future<Output = Outcome>,
+) -> Outcome {
+    let subject = &permit.subject;
+    let sent_at = relay.boot_clock.now();
+    relay.duties(|duties| duties.begin_call(subject, sent_at + CALL_TIMEOUT));
+    let outcome = call.await;
+    let answered = matches!(outcome, Outcome::Accepted | Outcome::Refused { .. });
+    relay.duties(|duties| duties.end_call(subject, answered, sent_at));
+    let duty = subject.duty();
+    relay.metrics.duties.count_call(duty, outcome.name());
+    outcome
+}
+
 /// Value of a lock.
 #[derive(Debug, Deserialize, Serialize)]
 struct Value {
--- a/relay/src/usage.rs
+++ b/relay/src/usage.rs
@@ -6,13 +6,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use medlarfall_coordination::usage::{Bounds, Counts, Record, Reporter, Step, WINDOWS};
+use medlarfall_coordination::usage::{Bounds, Counts, Record, Reporter, Step, Term, WINDOWS};
 use medlarfall_runtime::store::{Guard, Item, Store};
 use serde::{Deserialize, Serialize};
 use tokio::time::{sleep, timeout};
 
 use crate::codec::Codec;
-use crate::duty::{CALL_TIMEOUT, Outcome, Permit, Provider, Settings, Subject};
+use crate::duty::{self, CALL_TIMEOUT, Outcome, Permit, Provider, Settings, Subject};
 use crate::metrics::StoreCall;
 use crate::state::Relay;
 use crate::store_watch::with_timeout;
@@ -62,7 +62,7 @@
     };
     let mut changed = relay.duties_changed.subscribe();
     let mut driver = Driver {
-        reporter: Reporter::new(bounds, relay.true_ms()),
+        reporter: Reporter::new(bounds),
         relay,
         store,
         provider,
@@ -140,7 +140,13 @@
         let records: Vec<Record> = listing.items.iter().filter_map(decode).collect();
         let newest = records.iter().map(|record| record.window).max();
         let now_ms = relay.true_ms();
-        self.reporter.take_over(records, self.restored_ms, now_ms);
+        let age_ms = u64::try_from(relay.clock.now().as_millis()).unwrap_or(u64::MAX);
+        let term = Term {
+            records,
+            restored_ms: self.restored_ms,
+            started_ms: now_ms.saturating_sub(age_ms),
+        };
+        self.reporter.take_over(term, now_ms);
         self.token = Some(permit.token);
         self.settle();
         log::info!(token = permit.token, newest = newest.unwrap_or(0); "usage reports taken over");
@@ -200,11 +206,8 @@
             return permit.usable_in().max(PERMIT_PAUSE);
         }
         let relay = &self.relay;
-        let ends_at = relay.boot_clock.now() + CALL_TIMEOUT;
-        relay.duties(|duties| duties.begin_call(&Subject::Usage, ends_at));
-        let outcome = self.provider.report_usage(permit, window, counts).await;
-        let duty = Subject::Usage.duty();
-        relay.metrics.duties.count_call(duty, outcome.name());
+        let call = self.provider.report_usage(permit, window, counts);
+        let outcome = duty::call(relay, permit, call).await;
         let now_ms = relay.true_ms();
         let late_ms = (window + 1) * u64::try_from(self.reporter.window().as_millis()).unwrap_or(1);
         let late_ms = now_ms.saturating_sub(late_ms);
