--- a/coordination/src/dissemination/counts.rs
+++ b/coordination/src/dissemination/counts.rs
@@ -13,6 +13,9 @@
 /// Longest time between two reports with counts.
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
 
+/// The same for an entry that is stopping: its last counts must not be lost with it.
+const LEAVING_INTERVAL: Duration = Duration::from_millis(200);
+
 /// Time between two messages with sums while an ended window is not settled.
 const SUMS_INTERVAL: Duration = Duration::from_millis(400);
 
@@ -105,16 +108,19 @@
     }
 
     /// Returns the time until a report with counts is due.
-    pub(super) fn report_due(&self, now: Duration) -> Duration {
-        let due = self
-            .reported_at
-            .map_or(Duration::ZERO, |at| at + REPORT_INTERVAL);
+    pub(super) fn report_due(&self, leaving: bool, now: Duration) -> Duration {
+        let interval = if leaving {
+            LEAVING_INTERVAL
+        } else {
+            REPORT_INTERVAL
+        };
+        let due = self.reported_at.map_or(Duration::ZERO, |at| at + interval);
         due.saturating_sub(now)
     }
 
     /// Returns the counts for a report, if they are due.
-    pub(super) fn report(&mut self, wall_ms: u64, now: Duration) -> Option<Report> {
-        if !self.report_due(now).is_zero() {
+    pub(super) fn report(&mut self, leaving: bool, wall_ms: u64, now: Duration) -> Option<Report> {
+        if !self.report_due(leaving, now).is_zero() {
             return None;
         }
         self.reported_at = Some(now);
@@ -122,10 +128,21 @@
         Some(self.counter.report(now_ms))
     }
 
-    /// Applies the report of an entry of this failure domain.
-    pub(super) fn record_report(&mut self, entry: &Arc<str>, report: Report, now: Duration) {
+    /// Applies the report of an entry of this failure domain; `leaving` says whether it is stopping.
+    pub(super) fn record_report(
+        &mut self,
+        entry: &Arc<str>,
+        leaving: bool,
+        report: Report,
+        now: Duration,
+    ) {
+        let interval = if leaving {
+            LEAVING_INTERVAL
+        } else {
+            REPORT_INTERVAL
+        };
         if let Some(sums) = &mut self.sums {
-            sums.record(entry, report, now);
+            sums.record(entry, report, interval, now);
         }
     }
 
@@ -154,7 +171,7 @@
     pub(super) fn sums(&mut self, own: &Arc<str>, wall_ms: u64, now: Duration) -> Option<Report> {
         let now_ms = self.time.at(wall_ms, now);
         let sums = self.sums.as_mut()?;
-        sums.record(own, self.counter.report(now_ms), now);
+        sums.record(own, self.counter.report(now_ms), REPORT_INTERVAL, now);
         self.sent_at = Some(now);
         let since_ms = self.time.at(wall_ms, now);
         let summing = u64::try_from(now.saturating_sub(self.hub_since).as_millis());
--- a/coordination/src/dissemination/node/receiving.rs
+++ b/coordination/src/dissemination/node/receiving.rs
@@ -51,7 +51,7 @@
         }
         let changed = self.members.record(&sender.entry, Some(from), &report, now);
         if let Some((counts, report)) = self.counts.as_mut().zip(report.counts) {
-            counts.record_report(&sender.entry, report, now);
+            counts.record_report(&sender.entry, sender.leaving, report, now);
         }
         self.joined |= changed.joined;
         self.changed_reports += u32::from(changed.streams);
--- a/coordination/src/dissemination/node/sending.rs
+++ b/coordination/src/dissemination/node/sending.rs
@@ -93,7 +93,8 @@
         let due = (at + interval).saturating_sub(now);
         let counts_due = self.counts.as_ref().filter(|_| scope == Scope::Report);
         let soonest = (at + MIN_INTERVAL).saturating_sub(now);
-        let counts_due = counts_due.map(|counts| counts.report_due(now).max(soonest));
+        let counts_due =
+            counts_due.map(|counts| counts.report_due(self.own.leaving, now).max(soonest));
         counts_due.map_or(due, |counts_due| counts_due.min(due))
     }
 
@@ -206,6 +207,7 @@
         let lost = self.lost.batch(Scope::Report, periodic, now);
         let successors = self.successors.batch(Scope::Report, periodic, now);
         let counts = self.counts.as_mut().zip(self.own.wall_ms);
+        let leaving = self.own.leaving;
         let report = Report {
             streams: self.own.streams.clone(),
             lost,
@@ -215,7 +217,7 @@
             prompts: self.prompts.batch(Scope::Report, periodic, now),
             calls: self.calls.batch(Scope::Report, periodic, now),
             limits: self.limits.batch(Scope::Report, periodic, now),
-            counts: counts.and_then(|(counts, wall_ms)| counts.report(wall_ms, now)),
+            counts: counts.and_then(|(counts, wall_ms)| counts.report(leaving, wall_ms, now)),
         };
         self.reported = self.own.clone();
         let streams = report.streams.iter().copied();
--- a/coordination/src/duty.rs
+++ b/coordination/src/duty.rs
@@ -277,6 +277,7 @@
     retry_at: Duration,
     subjects: BTreeMap<Subject, State>,
     stopping: bool,
+    store_available: bool,
     events: Vec<Event>,
 }
 
@@ -295,6 +296,7 @@
             retry_at: now,
             subjects: BTreeMap::new(),
             stopping: false,
+            store_available: true,
             events: Vec::new(),
         }
     }
@@ -329,6 +331,11 @@
         self.stopping = true;
     }
 
+    /// Sets whether the store responds, as far as is known. No lock is acquired while it does not.
+    pub fn set_store_available(&mut self, available: bool) {
+        self.store_available = available;
+    }
+
     /// Applies the era of the store. In another era the locks and leases of the earlier one are worth
     /// nothing. The first known era may have begun just now.
     pub fn set_era(&mut self, era: u64, now: Duration) {
@@ -410,7 +417,7 @@
                     state.reported = true;
                     self.events.push(Event::Unheld(subject.clone(), unheld_for));
                 }
-                if state.held.is_some() {
+                if state.held.is_some() || !self.store_available {
                     continue;
                 }
                 let turn = CANDIDATE_DELAY * u32::try_from(position).unwrap_or(u32::MAX);
--- a/coordination/src/usage/sums.rs
+++ b/coordination/src/usage/sums.rs
@@ -4,13 +4,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::{Counts, Merged, Report, Rotation, WINDOWS, Window};
+use super::{Counts, Merged, Report, Rotation, WINDOWS, Window, millis};
 
 /// Time after which a silent entry counts as failed. Entries report once a second.
 const SILENCE: Duration = Duration::from_millis(3_500);
 
-/// Longest time between two reports of an entry: what it counted for this time may be lost with it.
-const REPORT_INTERVAL_MS: u64 = 1_100;
+/// Time by which a report may be later than its interval.
+const REPORT_DELAY: Duration = Duration::from_millis(100);
 
 /// Processes that are kept without counts that are still needed.
 const PROCESSES: usize = 4_096;
@@ -23,6 +23,8 @@
     /// Whether a later process of the entry was heard of.
     replaced: bool,
     windows: BTreeMap<u64, Merged>,
+    /// Longest time between its reports: what it counted for this time may be lost with it.
+    interval_ms: u64,
     /// Requests per second in the windows that it reported last.
     rate: f64,
 }
@@ -50,8 +52,8 @@
         }
     }
 
-    /// Applies the report of an entry.
-    pub fn record(&mut self, entry: &Arc<str>, report: Report, now: Duration) {
+    /// Applies the report of an entry, which sends the next one after `interval`.
+    pub fn record(&mut self, entry: &Arc<str>, report: Report, interval: Duration, now: Duration) {
         let key = (Arc::clone(entry), report.incarnation);
         if !self.processes.contains_key(&key) {
             let first = (Arc::clone(entry), 0);
@@ -65,8 +67,10 @@
             until_ms: 0,
             replaced: false,
             windows: BTreeMap::new(),
+            interval_ms: 0,
             rate: 0.0,
         });
+        process.interval_ms = millis(interval + REPORT_DELAY);
         process.heard_at = now;
         // A clock that was wrong at the start is put right.
         process.until_ms = report.until_ms;
@@ -113,7 +117,7 @@
             process.windows = process.windows.split_off(&(index + 1));
         }
         self.processes.retain(|_, process| {
-            let gone = process.has_failed(now) && process.until_ms + REPORT_INTERVAL_MS < end_ms;
+            let gone = process.has_failed(now) && process.until_ms + process.interval_ms < end_ms;
             !gone || !process.windows.is_empty()
         });
     }
@@ -141,9 +145,9 @@
             // The requests that it may have counted after its last report, in the window of that time.
             let index = process.until_ms / self.window_ms;
             let rest_ms = (index + 1) * self.window_ms - process.until_ms;
-            let (first_ms, second_ms) = match REPORT_INTERVAL_MS.checked_sub(rest_ms) {
+            let (first_ms, second_ms) = match process.interval_ms.checked_sub(rest_ms) {
                 Some(second_ms) => (rest_ms, second_ms),
-                None => (REPORT_INTERVAL_MS, 0),
+                None => (process.interval_ms, 0),
             };
             for (index, lost_ms) in [(index, first_ms), (index + 1, second_ms)] {
                 let lost = requests(process.rate, lost_ms);
--- a/coordination/tests/usage.rs
+++ b/coordination/tests/usage.rs
@@ -80,7 +80,7 @@
                 let report = counter.report(now_ms);
                 // The report before a restart arrives: what it lacks is lost with the entry.
                 if now_ms == 7_000 || random.random_bool(0.7) {
-                    sums[index % 2].record(&entry, report, at(now_ms));
+                    sums[index % 2].record(&entry, report, at(1_000), at(now_ms));
                 }
             }
             if now_ms == 7_000 {
@@ -116,11 +116,16 @@
     for now_ms in (0..3_000).step_by(10) {
         failing.count(&name("desk"), now_ms);
     }
-    sums.record(&name("entry-1"), failing.report(3_000), at(3_000));
-    sums.record(&name("entry-2"), other.report(5_400), at(5_400));
+    sums.record(
+        &name("entry-1"),
+        failing.report(3_000),
+        at(1_000),
+        at(3_000),
+    );
+    sums.record(&name("entry-2"), other.report(5_400), at(1_000), at(5_400));
     let report = sums.report(0, at(5_500));
     assert_eq!(report.until_ms, 3_000, "it may still report");
-    sums.record(&name("entry-2"), other.report(7_000), at(7_000));
+    sums.record(&name("entry-2"), other.report(7_000), at(1_000), at(7_000));
     let report = sums.report(0, at(7_000));
     assert_eq!(report.until_ms, 7_000);
     // It counted 100 requests a second, and reported once a second.
@@ -407,7 +412,7 @@
             windows: vec![window],
             ..Report::default()
         };
-        sums.record(&name("entry-1"), report, at(0));
+        sums.record(&name("entry-1"), report, at(1_000), at(0));
     }
     assert!(sums.report(0, at(0)).windows.len() <= medlarfall_coordination::usage::WINDOWS);
 }
--- a/relay/src/duty.rs
+++ b/relay/src/duty.rs
@@ -251,7 +251,9 @@
     let keep = now.saturating_sub(*hub_at) < HUB_LOSS;
     let era = relay.store_era();
     let stopping = *relay.stopping.borrow();
+    let store_available = relay.store_available();
     relay.duties(|duties| {
+        duties.set_store_available(store_available);
         for (subject, position) in subjects.iter().zip(&mut positions) {
             if keep && position.is_none() && duties.permit(subject, now).is_some() {
                 *position = Some(usize::MAX);
