--- a/coordination/src/duty.rs
+++ b/coordination/src/duty.rs
@@ -278,6 +278,8 @@
     subjects: BTreeMap<Subject, State>,
     stopping: bool,
     store_available: bool,
+    /// Time from which the next call to the provider may be sent.
+    next_call_at: Duration,
     events: Vec<Event>,
 }
 
@@ -297,6 +299,7 @@
             subjects: BTreeMap::new(),
             stopping: false,
             store_available: true,
+            next_call_at: now,
             events: Vec::new(),
         }
     }
@@ -569,6 +572,14 @@
         }
     }
 
+    /// Reserves a call to the provider, and returns the time until it may be sent. Calls of this entry are sent
+    /// `spacing` apart.
+    pub fn reserve_call(&mut self, spacing: Duration, now: Duration) -> Duration {
+        let at = self.next_call_at.max(now);
+        self.next_call_at = at + spacing;
+        at.saturating_sub(now)
+    }
+
     /// Records that a call for a subject is being sent that ends by `until`.
     pub fn begin_call(&mut self, subject: &Subject, until: Duration) {
         if let Some(held) = self
--- a/coordination/tests/duty.rs
+++ b/coordination/tests/duty.rs
@@ -571,3 +571,12 @@
         }
     );
 }
+
+/// Guards against calls above the rate that the provider accepts.
+#[test]
+fn calls_are_spaced() {
+    let mut duties = Duties::new(POLICY, Arc::from("entry-1"), 1, at(0));
+    let mut reserve = |now| duties.reserve_call(at(80), at(now));
+    let waits = [1_000, 1_000, 1_010, 2_000].map(&mut reserve);
+    assert_eq!(waits, [at(0), at(80), at(150), at(0)]);
+}
--- a/relay/src/duty.rs
+++ b/relay/src/duty.rs
@@ -31,6 +31,10 @@
 /// Delay of a renewal from which it is logged.
 const LATE_RENEWAL: Duration = Duration::from_millis(300);
 
+/// Entries that may call the provider at the same time within the rate that it accepts. More than that rarely
+/// have calls to make at once, and calls that it refuses are repeated.
+const CALLING_ENTRIES: u32 = 4;
+
 /// Settings of the duties.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Settings {
@@ -167,6 +171,10 @@
     call: impl Future<Output = Outcome>,
 ) -> Outcome {
     let subject = &permit.subject;
+    let calls_per_s = relay.settings.duties.map_or(1.0, |it| it.calls_per_s);
+    let spacing = Duration::from_secs_f64(f64::from(CALLING_ENTRIES) / calls_per_s);
+    let reserve = |duties: &mut duty::Duties| duties.reserve_call(spacing, relay.boot_clock.now());
+    sleep(relay.duties(reserve).unwrap_or_default()).await;
     let sent_at = relay.boot_clock.now();
     relay.duties(|duties| duties.begin_call(subject, sent_at + CALL_TIMEOUT));
     let outcome = call.await;
