--- a/coordination/src/dissemination/counts.rs
+++ b/coordination/src/dissemination/counts.rs
@@ -13,6 +13,9 @@
 /// Longest time between two reports with counts.
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
 
+/// The same for an entry that is stopping: its last counts must not be lost with it.
+const LEAVING_INTERVAL: Duration = Duration::from_millis(200);
+
 /// Time between two messages with sums while an ended window is not settled.
 const SUMS_INTERVAL: Duration = Duration::from_millis(400);
 
@@ -20,7 +23,7 @@
 const OPEN_INTERVAL: Duration = Duration::from_millis(1_200);
 
 /// Time after an entry became a hub until which reports may not have been sent to it.
-const JOINING_MS: u64 = 1_100;
+const JOINING: Duration = Duration::from_millis(1_100);
 
 /// State of the counts at one entry.
 #[derive(Clone, Debug)]
@@ -30,6 +33,8 @@
     counter: Counter,
     /// Sums of the failure domain, while this entry is its hub.
     sums: Option<Sums>,
+    /// When it became a hub.
+    hub_since: Duration,
     fleet: Fleet,
     time: TrueTime,
     settled: Option<u64>,
@@ -48,6 +53,7 @@
             window_ms,
             counter: Counter::new(incarnation, window, wall_ms),
             sums: None,
+            hub_since: Duration::ZERO,
             fleet: Fleet::new(window_ms),
             time: TrueTime::default(),
             settled: None,
@@ -96,22 +102,25 @@
     }
 
     /// Starts or stops adding up the failure domain's counts.
-    pub(super) fn set_hub(&mut self, hub: bool, wall_ms: u64, now: Duration) {
-        let since_ms = self.time.at(wall_ms, now) + JOINING_MS;
-        self.sums = hub.then(|| Sums::new(self.incarnation, self.window_ms, since_ms));
+    pub(super) fn set_hub(&mut self, hub: bool, now: Duration) {
+        self.hub_since = now + JOINING;
+        self.sums = hub.then(|| Sums::new(self.incarnation, self.window_ms));
     }
 
     /// Returns the time until a report with counts is due.
-    pub(super) fn report_due(&self, now: Duration) -> Duration {
-        let due = self
-            .reported_at
-            .map_or(Duration::ZERO, |at| at + REPORT_INTERVAL);
+    pub(super) fn report_due(&self, leaving: bool, now: Duration) -> Duration {
+        let interval = if leaving {
+            LEAVING_INTERVAL
+        } else {
+            REPORT_INTERVAL
+        };
+        let due = self.reported_at.map_or(Duration::ZERO, |at| at + interval);
         due.saturating_sub(now)
     }
 
     /// Returns the counts for a report, if they are due.
-    pub(super) fn report(&mut self, wall_ms: u64, now: Duration) -> Option<Report> {
-        if !self.report_due(now).is_zero() {
+    pub(super) fn report(&mut self, leaving: bool, wall_ms: u64, now: Duration) -> Option<Report> {
+        if !self.report_due(leaving, now).is_zero() {
             return None;
         }
         self.reported_at = Some(now);
@@ -119,10 +128,21 @@
         Some(self.counter.report(now_ms))
     }
 
-    /// Applies the report of an entry of this failure domain.
-    pub(super) fn record_report(&mut self, entry: &Arc<str>, report: Report, now: Duration) {
+    /// Applies the report of an entry of this failure domain; `leaving` says whether it is stopping.
+    pub(super) fn record_report(
+        &mut self,
+        entry: &Arc<str>,
+        leaving: bool,
+        report: Report,
+        now: Duration,
+    ) {
+        let interval = if leaving {
+            LEAVING_INTERVAL
+        } else {
+            REPORT_INTERVAL
+        };
         if let Some(sums) = &mut self.sums {
-            sums.record(entry, report, now);
+            sums.record(entry, report, interval, now);
         }
     }
 
@@ -151,9 +171,13 @@
     pub(super) fn sums(&mut self, own: &Arc<str>, wall_ms: u64, now: Duration) -> Option<Report> {
         let now_ms = self.time.at(wall_ms, now);
         let sums = self.sums.as_mut()?;
-        sums.record(own, self.counter.report(now_ms), now);
+        sums.record(own, self.counter.report(now_ms), REPORT_INTERVAL, now);
         self.sent_at = Some(now);
-        Some(sums.report(now))
+        let since_ms = self.time.at(wall_ms, now);
+        let summing = u64::try_from(now.saturating_sub(self.hub_since).as_millis());
+        let joining = u64::try_from(self.hub_since.saturating_sub(now).as_millis());
+        let since_ms = since_ms.saturating_sub(summing.unwrap_or(u64::MAX));
+        Some(sums.report(since_ms.saturating_add(joining.unwrap_or_default()), now))
     }
 
     /// Returns what is known of a window.
