fix(coordination): do not take the counts of the first seconds for growth

Counts of entries are up to a second old, so the first sums after the load has begun are too low and looked like growth, which kept servers for 20 s. The demand now counts as known 3 s after the first requests, and needs are remembered from then on. Steps down follow each second. Nothing is lowered while more than a quarter of a failure domain's servers are suspect, and the share below which it counts as lost is 0.25, which orderly steps do not reach.

Also tests that hubs know the demand of all failure domains, or that it is unknown.

--- a/coordination/src/autoscaling/fleet.rs
+++ b/coordination/src/autoscaling/fleet.rs
@@ -14,8 +14,8 @@
 
 mod state;
 
-/// Time from the first known demand until an order may be lowered: the window of the entries' counts, and
-/// the time until all of them are known here.
+/// Time from the first requests until the demand is known: the window of the entries' counts, and the time
+/// until all of them are known here. Counts before that are too low, and would look like growth.
 const SETTLE_TIME: Duration = Duration::from_secs(3);
 
 /// Measurements of the time for a prompt from which it is known. A single one may be from an unusual server.
@@ -147,11 +147,10 @@
             let first = self.active.map_or(now, |(first, _)| first);
             self.active = Some((first, now));
         }
-        // Counts of the first window are lower than the load and would look like growth.
         let Some((first, _)) = self.active else {
             return;
         };
-        if now.saturating_sub(first) >= WINDOW {
+        if now.saturating_sub(first) >= SETTLE_TIME {
             self.history.push(total, now);
             for state in self.states.values_mut() {
                 let demand = state.demand(now).unwrap_or_default();
@@ -161,7 +160,7 @@
     }
 
     fn record_needs(&mut self, now: Duration) {
-        if self.active.is_none() {
+        if self.history.is_empty() {
             return;
         }
         let needs: Vec<f64> = self
@@ -243,7 +242,7 @@
             _ if now.saturating_sub(first) < SETTLE_TIME => "demand known too recently",
             _ if silent >= WINDOW && silent < UNKNOWN_LIMIT => "no requests",
             None if prompts => "time for a prompt unknown",
-            _ if self.states.values().any(State::is_lost) => "servers of a failure domain lost",
+            _ if self.states.values().any(State::is_impaired) => "servers unreachable",
             _ => "",
         }
     }
--- a/coordination/src/autoscaling/fleet/state.rs
+++ b/coordination/src/autoscaling/fleet/state.rs
@@ -8,34 +8,36 @@
 use super::Reason;
 use crate::routing::Autoscaling;
 
-/// Time for which needs are known at least before an order is lowered.
-const HOLD_TIME: Duration = Duration::from_millis(2_500);
+/// Time for which needs are known at least before an order is lowered. Until then the demand has settled.
+const HOLD_TIME: Duration = Duration::from_secs(1);
 
 /// Time for which a greater need is remembered: a load that has fallen may come back sooner than new servers
 /// serve.
 const MEMORY: Duration = Duration::from_secs(20);
 
-/// Share of the remembered needs, as a fraction, that may exceed a lower order: the greatest ones are due to
-/// chance.
-const EXCEPTIONS: (usize, usize) = (1, 10);
+/// Remembered needs of which one may exceed a lower order: the greatest ones are due to chance.
+const EXCEPTIONS: usize = 10;
 
 /// Time between two steps down, and the share of the servers that remains after one, as a fraction. After
 /// each step the next observations show whether the remaining servers suffice.
-const STEP_TIME: Duration = Duration::from_millis(1_500);
+const STEP_TIME: Duration = Duration::from_secs(1);
 const STEP: (u32, u32) = (2, 3);
 
 /// Share of an order below which a difference is not worth an order: random arrivals change the need by as
 /// much.
 const TOLERANCE: f64 = 0.05;
 
-/// Time over which the greatest number of servers is remembered. Two steps down within it leave 0.44 of the
+/// Time over which the greatest number of servers is remembered. Three steps down within it leave 0.3 of the
 /// servers, more than [`LOST_SHARE`].
 const PEAK_TIME: Duration = Duration::from_secs(3);
 
 /// Share of its servers below which a failure domain counts as lost, and from which it counts as back.
-const LOST_SHARE: f64 = 0.4;
+const LOST_SHARE: f64 = 0.25;
 const BACK_SHARE: f64 = 0.6;
 
+/// Share of suspect servers of a failure domain from which no order is lowered.
+const SUSPECT_SHARE: f64 = 0.25;
+
 /// Time for which a failure domain must be lost before the others get more servers for it. Servers that
 /// crash are back after 1 to 2 s.
 const LOST_CONFIRMATION: Duration = Duration::from_millis(2_500);
@@ -139,9 +141,11 @@
             && now.saturating_sub(heard) >= UNKNOWN_LIMIT
     }
 
-    /// Returns whether most of its servers were lost and are not back.
-    pub(super) fn is_lost(&self) -> bool {
-        self.lost.is_some()
+    /// Returns whether many of its servers were lost and are not back.
+    pub(super) fn is_impaired(&self) -> bool {
+        let ready = f64::from(self.servers.ready);
+        let suspect = f64::from(self.servers.suspect);
+        self.lost.is_some() || suspect > ready * SUSPECT_SHARE
     }
 
     /// Adds the need at a time.
@@ -215,7 +219,9 @@
         }
         let mut needs: Vec<f64> = self.needs.iter().map(|(_, need)| *need).collect();
         needs.sort_by(|left, right| right.total_cmp(left));
-        let highest = needs[needs.len() * EXCEPTIONS.0 / EXCEPTIONS.1];
+        // Rounded to the nearest number.
+        let exceptions = (needs.len() + EXCEPTIONS / 2) / EXCEPTIONS;
+        let highest = needs[exceptions.min(needs.len() - 1)];
         let step = (given.desired * STEP.0).div_ceil(STEP.1);
         let desired = servers(highest).max(step).clamp(limits.min, limits.max);
         let least = (f64::from(given.desired) * TOLERANCE).max(1.0);
--- a/coordination/src/autoscaling/history.rs
+++ b/coordination/src/autoscaling/history.rs
@@ -119,9 +119,10 @@
         (1.0 + slope * time.as_secs_f64() / rate).min(MAX_GROWTH)
     }
 
-    /// Drops all demands.
-    pub fn clear(&mut self) {
-        self.samples.clear();
+    /// Returns whether no demand is known.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.samples.is_empty()
     }
 }
 
--- a/coordination/tests/dissemination.rs
+++ b/coordination/tests/dissemination.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use medlarfall_coordination::autoscaling::Demand;
 use medlarfall_coordination::balance::{Candidate, choose};
 use medlarfall_coordination::canary;
 use medlarfall_coordination::dissemination::{
@@ -616,6 +617,49 @@
     assert_eq!(own.entries, 299);
 }
 
+/// Guards against orders of servers by a part of the load: hubs know the demand in each failure domain, and
+/// that it is unknown if an entry does not report it or the failure domain is cut off.
+#[test]
+fn hubs_know_the_demand_or_that_it_is_unknown() {
+    let mut fleet = Fleet::start(36, 3, 47);
+    let service: Arc<str> = Arc::from("briefs");
+    let demand = Demand {
+        entries: 1,
+        requests: 2,
+        prompt_tokens: 10_400,
+        running: 3,
+        waiting: 1,
+        measured: 4,
+        prefill_ns: 800_000,
+    };
+    for own in &mut fleet.own {
+        own.demands = vec![(Arc::clone(&service), demand)];
+    }
+    fleet.run(Duration::from_millis(2_500), 1);
+    let known = |fleet: &Fleet, domain: usize| {
+        let hubs = fleet.nodes.iter().zip(&fleet.domains);
+        let hubs = hubs.filter(|(node, own)| node.is_hub() && **own != 2);
+        let demands: Vec<Option<Demand>> = hubs
+            .map(|(node, _)| node.demands(&service, fleet.now)[&domain_name(domain)])
+            .collect();
+        assert_eq!(demands.len(), 4, "two hubs in each of two failure domains");
+        let first = demands[0];
+        assert!(demands.iter().all(|demand| *demand == first), "{demands:?}");
+        first
+    };
+    let sum = (0..12).fold(Demand::default(), |sum, _| sum.plus(demand));
+    assert_eq!(
+        [0, 1, 2].map(|domain| known(&fleet, domain)),
+        [Some(sum); 3]
+    );
+    // An entry of an earlier version reports no demand.
+    fleet.own[3].demands.clear();
+    fleet.cut.insert(2);
+    fleet.run(Duration::from_secs(7), 0);
+    let expected = [None, Some(sum), None];
+    assert_eq!([0, 1, 2].map(|domain| known(&fleet, domain)), expected);
+}
+
 /// Each entry learns all observations of a move, also when a tenth of the datagrams is lost.
 #[test]
 fn observations_of_a_move_reach_all_entries() {
