--- a/coordination/src/autoscaling/fleet/state.rs
+++ b/coordination/src/autoscaling/fleet/state.rs
@@ -39,8 +39,8 @@
 const SUSPECT_SHARE: f64 = 0.25;
 
 /// Time for which a failure domain must be lost before the others get more servers for it. Servers that
-/// crash are back after 1 to 2 s.
-const LOST_CONFIRMATION: Duration = Duration::from_millis(2_500);
+/// crash are back after 1 to 2 s, and may count as suspect for some seconds more.
+const LOST_CONFIRMATION: Duration = Duration::from_secs(4);
 
 /// Time after which a lost failure domain is taken as it is.
 const LOST_LIMIT: Duration = Duration::from_mins(1);
@@ -187,7 +187,9 @@
         let lower = self.lower_to(&given, limits, now);
         let highest = f64::from(given.desired) * (1.0 + TOLERANCE);
         let raised = servers(need).clamp(limits.min, limits.max);
-        let (desired, reason) = if need > highest && raised > given.desired {
+        let exceeds = need > highest && raised > given.desired;
+        // Servers of a lost failure domain would not serve.
+        let (desired, reason) = if exceeds && self.is_serving(now) {
             (raised, Reason::Raised)
         } else if let Some(desired) = lower.filter(|_| may_lower) {
             (desired, Reason::Lowered)
@@ -221,7 +223,7 @@
         needs.sort_by(|left, right| right.total_cmp(left));
         // Rounded to the nearest number.
         let exceptions = (needs.len() + EXCEPTIONS / 2) / EXCEPTIONS;
-        let highest = needs[exceptions.min(needs.len() - 1)];
+        let highest = needs[exceptions.min(needs.len() - 1)].max(self.need());
         let step = (given.desired * STEP.0).div_ceil(STEP.1);
         let desired = servers(highest).max(step).clamp(limits.min, limits.max);
         let least = (f64::from(given.desired) * TOLERANCE).max(1.0);
--- a/coordination/src/autoscaling/history.rs
+++ b/coordination/src/autoscaling/history.rs
@@ -18,7 +18,7 @@
 const STEP_DEVIATIONS: f64 = 2.5;
 
 /// Standard deviations by which the growth must exceed what random arrivals look like. With 1.5, orders on a
-/// calm day cost 2% more, and growth was not detected earlier.
+/// calm day cost up to 2% more, and growth was not detected earlier.
 const GROWTH_DEVIATIONS: f64 = 2.0;
 
 /// Greatest factor by which the demand is expected to grow until new servers serve. A load that grows more
