--- a/coordination/src/autoscaling/fleet/state.rs
+++ b/coordination/src/autoscaling/fleet/state.rs
@@ -224,7 +224,8 @@
         // Rounded to the nearest number.
         let exceptions = (needs.len() + EXCEPTIONS / 2) / EXCEPTIONS;
         let highest = needs[exceptions.min(needs.len() - 1)].max(self.need());
-        let step = (given.desired * STEP.0).div_ceil(STEP.1);
+        let step = given.desired.saturating_mul(STEP.0).div_ceil(STEP.1);
+        let step = step.min(given.desired.saturating_sub(1));
         let desired = servers(highest).max(step).clamp(limits.min, limits.max);
         let least = (f64::from(given.desired) * TOLERANCE).max(1.0);
         let difference = f64::from(given.desired) - f64::from(desired);
