--- a/relay/src/autoscaling.rs
+++ b/relay/src/autoscaling.rs
@@ -30,6 +30,8 @@
 struct Sent {
     /// Token of the term in which they were sent.
     token: u64,
+    /// Whether the number has changed since the last accepted order.
+    changed: bool,
     /// When the next order is due if the number does not change.
     due_at: Duration,
     /// Orders that failed since the last one that was accepted.
@@ -121,13 +123,18 @@
                     continue;
                 };
                 // The first number of a term is that of the registered servers, which needs no order.
-                let sent = known.unwrap_or(Sent {
+                let mut sent = known.unwrap_or(Sent {
                     token: permit.token,
+                    changed: false,
                     due_at: now + REPEAT_INTERVAL,
                     failures: 0,
                 });
-                let changed = order.reason != Reason::Unchanged;
-                if (changed && sent.failures == 0) || now >= sent.due_at {
+                sent.changed |= order.reason != Reason::Unchanged;
+                let due = (sent.changed && sent.failures == 0) || now >= sent.due_at;
+                if due && permit.allows(CALL_TIMEOUT) {
+                    let ends_at = self.relay.boot_clock.now() + CALL_TIMEOUT;
+                    self.relay
+                        .duties(|duties| duties.begin_call(&subject, ends_at));
                     calls.push(Call {
                         service: Arc::clone(service),
                         failure_domain: Arc::clone(failure_domain),
@@ -148,8 +155,8 @@
                 failure_domain,
             } = subject
             {
-                let metrics = &self.relay.metrics;
-                metrics.duties.set_desired(service, failure_domain, None);
+                let metrics = &self.relay.metrics.duties;
+                metrics.set_desired(service, failure_domain, None);
             }
         }
         self.sent = held;
@@ -174,6 +181,7 @@
             let pause = match outcome {
                 Outcome::Accepted => {
                     sent.failures = 0;
+                    sent.changed = false;
                     REPEAT_INTERVAL
                 }
                 outcome => {
@@ -184,10 +192,8 @@
             sent.due_at = now + pause;
         }
         if *outcome == Outcome::Accepted {
-            let metrics = &self.relay.metrics;
-            metrics
-                .duties
-                .set_desired(service, failure_domain, Some(order.desired));
+            let metrics = &self.relay.metrics.duties;
+            metrics.set_desired(service, failure_domain, Some(order.desired));
         }
         let reason = outcome.reason();
         log::info!(
--- a/relay/src/metrics/duties.rs
+++ b/relay/src/metrics/duties.rs
@@ -35,6 +35,15 @@
     pub outcome: &'static str,
 }
 
+/// Labels of a service in one failure domain.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct GroupLabels {
+    /// The service.
+    pub service: String,
+    /// The failure domain.
+    pub failure_domain: String,
+}
+
 /// The metrics.
 #[derive(Debug)]
 pub struct Metrics {
@@ -44,6 +53,8 @@
     pub unheld: Family<SubjectLabels, Gauge<f64, AtomicU64>>,
     /// Calls to the provider by duty and outcome.
     pub calls: Family<DutyCallLabels, Counter>,
+    /// Servers that this entry ordered last, by service and failure domain whose orders it gives.
+    pub desired_servers: Family<GroupLabels, Gauge>,
     /// Usage windows by outcome: `reported`, `uncounted` or `abandoned`.
     pub windows: Family<OutcomeLabels, Counter>,
     /// Servers that this entry ordered last, by service and failure domain whose orders it gives.
@@ -72,6 +83,12 @@
                 "Calls to the provider",
                 Family::default(),
             ),
+            desired_servers: add(
+                new,
+                "desired_servers",
+                "Servers ordered last",
+                Family::default(),
+            ),
             windows: add(
                 new,
                 "usage_windows",
@@ -93,6 +110,21 @@
         self.calls.get_or_create(&labels).inc();
     }
 
+    /// Sets the number of servers that this entry ordered last; `None` if another entry gives the orders.
+    pub fn set_desired(&self, service: &str, failure_domain: &str, desired: Option<u32>) {
+        let labels = GroupLabels {
+            service: service.to_owned(),
+            failure_domain: failure_domain.to_owned(),
+        };
+        match desired {
+            Some(desired) => {
+                let gauge = self.desired_servers.get_or_create(&labels).clone();
+                gauge.set(i64::from(desired));
+            }
+            None => drop(self.desired_servers.remove(&labels)),
+        }
+    }
+
     /// Counts a usage window.
     pub fn count_window(&self, outcome: &'static str) {
         let labels = OutcomeLabels { outcome };
