--- a/relay/src/metrics/duties.rs
+++ b/relay/src/metrics/duties.rs
@@ -10,7 +10,6 @@
 use prometheus_client::registry::Registry;
 
 use super::add;
-use super::labels::GroupLabels;
 
 /// Label of the subject of a duty.
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
@@ -57,8 +56,6 @@
     pub desired_servers: Family<GroupLabels, Gauge>,
     /// Usage windows by outcome: `reported`, `uncounted` or `abandoned`.
     pub windows: Family<OutcomeLabels, Counter>,
-    /// Servers that this entry ordered last, by service and failure domain whose orders it gives.
-    pub desired_servers: Family<GroupLabels, Gauge>,
 }
 
 impl Metrics {
@@ -95,12 +92,6 @@
                 "Usage windows by outcome",
                 Family::default(),
             ),
-            desired_servers: add(
-                new,
-                "desired_servers",
-                "Servers ordered last",
-                Family::default(),
-            ),
         }
     }
 
@@ -131,21 +122,6 @@
         self.windows.get_or_create(&labels).inc();
     }
 
-    /// Sets the number of servers that this entry ordered last; `None` if another entry gives the orders.
-    pub fn set_desired(&self, service: &str, failure_domain: &str, desired: Option<u32>) {
-        let labels = GroupLabels {
-            service: service.to_owned(),
-            failure_domain: failure_domain.to_owned(),
-        };
-        match desired {
-            Some(desired) => {
-                let gauge = self.desired_servers.get_or_create(&labels).clone();
-                gauge.set(i64::from(desired));
-            }
-            None => drop(self.desired_servers.remove(&labels)),
-        }
-    }
-
     /// Sets whether this entry holds a subject, and for how long nobody has.
     pub fn set_subject(&self, subject: String, held: bool, unheld: Duration) {
         let labels = SubjectLabels { subject };
