feat(coordination): admission to a service whose capacity is shared by entries

Cause: when servers of a service are lost, each entry sends all calls at once, the queues of the servers decide, and callers return in lockstep.

Change: coordination::room divides the capacity of a service among priorities and accounts, at all entries alike, lets that part of each account's requests through, and lets others wait or return at a pace. Nothing uses it yet.

--- a/coordination/src/lib.rs
+++ b/coordination/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod retry_budget;
 pub mod revision;
 pub mod rollout;
+pub mod room;
 pub mod routing;
 pub mod schedule;
 pub mod server_limit;
