--- a/coordination/src/lib.rs
+++ b/coordination/src/lib.rs
@@ -36,6 +36,7 @@
 pub mod routing;
 pub mod schedule;
 pub mod server_limit;
+pub mod server_load;
 pub mod server_pause;
 pub mod store_outage;
 pub mod warmup;
