feat(relay): calls are admitted by the capacity that entries share

Two of three servers lost leave 6 slots for calls of 75 entries.

Change: relay::admission drives coordination::room for services whose servers report slowness. Placement of calls has a module of its own.

Ruled out: Returns::next_in_pause for the pace; with a wait of zero all callers returned at once.

--- a/coordination/src/dissemination.rs
+++ b/coordination/src/dissemination.rs
@@ -20,6 +20,7 @@
 
 pub mod codec;
 mod crash_news;
+pub mod demands;
 pub mod ledger;
 mod members;
 pub mod moves;
@@ -27,6 +28,7 @@
 mod node;
 pub mod roster;
 
+pub use demands::Demand;
 pub use ledger::{Count, Summary};
 pub use moves::MoveReport;
 pub use node::{Identity, Node, Own};
@@ -134,6 +136,8 @@
     pub calls: Crashes,
     /// What servers said of their limits, and how long ago.
     pub limits: Vec<(ServerLimit, Duration)>,
+    /// What its callers ask for, of services whose capacity is nearly used up.
+    pub demand: Demand,
 }
 
 /// State of failure domains.
@@ -153,6 +157,9 @@
     pub calls: Crashes,
     /// What servers said of their limits, and how long ago.
     pub limits: Vec<(ServerLimit, Duration)>,
+    /// What callers ask for, of services whose capacity is nearly used up: in the sender's failure domain, or
+    /// for its members in all.
+    pub demand: Demand,
     /// Entries of the sender's failure domain that can be its hubs.
     pub contacts: Vec<Contact>,
 }
--- a/coordination/src/dissemination/codec.rs
+++ b/coordination/src/dissemination/codec.rs
@@ -11,8 +11,10 @@
 use crate::history::Revision;
 use crate::quarantine::{Loss, Part};
 use crate::retry_budget::Usage;
+use crate::room;
 use crate::server_limit::Named;
 
+use super::demands::{self, Demand};
 use super::{
     Contact, Content, Count, Crashes, Digest, Message, MoveReport, Report, Sender, ServerLimit,
     Successor, Summary, Tag,
@@ -117,6 +119,7 @@
             call_losses: texts(report.calls.losses, encode_loss),
             call_answers: texts(report.calls.answers, encode_answer),
             server_limits: encode_limits(&report.limits),
+            demands: texts(report.demand, encode_demand),
         }
     }
 }
@@ -134,6 +137,7 @@
             prompts: decode_crashes(report.prompt_losses, report.prompt_answers),
             calls: decode_crashes(report.call_losses, report.call_answers),
             limits: decode_limits(report.server_limits)?,
+            demand: decode_demand(report.demands)?,
         })
     }
 }
@@ -161,6 +165,7 @@
             call_losses: texts(digest.calls.losses, encode_loss),
             call_answers: texts(digest.calls.answers, encode_answer),
             server_limits: encode_limits(&digest.limits),
+            demands: texts(digest.demand, encode_demand),
             contacts: texts(digest.contacts, contact),
             updates: None,
         }
@@ -198,6 +203,7 @@
             prompts: decode_crashes(digest.prompt_losses, digest.prompt_answers),
             calls: decode_crashes(digest.call_losses, digest.call_answers),
             limits: decode_limits(digest.server_limits)?,
+            demand: decode_demand(digest.demands)?,
             contacts: digest
                 .contacts
                 .into_iter()
@@ -333,6 +339,37 @@
     })
 }
 
+fn encode_demand((service, demands): (Arc<str>, Vec<room::Demand>)) -> peers::ServiceDemand {
+    let keys = demands.iter().map(|demand| demand.key);
+    peers::ServiceDemand {
+        service: service.to_string(),
+        accounts: keys.clone().map(|key| key.account).collect(),
+        priorities: keys.map(|key| u32::from(key.priority)).collect(),
+        rates: demands.iter().map(|demand| demand.rate).collect(),
+    }
+}
+
+fn decode_demand(services: Vec<peers::ServiceDemand>) -> Result<Demand, Invalid> {
+    let decode = |service: peers::ServiceDemand| {
+        let length = service.accounts.len();
+        if service.priorities.len() != length || service.rates.len() != length {
+            return Err(Invalid::Lengths { part: "demands" });
+        }
+        let keys = service.accounts.into_iter().zip(service.priorities);
+        let demands = keys.zip(service.rates).take(demands::KEYS);
+        let demands = demands.map(|((account, priority), rate)| room::Demand {
+            key: room::Key {
+                priority: u8::try_from(priority).unwrap_or(u8::MAX),
+                account,
+            },
+            rate,
+        });
+        Ok((Arc::from(service.service), demands.collect()))
+    };
+    let services = services.into_iter().take(demands::SERVICES);
+    services.map(decode).collect()
+}
+
 impl From<Successor> for peers::Successor {
     fn from(successor: Successor) -> Self {
         Self {
--- a/coordination/src/dissemination/node.rs
+++ b/coordination/src/dissemination/node.rs
@@ -9,8 +9,10 @@
 use crate::quarantine::{Kind, Loss, Part};
 use crate::reader_election::{Election, Rank};
 use crate::retry_budget::{Others, Usage};
+use crate::room;
 
 use super::crash_news::CrashNews;
+use super::demands::{Demand, Demands};
 use super::ledger::{Count, Ledger, Summary};
 use super::members::{Change, Members};
 use super::moves::{MoveReport, Reports};
@@ -51,6 +53,8 @@
     pub streams: Vec<(Tag, Count)>,
     /// Its requests and retries, by service.
     pub usage: Vec<(Arc<str>, Usage)>,
+    /// What its callers ask for, of services whose capacity is nearly used up.
+    pub demand: Demand,
     /// Revision of the store up to which it knows all changes.
     pub revision: Revision,
     /// Whether it reads the store and its last call succeeded.
@@ -96,6 +100,7 @@
     prompts: CrashNews,
     calls: CrashNews,
     limits: news::News<ServerLimit>,
+    demands: Demands,
     election: Election,
     sent: [Sent; Scope::COUNT],
     hub: bool,
@@ -132,6 +137,7 @@
             prompts: CrashNews::default(),
             calls: CrashNews::default(),
             limits: news::News::with_capacity(LIMITS),
+            demands: Demands::default(),
             sent: [Sent::default(); Scope::COUNT],
             hub: false,
             started_at: now,
@@ -206,6 +212,12 @@
         }
     }
 
+    /// Returns what is asked for of a service at the other entries, as far as they say so.
+    #[must_use]
+    pub fn others_demand(&self, service: &str, now: Duration) -> Vec<room::Demand> {
+        self.demands.of_others(service, self.hub, now)
+    }
+
     /// Returns the number of known entries, this one included.
     #[must_use]
     pub fn entries(&self) -> u32 {
@@ -352,6 +364,7 @@
         self.prompts.expire(now);
         self.calls.expire(now);
         self.limits.expire(now);
+        self.demands.expire(now);
         let change = self.members.expire(now);
         self.update_sums(change, now);
         self.ledger.expire(now);
--- a/coordination/src/dissemination/node/receiving.rs
+++ b/coordination/src/dissemination/node/receiving.rs
@@ -50,6 +50,8 @@
         self.joined |= changed.joined;
         self.changed_reports += u32::from(changed.streams);
         self.update_sums(changed, now);
+        self.demands
+            .record_member(&sender.entry, report.demand, now);
         let received = Received {
             lost: report.lost,
             successors: report.successors,
@@ -93,6 +95,12 @@
                 self.ledger.apply(summary, now);
             }
         }
+        if usable && local {
+            self.demands.record_total(digest.demand, now);
+        } else if usable {
+            self.demands
+                .record_domain(&sender.failure_domain, digest.demand, now);
+        }
         let Digest {
             lost,
             successors,
--- a/coordination/src/dissemination/node/sending.rs
+++ b/coordination/src/dissemination/node/sending.rs
@@ -84,6 +84,9 @@
             Scope::Report if self.heard_at.is_none() && self.roster().responds() => {
                 FIRST_REPORT_INTERVAL
             }
+            Scope::Report if !self.own.demand.is_empty() || !self.reported.demand.is_empty() => {
+                DIGEST_INTERVAL
+            }
             Scope::Report => REPORT_INTERVAL,
             Scope::Members | Scope::Hubs => DIGEST_INTERVAL,
         };
@@ -205,12 +208,16 @@
             prompts: self.prompts.batch(Scope::Report, periodic, now),
             calls: self.calls.batch(Scope::Report, periodic, now),
             limits: self.limits.batch(Scope::Report, periodic, now),
+            demand: self.own.demand.clone(),
         };
         self.reported = self.own.clone();
         let streams = report.streams.iter().copied();
         self.ledger
             .set_reported(streams, report.usage.iter().cloned(), now);
         let entry = Arc::clone(&self.identity.contact.entry);
+        self.demands.set_reported(&report.demand);
+        self.demands
+            .record_member(&entry, report.demand.clone(), now);
         let changed = self.members.record(&entry, None, &report, now);
         self.update_sums(changed, now);
         report
@@ -227,6 +234,10 @@
             prompts: self.prompts.batch(scope, periodic, now),
             calls: self.calls.batch(scope, periodic, now),
             limits: self.limits.batch(scope, periodic, now),
+            demand: match scope {
+                Scope::Hubs => self.demands.of_domain(now),
+                _ => self.demands.of_all(now),
+            },
             contacts: if periodic {
                 self.contacts()
             } else {
--- a/coordination/src/room.rs
+++ b/coordination/src/room.rs
@@ -190,6 +190,12 @@
         }
     }
 
+    /// Returns the factor by which queues at servers have corrected the estimated capacity.
+    #[must_use]
+    pub fn correction(&self) -> f64 {
+        self.correction.unwrap_or(1.0)
+    }
+
     /// Returns the number of requests that wait.
     #[must_use]
     pub fn waiting(&self) -> usize {
@@ -343,8 +349,11 @@
     pub fn next_return(&mut self, key: Key, wait: Duration, now: Duration) -> Duration {
         let pace = self.credits.pace(key.priority, &self.shares);
         let returns = self.returns.entry(key.priority).or_default();
-        let wait = wait.min(LONGEST_RETURN);
-        let next = returns.next_in_pause(wait, pace.max(0.1), now);
+        // A caller who returns sooner than a request takes finds the same queues.
+        let least = self
+            .capacity
+            .map_or(Duration::ZERO, |(known, _)| known.time);
+        let next = returns.next(wait.max(least).min(LONGEST_RETURN), pace.max(0.1), now);
         next.min(LONGEST_RETURN)
     }
 }
--- a/relay/src/attempt.rs
+++ b/relay/src/attempt.rs
@@ -22,6 +22,7 @@
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
+use crate::admission;
 use crate::codec::{Codec, Command, Dispatch, Health, Reply, Report};
 use crate::state::{Backend, Relay};
 
@@ -188,6 +189,7 @@
     let now = relay.clock.now();
     if let Some(report) = reply.load {
         backend.record_report(report, now);
+        admission::record_report(relay, backend, report);
     }
     if reply.matches {
         relay.record_limit(backend, reply.limit);
--- a/relay/src/call.rs
+++ b/relay/src/call.rs
@@ -11,11 +11,16 @@
 use medlarfall_coordination::routing::Kind;
 use tokio::sync::mpsc;
 
+use crate::admission;
 use crate::answer::{Content, Part, Reason, Refusal};
 use crate::attempt::{self, Answer, Failure};
-use crate::codec::{Codec, Dispatch};
-use crate::ingress::{Job, SHORT_WAIT};
-use crate::state::{Backend, Criteria, Measure, Measurement, Relay};
+use crate::codec::Codec;
+use crate::ingress::Job;
+use crate::state::{Backend, Measurement, Relay};
+
+use self::placement::{dispatch, next, refusal};
+
+mod placement;
 
 /// Largest response that is buffered before the caller gets its first byte. A buffered response
 /// that is truncated can be retried or turned into an error.
@@ -24,22 +29,12 @@
 /// Parts of a larger response that are queued for a slow caller.
 const PART_QUEUE: usize = 8;
 
-/// Load that is added to servers in another failure domain. Calls are short, so a free slot
-/// elsewhere is worth the extra latency.
-const REMOTE_PENALTY: f64 = 0.5;
-
-/// Usual duration of a call, over which the weight of server reports decays.
-const HORIZON: Duration = Duration::from_millis(100);
-
 /// Attempts that reached no server or were refused by one, after which the request is refused.
 const REFUSAL_LIMIT: u32 = 4;
 
 /// Retry delay when all servers are at capacity: the duration of a few calls.
 const FULL_PAUSE: Duration = Duration::from_millis(100);
 
-/// Retry delay when no server is known: a failure is detected within this time.
-const NO_SERVER_PAUSE: Duration = Duration::from_millis(250);
-
 /// A server's response, whole or with a body that still arrives.
 struct Received {
     status: StatusCode,
@@ -116,6 +111,7 @@
     progress: &mut Progress,
 ) -> Result<Received, Refusal> {
     let mut failed: Option<Received> = None;
+    admission::admit(relay, job).await?;
     loop {
         if let Some(pause) = relay.refused_for(&job.fingerprint) {
             let refused = match progress.ran {
@@ -165,6 +161,9 @@
                 progress.arrivals += 1;
                 progress.refusals += 1;
                 progress.full |= status != 421;
+                if status == 503 {
+                    admission::record_rejection(relay, job);
+                }
                 log_failure(job, &backend, "not_run", "refused by the server");
             }
             Err(Failure::Lost {
@@ -182,7 +181,7 @@
         if progress.ran > 0 && (!may_retry || relay.suspects(&job.fingerprint)) {
             return failed.ok_or(Refusal::new(Reason::Lost));
         }
-        if progress.refusals >= REFUSAL_LIMIT {
+        if progress.refusals >= admission::attempts(relay, job).unwrap_or(REFUSAL_LIMIT) {
             return failed.ok_or_else(|| refusal(relay, job, progress));
         }
     }
@@ -244,83 +243,6 @@
     );
 }
 
-/// Returns the refusal of a call that no server accepted. Servers that have refused it can have capacity
-/// before the pause of another one ends.
-fn refusal<C: Codec>(relay: &Relay<C>, job: &Job, progress: &Progress) -> Refusal {
-    let (reason, pause) = match progress {
-        progress if progress.ran > 0 => return Refusal::new(Reason::Lost),
-        progress if progress.full => (Reason::Full, FULL_PAUSE),
-        _ => (Reason::NoServer, NO_SERVER_PAUSE),
-    };
-    let criteria = criteria(relay, job, progress);
-    let untried = relay.limit_wait(criteria);
-    let all = relay.limit_wait(Criteria {
-        excluded: &[],
-        ..criteria
-    });
-    match all.or(untried.filter(|wait| *wait < pause)) {
-        Some(wait) => {
-            let pause = relay.limit_pause(&job.service, wait);
-            Refusal::with_retry(Reason::Limited, pause)
-        }
-        None => Refusal::with_retry(reason, pause),
-    }
-}
-
-/// Returns the criteria for the next server.
-fn criteria<'call, C: Codec>(
-    relay: &Relay<C>,
-    job: &'call Job,
-    progress: &'call Progress,
-) -> Criteria<'call> {
-    Criteria {
-        service: &job.service,
-        excluded: &progress.tried,
-        avoided_domains: &[],
-        remote_penalty: REMOTE_PENALTY,
-        measure: Measure::Calls { horizon: HORIZON },
-        cohort: if progress.tried.is_empty() {
-            job.cohort
-        } else {
-            relay.assign_retry_cohort(&job.service)
-        },
-        version: None,
-        request_hash: job.request_hash(),
-    }
-}
-
-/// Chooses the next server. The first attempt waits up to [`SHORT_WAIT`] for one to become known, or to
-/// take a request within its limit.
-async fn next<C: Codec>(relay: &Relay<C>, job: &Job, progress: &Progress) -> Option<Arc<Backend>> {
-    let criteria = criteria(relay, job, progress);
-    if let Some(backend) = relay.choose(criteria) {
-        return Some(backend);
-    }
-    if !progress.tried.is_empty() {
-        return None;
-    }
-    let limit_wait = relay.limit_wait(criteria);
-    if limit_wait.is_some_and(|wait| wait > SHORT_WAIT) {
-        return None;
-    }
-    let mut changed = relay.changed.subscribe();
-    let known = changed.wait_for(|_| relay.choose(criteria).is_some());
-    let _ = tokio::time::timeout(limit_wait.unwrap_or(SHORT_WAIT), known).await;
-    relay.choose(criteria)
-}
-
-fn dispatch<C: Codec>(relay: &Relay<C>, job: &Job, backend: &Backend) -> Dispatch {
-    Dispatch {
-        server: Arc::clone(&backend.server),
-        account: job.account.as_ref().map(|a| Arc::clone(&a.name)),
-        priority: job.priority(),
-        remaining: job.deadline.saturating_sub(relay.clock.now()),
-        backup_target: None,
-        resume_from: None,
-        last_event: None,
-    }
-}
-
 /// Reads a server's response, whole if it is within [`BUFFER_LIMIT`]; the rest of a larger one is
 /// forwarded until the deadline.
 async fn read_response<C: Codec>(
--- a/relay/src/lib.rs
+++ b/relay/src/lib.rs
@@ -9,6 +9,7 @@
 //! [`medlarfall_coordination::dissemination`] decides. [`quarantine`] records the prompts that crash
 //! servers in the store. A [`codec::Codec`] translates the outside protocol.
 
+pub mod admission;
 pub mod answer;
 pub mod attempt;
 pub mod backup;
--- a/relay/src/metrics.rs
+++ b/relay/src/metrics.rs
@@ -15,8 +15,10 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::{Metric, Registry};
 
+mod admission;
 mod labels;
 
+pub use admission::Admission;
 pub use labels::{CauseLabels, EndLabels, KindLabels, RouteLabels, ServiceLabels, StoreCall};
 
 /// Upper bound of the first latency bucket, in seconds.
@@ -110,6 +112,8 @@
     pub messages_rejected: Counter,
     /// Tasks that ended unexpectedly and were started again, by name.
     pub task_restarts: Family<KindLabels, Counter>,
+    /// Admission to services whose servers report slowness.
+    pub admission: Admission,
     /// Whether this entry is a hub of its failure domain: 1 or 0.
     pub hub: Gauge,
     /// Version of the configuration in force.
@@ -208,6 +212,7 @@
                 "Tasks started again",
                 Family::default(),
             ),
+            admission: Admission::new(new),
             hub: add(new, "hub", "Whether the entry is a hub", gauge()),
             configuration: add(new, "configuration", "Version in force", gauge()),
             store_up: add(new, "store_up", "Whether the store answers", gauge()),
--- a/relay/src/state.rs
+++ b/relay/src/state.rs
@@ -14,6 +14,7 @@
 use medlarfall_runtime::clock::Clock;
 use tokio::sync::{Notify, watch};
 
+use crate::admission;
 use crate::changelog::Changelog;
 use crate::codec::Codec;
 use crate::metrics::Metrics;
@@ -25,6 +26,7 @@
 mod peers;
 mod placement;
 mod quarantine;
+mod rooms;
 mod servers;
 mod view;
 
@@ -96,6 +98,8 @@
     pub quarantine_changed: Notify,
     /// Whether this entry reads the store and its last call succeeded.
     pub reads_store: AtomicBool,
+    /// Admission to services whose servers report slowness.
+    pub admission: admission::Services,
     view: Mutex<View>,
     changelog: Mutex<Changelog>,
     catching_up: AtomicBool,
@@ -132,6 +136,7 @@
             moves_changed: Notify::new(),
             quarantine_changed: Notify::new(),
             reads_store: AtomicBool::new(false),
+            admission: admission::Services::default(),
             view: Mutex::new(View::new(node)),
             changelog: Mutex::default(),
             catching_up: AtomicBool::new(false),
--- a/relay/src/state/peers.rs
+++ b/relay/src/state/peers.rs
@@ -11,6 +11,7 @@
 use medlarfall_coordination::quarantine::Kind;
 use medlarfall_coordination::retry_budget::Usage;
 
+use crate::admission;
 use crate::codec::Codec;
 
 use super::Relay;
@@ -86,10 +87,12 @@
         let leaving = *self.stopping.borrow();
         let reads_store = self.reads_store.load(Ordering::Relaxed);
         let streams = self.own_streams();
+        let demand = admission::demand(self);
         let (was_hub, outgoing) = self.view(|view| {
             let own = Own {
                 streams,
                 usage: view.retry_usage(now),
+                demand,
                 revision,
                 reads_store,
                 store_available: view.registry.store_available(),
--- a/relay/tests/datagram.rs
+++ b/relay/tests/datagram.rs
@@ -36,6 +36,7 @@
         prefilling: server % 2,
     };
     Digest {
+        demand: Vec::new(),
         summaries: vec![Summary {
             failure_domain: Arc::from("cage-b"),
             entries: 49,
