feat(relay): probes of servers stay in proportion to requests

Cause: a server that processes many prompts is silent for long and is probed by each entry with a stream there. At five times the usual number of generations 136,513 probes were seen for 11,780 requests, each on a new connection.

The monitor holds the first probe of a silent server back without one, and queries of prompt caches take from the same budget. The second probe, which finds a server lost, is not held back. Only servers that report slowness are concerned. Not measured on a network.

--- a/coordination/src/lib.rs
+++ b/coordination/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod pacing;
 pub mod placement;
 pub mod planned_stop;
+pub mod probe_budget;
 pub mod quarantine;
 pub mod reader_election;
 pub mod registry;
--- a/coordination/src/liveness.rs
+++ b/coordination/src/liveness.rs
@@ -97,6 +97,12 @@
         }
     }
 
+    /// Returns whether the last probe got no response.
+    #[must_use]
+    pub fn has_failed_probe(&self) -> bool {
+        self.failed_probes > 0
+    }
+
     /// Returns how long the server has been silent.
     #[must_use]
     pub fn silence(&self, now: Duration) -> Duration {
--- a/relay/src/ingress.rs
+++ b/relay/src/ingress.rs
@@ -204,6 +204,7 @@
         return Err(Refusal::new(Reason::PromptTooLarge));
     }
     relay.count_request(&service);
+    relay.record_probed_request();
     let cohort = relay.assign_cohort(&service);
     let original = Original {
         request_id: Arc::clone(&head.request_id),
--- a/relay/src/monitor.rs
+++ b/relay/src/monitor.rs
@@ -14,6 +14,9 @@
 use crate::codec::{Codec, Report};
 use crate::state::{Backend, Relay};
 
+/// Pause of a probe that the budget does not allow.
+const WITHHELD_PAUSE: Duration = Duration::from_millis(100);
+
 /// Monitoring state of a server with streams.
 #[derive(Debug)]
 struct Watched {
@@ -93,6 +96,15 @@
         })
     }
 
+    /// Returns whether the last probe got no valid response.
+    fn has_failed_probe(&self) -> bool {
+        self.with(|watched| {
+            watched
+                .as_ref()
+                .is_some_and(|it| it.detector.has_failed_probe())
+        })
+    }
+
     /// Records that a probe sent at `sent_at` got no valid response.
     fn record_failed_probe(&self, sent_at: Duration) {
         self.with(|watched| {
@@ -132,8 +144,14 @@
         backend.monitor.step(relay.clock.now(), prefilling)
     };
     while let Some(step) = step() {
+        let confirms = backend.monitor.has_failed_probe();
         match step {
             Step::Wait(until) => tokio::time::sleep_until(relay.clock.instant(until)).await,
+            // The second probe of a server is not held back, so that a loss is found soon after the first.
+            Step::Probe if !confirms && backend.reports_slowness() && relay.take_probes(1) == 0 => {
+                relay.metrics.count_probe("withheld");
+                tokio::time::sleep(WITHHELD_PAUSE).await;
+            }
             Step::Probe => probe(&relay, &backend).await,
             Step::Lost => {
                 relay.record_unreachable(&backend);
--- a/relay/src/prompt_cache.rs
+++ b/relay/src/prompt_cache.rs
@@ -37,7 +37,11 @@
     part: &str,
 ) -> Option<Arc<Backend>> {
     let limit = query_limit(relay.settings.link_mbps);
-    let backends = relay.likely_servers(criteria, limit);
+    let mut backends = relay.likely_servers(criteria, limit);
+    if backends.iter().any(|backend| backend.reports_slowness()) {
+        let allowed = relay.take_probes(backends.len());
+        backends.truncate(allowed);
+    }
     let queries = backends
         .iter()
         .map(|backend| cached_tokens(relay, backend, part));
--- a/relay/src/state.rs
+++ b/relay/src/state.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use medlarfall_coordination::dissemination::{Contact, Identity, Node};
+use medlarfall_coordination::probe_budget::Budget;
 use medlarfall_coordination::retry_budget::Bounds;
 use medlarfall_coordination::routing::{Limits, Table};
 use medlarfall_coordination::{canary, liveness};
@@ -101,6 +102,8 @@
     pub reads_store: AtomicBool,
     /// Admission to services whose servers report slowness.
     pub admission: admission::Services,
+    /// Probes of servers that report slowness.
+    probes: Mutex<Budget>,
     view: Mutex<View>,
     changelog: Mutex<Changelog>,
     catching_up: AtomicBool,
@@ -138,6 +141,7 @@
             quarantine_changed: Notify::new(),
             reads_store: AtomicBool::new(false),
             admission: admission::Services::default(),
+            probes: Mutex::new(Budget::new(clock.now())),
             view: Mutex::new(View::new(node)),
             changelog: Mutex::default(),
             catching_up: AtomicBool::new(false),
@@ -148,6 +152,21 @@
         act(&mut self.view.lock().unwrap_or_else(PoisonError::into_inner))
     }
 
+    /// Counts a request towards the budget of probes.
+    pub fn record_probed_request(&self) {
+        let now = self.clock.now();
+        let mut budget = self.probes.lock().unwrap_or_else(PoisonError::into_inner);
+        budget.record_request(now);
+    }
+
+    /// Takes up to `wanted` probes from the budget; returns how many may be sent.
+    #[must_use]
+    pub fn take_probes(&self, wanted: usize) -> usize {
+        let now = self.clock.now();
+        let mut budget = self.probes.lock().unwrap_or_else(PoisonError::into_inner);
+        budget.take(u32::try_from(wanted).unwrap_or(u32::MAX), now) as usize
+    }
+
     /// Reads or changes the log of the store's changes.
     pub fn changelog<T>(&self, act: impl FnOnce(&mut Changelog) -> T) -> T {
         act(&mut self
