feat(relay): streams are admitted by the capacity that entries share

A less urgent stream has 6 s more to its target, and took the servers first.

Change: streams are admitted by prompt processing, slots and memory, at a cost in proportion to their prompts, once a stream has had events (before, the speed of prompt processing is not known). Streams that are resumed are not held back. Less urgent requests wait at their entry while queues at servers are longer than wanted. Where entries don't say what is asked for, the capacity is divided by the requests a second that all share; compared with the requests of a longer window, an entry with few requests took its own for more than its share and rejected them at half the capacity.

--- a/coordination/src/room.rs
+++ b/coordination/src/room.rs
@@ -21,7 +21,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use crate::server_limit::{self, Returns};
+use crate::server_limit::Returns;
 
 mod credits;
 mod request;
@@ -237,7 +237,7 @@
         let rate = if others.silent {
             rate / f64::from(others.entries.max(1))
         } else if others.demand.is_empty() {
-            rate * server_limit::share(others.requests.0, others.requests.1, others.entries)
+            rate * own_rate / (own_rate + others.rate).max(1e-6)
         } else {
             rate
         };
@@ -279,13 +279,15 @@
         }
         let part = self.shares.part(key);
         let on_time = busy <= target;
+        let yields = self.yields(key, now);
         let first = on_time && !self.turns.is_before(key);
-        if on_time && (part >= 1.0 || (first && self.credits.take(key, cost))) {
+        if on_time && !yields && (part >= 1.0 || (first && self.credits.take(key, cost))) {
             return Decision::Send;
         }
         let ahead = self.turns.cost_before(key);
         let turn = self.credits.turn(key, cost + ahead, part);
         let turn = turn.max(busy.saturating_sub(target.max(time)));
+        let turn = if yields { turn.max(time) } else { turn };
         let late = turn * WAIT_SHARE + busy > target;
         if (late && part < LATE_PART) || turn + busy > deadline {
             return self.reject(key, Reason::Share, turn, now);
@@ -305,6 +307,20 @@
         Decision::Wait { ticket, longest }
     }
 
+    /// Returns whether queues at servers are longer than wanted.
+    fn wait_is_long(&self, now: Duration) -> bool {
+        let wanted = self
+            .capacity(now)
+            .map(|known| known.time.mul_f64(WANTED_WAIT));
+        wanted.is_some_and(|wanted| self.wait(now) > wanted)
+    }
+
+    /// Returns whether a request must wait for the queues at servers to shorten, since they delay more urgent
+    /// ones: servers take requests in the order in which they come.
+    fn yields(&self, key: Key, now: Duration) -> bool {
+        self.wait_is_long(now) && self.shares.has_more_urgent(key.priority)
+    }
+
     /// Returns the requests whose turn it is.
     pub fn poll(&mut self, others: &Others, now: Duration) -> Vec<Ticket> {
         if self.turns.len() == 0 {
@@ -315,8 +331,12 @@
         if !self.tight {
             return self.turns.drain();
         }
+        let wait_is_long = self.wait_is_long(now);
         let (credits, shares) = (&mut self.credits, &self.shares);
         self.turns.pop(|waiting| {
+            if wait_is_long && shares.has_more_urgent(waiting.key.priority) {
+                return false;
+            }
             if waiting.late {
                 return credits.take_unused(waiting.cost);
             }
@@ -361,9 +381,6 @@
 /// Returns what is asked for at all entries, in requests a second.
 fn wanted(own: &[Demand], others: &Others) -> f64 {
     let own: f64 = own.iter().map(Demand::rate).sum();
-    if others.demand.is_empty() {
-        let share = server_limit::share(others.requests.0, others.requests.1, others.entries);
-        return own / share.max(1e-6);
-    }
-    own + others.demand.iter().map(Demand::rate).sum::<f64>()
+    let named: f64 = others.demand.iter().map(Demand::rate).sum();
+    own + named.max(others.rate)
 }
--- a/coordination/src/room/request.rs
+++ b/coordination/src/room/request.rs
@@ -19,8 +19,8 @@
 pub struct Others {
     /// What is asked for there, if they say so.
     pub demand: Vec<Demand>,
-    /// Requests of this entry in a time span, and of all entries.
-    pub requests: (u32, u32),
+    /// Requests a second at the other entries, which they share at any load.
+    pub rate: f64,
     /// Known entries, this one included.
     pub entries: u32,
     /// Whether none of the other known entries is heard of.
--- a/coordination/src/room/shares.rs
+++ b/coordination/src/room/shares.rs
@@ -94,6 +94,8 @@
     named: HashMap<Key, f64>,
     /// Part of the demand of a priority's other accounts.
     others: BTreeMap<u8, f64>,
+    /// Most urgent priority that is asked for.
+    most_urgent: Option<u8>,
     /// Priority from which on nothing is left, if there is one.
     exhausted: Option<u8>,
 }
@@ -109,6 +111,7 @@
             let priority = priorities.entry(demand.key.priority).or_default();
             priority.push(*demand);
         }
+        shares.most_urgent = priorities.keys().next().copied();
         for (priority, demands) in priorities {
             let wanted: f64 = demands.iter().map(Demand::rate).sum();
             let level = if wanted <= rate {
@@ -131,6 +134,12 @@
         shares
     }
 
+    /// Returns whether anything more urgent than a priority is asked for.
+    #[must_use]
+    pub fn has_more_urgent(&self, priority: u8) -> bool {
+        self.most_urgent.is_some_and(|urgent| urgent < priority)
+    }
+
     /// Returns the part of a key's demand that is served, from 0 to 1.
     #[must_use]
     pub fn part(&self, key: Key) -> f64 {
--- a/coordination/tests/room.rs
+++ b/coordination/tests/room.rs
@@ -5,11 +5,14 @@
 #[path = "support/site.rs"]
 mod site;
 
-use site::{CAPACITY, Callers, Mode, Outcome, Site, TARGET};
+use site::{CALLS, Callers, Kind, Mode, Outcome, STREAMS, Site};
 
 const SECOND: u64 = 1_000_000;
 const LENGTH: u64 = 20;
 
+/// Target latency of calls.
+const TARGET: u64 = 150_000;
+
 const fn key(priority: u8, account: u32) -> Key {
     Key { priority, account }
 }
@@ -31,7 +34,7 @@
 
 /// Runs a site until it is steady, and then for [`LENGTH`] seconds.
 fn run(mode: Mode, entries: usize, callers: &[Callers]) -> Site {
-    let mut site = Site::new(mode, entries, callers, 7);
+    let mut site = Site::new(CALLS, mode, entries, callers, 7);
     site.run(6 * SECOND);
     site.run((6 + LENGTH) * SECOND);
     site
@@ -41,7 +44,7 @@
 fn total(site: &Site, value: impl Fn(&Outcome) -> f64) -> f64 {
     let total: f64 = site.outcomes.values().map(value).sum();
     #[expect(clippy::cast_precision_loss, reason = "a small number")]
-    let possible = CAPACITY * LENGTH as f64;
+    let possible = CALLS.capacity() * LENGTH as f64;
     total / possible
 }
 
@@ -107,7 +110,7 @@
     for entries in [1, 9, 75] {
         for load in [2.0, 5.0] {
             let site = run(Mode::Shared, entries, &accounts(load, entries));
-            let possible = CAPACITY * 20.0;
+            let possible = CALLS.capacity() * 20.0;
             for (key, outcome) in &site.outcomes {
                 let share = outcome.served / (possible / 9.0);
                 println!(
@@ -120,26 +123,51 @@
     }
 }
 
+/// Lets urgent requests and others compete, at all entries and at half of them. Returns the parts of them
+/// that are answered on time.
+fn compete(kind: Kind, targets: [u64; 2], entries: usize, load: f64, mode: Mode) -> [f64; 2] {
+    let callers = |priority: u8, load: f64, entries: usize, target: u64| Callers {
+        key: key(priority, 5),
+        load,
+        entries,
+        target,
+    };
+    let callers = [
+        callers(0, load * 0.4, entries, targets[0]),
+        callers(2, load * 0.6, entries.div_ceil(2), targets[1]),
+    ];
+    let length = kind.deadline * 20;
+    let mut site = Site::new(kind, mode, entries, &callers, 7);
+    site.run(length / 4);
+    site.run(length);
+    let parts = callers.map(|callers| {
+        let outcome = site.outcomes[&callers.key];
+        outcome.on_time / outcome.calls
+    });
+    println!("{kind:?}, {entries} entries, load {load}, {mode:?}: on time {parts:.3?}");
+    parts
+}
+
 /// Guards against less urgent requests that get the capacity first, at this entry or at another one.
 #[test]
 fn urgent_requests_fare_best() {
     for entries in [1, 9, 75] {
         for load in LOADS {
-            let callers = |priority: u8, load: f64, entries: usize, target: u64| Callers {
-                key: key(priority, 5),
-                load,
-                entries,
-                target,
-            };
-            let callers = [
-                callers(0, load * 0.4, entries, TARGET),
-                callers(2, load * 0.6, entries.div_ceil(2), TARGET * 5 / 2),
-            ];
-            let site = run(Mode::Shared, entries, &callers);
-            let part = |key: &Key| site.outcomes[key].on_time / site.outcomes[key].calls;
-            let (urgent, other) = (part(&callers[0].key), part(&callers[1].key));
-            println!("{entries} entries, load {load}: urgent {urgent:.3}, other {other:.3}");
-            assert!(urgent >= other - 0.01, "{entries} entries, load {load}");
+            for (kind, targets) in [
+                (CALLS, [TARGET, TARGET * 5 / 2]),
+                (STREAMS, [4 * SECOND, 10 * SECOND]),
+            ] {
+                let [urgent, other] = compete(kind, targets, entries, load, Mode::Shared);
+                let [urgent_today, _] = compete(kind, targets, entries, load, Mode::Today);
+                assert!(
+                    urgent >= other - 0.01,
+                    "{kind:?}, {entries} entries, load {load}"
+                );
+                assert!(
+                    urgent >= urgent_today - 0.02,
+                    "{kind:?}, {entries} entries, load {load}"
+                );
+            }
         }
     }
 }
@@ -149,7 +177,7 @@
 fn the_share_of_a_dead_entry_is_free_within_two_seconds() {
     let (mut before, mut after) = (0.0, 0.0);
     for seed in 0..10 {
-        let mut site = Site::new(Mode::Shared, 9, &accounts(2.0, 9), seed);
+        let mut site = Site::new(CALLS, Mode::Shared, 9, &accounts(2.0, 9), seed);
         site.run(6 * SECOND);
         site.run(8 * SECOND);
         before += total(&site, |outcome| outcome.on_time);
@@ -166,10 +194,10 @@
 /// servers' rejections decide.
 #[test]
 fn without_reports_all_are_sent() {
-    let mut site = Site::new(Mode::Shared, 9, &accounts(0.5, 9), 7);
+    let mut site = Site::new(CALLS, Mode::Shared, 9, &accounts(0.5, 9), 7);
     site.reports = false;
     site.run(6 * SECOND);
     assert!(!site.room(0).is_tight());
     let served: f64 = site.outcomes.values().map(|outcome| outcome.served).sum();
-    assert!(served >= 0.45 * CAPACITY * 6.0, "{served}");
+    assert!(served >= 0.45 * CALLS.capacity() * 6.0, "{served}");
 }
--- a/coordination/tests/support/site.rs
+++ b/coordination/tests/support/site.rs
@@ -11,20 +11,46 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-/// Usual time of a call at a server, in microseconds.
-pub const CALL: u64 = 33_000;
 const SERVERS: usize = 3;
-const SLOTS: usize = 2;
 /// Calls that a server queues before it rejects further ones.
 const QUEUE: usize = 24;
-const DEADLINE: u64 = 1_000_000;
-/// Usual target latency, in microseconds.
-pub const TARGET: u64 = 150_000;
 /// Time between two messages of an entry, and until the others have them.
 const MESSAGES: u64 = 400_000;
-/// Calls a second that the servers complete.
-#[expect(clippy::cast_precision_loss, reason = "small numbers")]
-pub const CAPACITY: f64 = 1e6 * (SERVERS * SLOTS) as f64 / CALL as f64;
+
+/// A kind of requests, with times in microseconds.
+#[derive(Clone, Copy, Debug)]
+pub struct Kind {
+    /// Usual time at a server, for a stream until its first event.
+    pub time: u64,
+    pub slots: usize,
+    pub deadline: u64,
+    /// Whether entries tell each other their requests at each server, every 100 ms.
+    pub counted: bool,
+}
+
+/// Calls.
+pub const CALLS: Kind = Kind {
+    time: 33_000,
+    slots: 2,
+    deadline: 1_000_000,
+    counted: false,
+};
+
+/// Generations, whose prompts a server processes one after the other.
+pub const STREAMS: Kind = Kind {
+    time: 1_000_000,
+    slots: 1,
+    deadline: 30_000_000,
+    counted: true,
+};
+
+impl Kind {
+    /// Returns the requests a second that the servers complete.
+    pub fn capacity(self) -> f64 {
+        1e6 * f64::from(u32::try_from(SERVERS * self.slots).unwrap())
+            / f64::from(u32::try_from(self.time).unwrap())
+    }
+}
 
 /// How calls are admitted.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -41,7 +67,7 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Callers {
     pub key: Key,
-    /// Calls a second at all entries together, relative to [`CAPACITY`].
+    /// Calls a second at all entries together, relative to the capacity.
     pub load: f64,
     /// Entries that they send to, from the first one on.
     pub entries: usize,
@@ -64,6 +90,7 @@
     Arrival(usize),
     Answer { call: usize, server: usize },
     Message,
+    Count,
     Poll(usize),
 }
 
@@ -90,6 +117,8 @@
     others: Others,
     /// Calls in progress at each server.
     own: Vec<usize>,
+    /// Calls of the other entries at each server, as they said last.
+    counted: Vec<usize>,
     held: HashMap<Ticket, usize>,
     shared: Vec<Demand>,
     alive: bool,
@@ -100,6 +129,7 @@
 /// The site.
 pub struct Site {
     now: u64,
+    kind: Kind,
     mode: Mode,
     events: BinaryHeap<Reverse<(u64, u64, Event)>>,
     number: u64,
@@ -123,12 +153,13 @@
 }
 
 impl Site {
-    pub fn new(mode: Mode, entries: usize, callers: &[Callers], seed: u64) -> Self {
+    pub fn new(kind: Kind, mode: Mode, entries: usize, callers: &[Callers], seed: u64) -> Self {
         let mut random = ChaCha8Rng::seed_from_u64(seed);
         let entry = |random: &mut ChaCha8Rng| Entry {
             room: Room::default(),
             others: Others::default(),
             own: vec![0; SERVERS],
+            counted: vec![0; SERVERS],
             held: HashMap::new(),
             shared: Vec::new(),
             alive: true,
@@ -137,6 +168,7 @@
         };
         let mut site = Self {
             now: 0,
+            kind,
             mode,
             events: BinaryHeap::new(),
             number: 0,
@@ -156,6 +188,9 @@
             site.plan(0, Event::Call(index));
         }
         site.plan(0, Event::Message);
+        if kind.counted {
+            site.plan(0, Event::Count);
+        }
         site
     }
 
@@ -190,6 +225,7 @@
                 Event::Arrival(call) => self.arrive(call),
                 Event::Answer { call, server } => self.answer(call, server),
                 Event::Message => self.exchange(),
+                Event::Count => self.count(),
                 Event::Poll(entry) => self.poll(entry),
             }
         }
@@ -198,7 +234,8 @@
 
     fn begin(&mut self, index: usize) {
         let callers = self.callers[index];
-        let pause = -(1.0 - self.random.random::<f64>()).ln() * 1e6 / (callers.load * CAPACITY);
+        let pause =
+            -(1.0 - self.random.random::<f64>()).ln() * 1e6 / (callers.load * self.kind.capacity());
         #[expect(
             clippy::cast_possible_truncation,
             clippy::cast_sign_loss,
@@ -218,7 +255,9 @@
             repeated: false,
             ended: false,
             waits: None,
-            work: self.random.random_range(CALL * 7 / 10..CALL * 13 / 10),
+            work: self
+                .random
+                .random_range(self.kind.time * 7 / 10..self.kind.time * 13 / 10),
         });
         self.outcomes.entry(callers.key).or_default().calls += 1.0;
         self.arrive(self.calls.len() - 1);
@@ -227,22 +266,25 @@
     fn capacity(&self, entry: usize) -> Capacity {
         let entry = &self.entries[entry];
         Capacity {
-            rate: CAPACITY * entry.error,
-            time: time(CALL),
+            rate: self.kind.capacity() * entry.error,
+            time: time(self.kind.time),
         }
     }
 
     fn arrive(&mut self, index: usize) {
         let call = self.calls[index].clone();
-        if self.now >= call.began + DEADLINE {
+        if self.now >= call.began + self.kind.deadline {
             return;
         }
         let callers = self.callers[call.callers];
         if self.mode == Mode::Oracle {
             let queued: usize = self.servers.iter().map(|server| server.queue.len()).sum();
-            let busy = (queued as u64 + 1) * CALL / (SERVERS * SLOTS) as u64;
-            let margin = CALL * 2;
-            let all = self.servers.iter().all(|server| server.running >= SLOTS);
+            let busy = (queued as u64 + 1) * self.kind.time / (SERVERS * self.kind.slots) as u64;
+            let margin = self.kind.time * 2;
+            let all = self
+                .servers
+                .iter()
+                .all(|server| server.running >= self.kind.slots);
             if all && self.now + busy + margin > call.began + callers.target {
                 return self.reject(index, busy);
             }
@@ -256,7 +298,7 @@
             key: callers.key,
             cost: 1.0,
             target: time((call.began + callers.target).saturating_sub(self.now)),
-            deadline: time(call.began + DEADLINE - self.now),
+            deadline: time(call.began + self.kind.deadline - self.now),
         };
         let entry = &mut self.entries[call.entry];
         if self.reports {
@@ -319,7 +361,7 @@
             if oracle {
                 self.servers[server].running + self.servers[server].queue.len()
             } else {
-                entry.own[server]
+                entry.own[server] + entry.counted[server]
             }
         };
         let sent = entry.sent;
@@ -355,14 +397,14 @@
         }
         let key = self.callers[callers].key;
         let pause = match self.mode {
-            Mode::Shared => room.next_return(key, time(CALL), now),
+            Mode::Shared => room.next_return(key, time(self.kind.time), now),
             _ => time(100_000),
         };
         self.reject(index, u64::try_from(pause.as_micros()).unwrap());
     }
 
     fn start(&mut self, server: usize) {
-        while self.servers[server].running < SLOTS
+        while self.servers[server].running < self.kind.slots
             && let Some(call) = self.servers[server].queue.pop_front()
         {
             self.servers[server].running += 1;
@@ -372,11 +414,11 @@
 
     fn report(&mut self, entry: usize, server: usize) {
         let all = self.servers[server].running + self.servers[server].queue.len();
-        let excess = (all + 1).saturating_sub(SLOTS) as u64;
+        let excess = (all + 1).saturating_sub(self.kind.slots) as u64;
         let now = time(self.now);
         let entry = &mut self.entries[entry];
         if self.reports {
-            let wait = time(excess * CALL / SLOTS as u64);
+            let wait = time(excess * self.kind.time / self.kind.slots as u64);
             entry.room.record_wait(wait, now);
         }
     }
@@ -391,7 +433,7 @@
         let callers = self.callers[call.callers];
         self.entries[entry].own[server] -= 1;
         self.report(entry, server);
-        if counted && took <= DEADLINE {
+        if counted && took <= self.kind.deadline {
             let outcome = self.outcomes.entry(callers.key).or_default();
             outcome.served += 1.0;
             outcome.on_time += f64::from(u8::from(took <= callers.target));
@@ -401,7 +443,7 @@
 
     /// A rejected caller returns once, after at most a third of its remaining time.
     fn reject(&mut self, index: usize, pause: u64) {
-        let remaining = (self.calls[index].began + DEADLINE).saturating_sub(self.now);
+        let remaining = (self.calls[index].began + self.kind.deadline).saturating_sub(self.now);
         let call = &mut self.calls[index];
         if !std::mem::replace(&mut call.repeated, true) {
             call.tries.clear();
@@ -409,11 +451,32 @@
         }
     }
 
+    fn count(&mut self) {
+        self.plan(100_000, Event::Count);
+        for server in 0..SERVERS {
+            let all = self.servers[server].running + self.servers[server].queue.len();
+            for entry in &mut self.entries {
+                entry.counted[server] = all - entry.own[server];
+            }
+        }
+        let queued = self
+            .servers
+            .iter()
+            .map(|server| server.running + server.queue.len());
+        let ahead = self.kind.time * queued.sum::<usize>() as u64;
+        let wait = time(ahead / (SERVERS * self.kind.slots) as u64);
+        for entry in self.entries.iter_mut().filter(|_| self.reports) {
+            entry.room.record_wait(wait, time(self.now));
+        }
+    }
+
     fn exchange(&mut self) {
         self.plan(MESSAGES, Event::Message);
         if !self.messages {
             return;
         }
+        let load: f64 = self.callers.iter().map(|callers| callers.load).sum();
+        let rate = load * self.kind.capacity();
         let (now, arrived) = (
             self.now,
             self.heard.iter().rposition(|(at, _)| *at <= self.now),
@@ -426,6 +489,7 @@
             for entry in &mut self.entries {
                 entry.others.demand = without(&all, &entry.shared);
                 entry.others.entries = u32::try_from(alive).unwrap();
+                entry.others.rate = rate * (1.0 - 1.0 / f64::from(entry.others.entries));
             }
         }
         let demands = self.entries.iter_mut().map(|entry| {
--- a/relay/src/admission.rs
+++ b/relay/src/admission.rs
@@ -8,7 +8,7 @@
 
 use medlarfall_coordination::dissemination::{Demand, demands, tag};
 use medlarfall_coordination::room::{self, Decision, Key, Others, Request, Room, Ticket};
-use medlarfall_coordination::server_load::{Report, Work};
+use medlarfall_coordination::server_load::Report;
 use tokio::sync::oneshot;
 
 use crate::answer::{Reason, Refusal};
@@ -56,6 +56,8 @@
     pub others: Others,
     /// Length of a prompt, in tokens.
     pub usual_prompt: f64,
+    /// Mean wait of streams at the servers, from the streams of all entries.
+    pub wait: Option<Duration>,
 }
 
 impl Service {
@@ -84,6 +86,9 @@
             if let Some(capacity) = known.capacity {
                 state.room.observe(capacity, now);
             }
+            if let Some(wait) = known.wait {
+                state.room.record_wait(wait, now);
+            }
         });
     }
 
@@ -332,15 +337,11 @@
         let ahead = (f64::from(report.requests()) + 1.0 - slots).max(0.0);
         usual.mul_f64(estimate.slowness(now) * ahead.min(1e4) / slots)
     });
-    let peers = relay.peer_streams(backend);
-    let stream = backend.estimate(|estimate| {
-        let work = |prompt_tokens| Work::Stream {
-            prompt_tokens,
-            peers,
-        };
-        estimate.expected_time(work(Some(0)), now)
-    });
-    for (name, wait) in [(name(service, false), call), (name(service, true), stream)] {
+    // The wait of streams follows from their numbers, which entries share.
+    for (name, wait) in [
+        (name(service, false), Some(call)),
+        (name(service, true), None),
+    ] {
         let known = {
             let services = relay.admission.read();
             let services = services.unwrap_or_else(PoisonError::into_inner);
@@ -351,7 +352,9 @@
             let mut services = services.unwrap_or_else(PoisonError::into_inner);
             Arc::clone(services.entry(name).or_default())
         });
-        known.with(|state| state.room.record_wait(wait, now));
+        if let Some(wait) = wait {
+            known.with(|state| state.room.record_wait(wait, now));
+        }
     }
 }
 
--- a/relay/src/state/rooms.rs
+++ b/relay/src/state/rooms.rs
@@ -9,7 +9,7 @@
 use crate::admission::Known;
 use crate::codec::Codec;
 
-use super::{Backend, Relay};
+use super::Relay;
 
 /// Age up to which a server's report counts, while no other entry says that the service is full.
 const REPORT_VALIDITY: Duration = Duration::from_secs(2);
@@ -25,16 +25,11 @@
     time: f64,
     reported: Duration,
     prompt: f64,
+    /// Wait of a stream, in seconds.
+    wait: f64,
 }
 
 impl<C: Codec> Relay<C> {
-    /// Returns the streams of the other entries at a server.
-    #[must_use]
-    pub fn peer_streams(&self, backend: &Backend) -> Count {
-        let now = self.clock.now();
-        self.view(|view| view.node.streams_at(backend.tag(), now))
-    }
-
     /// Returns what is known of a service. `shared_as` is the name under which entries share its demand.
     #[must_use]
     pub fn known_capacity(&self, service: &str, shared_as: &str, streams: bool) -> Known {
@@ -44,11 +39,12 @@
             u32::try_from(service.memory_tokens).ok()
         });
         self.view(|view| {
-            let requests = view.requests(service, now);
+            let (own, all) = view.requests(service, now);
+            let window = self.settings.retries.window.as_secs_f64().max(1.0);
             let entries = view.node.others(service, now);
             let others = Others {
                 demand: view.node.others_demand(shared_as, now),
-                requests,
+                rate: f64::from(all.saturating_sub(own)) / window,
                 entries: view.node.entries(),
                 silent: entries.entries > 0 && entries.reporting == 0,
             };
@@ -58,9 +54,10 @@
                 !suspect && view.pauses.wait(backend.start(), now).is_zero()
             });
             let parts = usable.map(|backend| {
+                let peers = view.node.streams_at(backend.tag(), now);
                 backend.estimate(|estimate| {
                     if streams {
-                        stream_part(estimate, memory, now)
+                        stream_part(estimate, memory, peers, now)
                     } else {
                         call_part(estimate, now)
                     }
@@ -78,11 +75,13 @@
                 SHARED_VALIDITY
             };
             let current = parts.iter().any(|part| part.reported < validity);
-            let time = Duration::try_from_secs_f64(weighted(|part| part.time)).unwrap_or_default();
+            let seconds = |seconds| Duration::try_from_secs_f64(seconds).unwrap_or_default();
+            let time = seconds(weighted(|part| part.time));
             Known {
                 capacity: current.then_some(Capacity { rate, time }),
                 others,
                 usual_prompt: weighted(|part| part.prompt),
+                wait: (streams && current).then(|| seconds(weighted(|part| part.wait))),
             }
         })
     }
@@ -95,30 +94,31 @@
         time: f64::from(estimate.slots()) / rate.max(1e-9),
         reported: estimate.report_age(now).unwrap_or(Duration::MAX),
         prompt: 0.0,
+        wait: 0.0,
     }
 }
 
-/// Usual number of events of a stream, with which a prompt occupies a slot and memory until they are made.
-const EVENTS: f64 = 130.0;
-
 /// Returns the streams a second that a server takes: bounded by prompt processing, by slots and by memory.
-fn stream_part(estimate: &Estimate, memory: Option<u32>, now: Duration) -> Part {
+/// The duration of a request at the server is that of a whole stream.
+fn stream_part(estimate: &Estimate, memory: Option<u32>, peers: Count, now: Duration) -> Part {
     let usual = estimate.usual(now);
-    let slowness = estimate.slowness(now);
-    let prefill = usual.prompt * usual.token * slowness;
-    let gap = estimate.event_gap().unwrap_or_default().as_secs_f64();
-    let duration = prefill + gap * EVENTS * slowness;
-    let by_slots = f64::from(estimate.slots()) / duration.max(1e-6);
+    let prefill = usual.prompt * usual.token * estimate.slowness(now);
+    let by_slots = estimate.throughput(now);
     let by_memory = match memory {
         Some(memory) if memory > 0 => {
-            f64::from(memory) / (usual.prompt + EVENTS) / duration.max(1e-6)
+            let streams = f64::from(memory) / usual.prompt.max(1.0);
+            by_slots * streams / f64::from(estimate.slots())
         }
         _ => f64::INFINITY,
     };
+    // Until a stream has had events, the speed of prompt processing is not known.
+    let measured = estimate.event_gap().is_some();
+    let reported = estimate.report_age(now).filter(|_| measured);
     Part {
         rate: (1.0 / prefill.max(1e-6)).min(by_slots).min(by_memory),
         time: prefill,
-        reported: estimate.report_age(now).unwrap_or(Duration::MAX),
+        reported: reported.unwrap_or(Duration::MAX),
         prompt: usual.prompt,
+        wait: estimate.tokens_ahead(peers, now) * usual.token * estimate.slowness(now),
     }
 }
--- a/relay/src/stream.rs
+++ b/relay/src/stream.rs
@@ -11,6 +11,7 @@
 use medlarfall_coordination::routing::Kind;
 use tokio::time::Instant;
 
+use crate::admission;
 use crate::answer::{Content, Reason, Refusal};
 use crate::attempt::{self, Answer, Failure};
 use crate::backup::Replacement;
@@ -106,7 +107,14 @@
 pub async fn answer<C: Codec>(relay: &Arc<Relay<C>>, job: Job) -> Response<Content> {
     let deadline = relay.clock.instant(job.deadline);
     let mut stream = Stream::new(Arc::clone(relay), job);
-    let opened = tokio::time::timeout_at(deadline, stream.open()).await;
+    let opening = async {
+        // A stream that a caller resumes has had its prompt processed: to reject it would waste that.
+        if stream.job.head.last_event.is_none() {
+            admission::admit(relay, &stream.job).await?;
+        }
+        stream.open().await
+    };
+    let opened = tokio::time::timeout_at(deadline, opening).await;
     let opened = opened.unwrap_or_else(|_| {
         let reason = if stream.ran > 0 {
             Reason::TimedOut
@@ -194,7 +202,7 @@
             let (chosen, resume_from) = next.ok_or_else(|| self.refusal())?;
             let Some(backend) = self.confirm_server(&chosen, resume_from.as_ref()).await else {
                 refusals += 1;
-                if refusals >= REFUSAL_LIMIT {
+                if refusals >= self.refusal_limit() {
                     return Err(self.refusal());
                 }
                 continue;
@@ -212,7 +220,7 @@
                     refusals += 1;
                 }
             }
-            if refusals >= REFUSAL_LIMIT || (self.ran > 0 && !self.may_retry()) {
+            if refusals >= self.refusal_limit() || (self.ran > 0 && !self.may_retry()) {
                 return Err(self.refusal());
             }
         }
@@ -255,8 +263,11 @@
                 self.retry_withdrawn = true;
                 self.avoid(&backend.server.failure_domain);
             }
-            Failure::NotRun { .. } => {
+            Failure::NotRun { status, .. } => {
                 self.ran -= 1;
+                if *status == 503 {
+                    admission::record_rejection(&self.relay, &self.job);
+                }
                 if !self.relay.is_paused(backend) {
                     self.refused_by.push(Arc::clone(&backend.server.id));
                 }
--- a/relay/src/stream/refusals.rs
+++ b/relay/src/stream/refusals.rs
@@ -1,10 +1,11 @@
 //! Refusals of streams that no server can take, and what servers do with prompts.
 
+use crate::admission;
 use crate::answer::{Reason, Refusal};
 use crate::codec::Codec;
 use crate::state::{Backend, Criteria};
 
-use super::{NO_SERVER_PAUSE, Stream};
+use super::{NO_SERVER_PAUSE, REFUSAL_LIMIT, Stream};
 
 impl<C: Codec> Stream<C> {
     /// Returns the refusal of a stream that no server accepted, or takes within its limit.
@@ -18,12 +19,22 @@
             let pause = self.relay.limit_pause(&self.job.service, wait);
             return Refusal::with_retry(Reason::Limited, pause);
         }
-        match self.ran {
-            0 => Refusal::with_retry(Reason::NoServer, NO_SERVER_PAUSE),
+        match (self.ran, admission::next_return(&self.relay, &self.job)) {
+            (0, Some(pause)) => Refusal::with_retry(Reason::Full, pause),
+            (0, None) => Refusal::with_retry(Reason::NoServer, NO_SERVER_PAUSE),
             _ => Refusal::new(Reason::Lost),
         }
     }
 
+    /// Returns the attempts in a row that may reach no server, or be refused by one, until the search ends. A
+    /// stream whose caller has events is not given up for a full service.
+    pub(super) fn refusal_limit(&self) -> u32 {
+        match self.last_event {
+            Some(_) => REFUSAL_LIMIT,
+            None => admission::attempts(&self.relay, &self.job).unwrap_or(REFUSAL_LIMIT),
+        }
+    }
+
     /// Returns the refusal of a stream that crashes servers.
     pub(super) fn quarantine_refusal(&self) -> Option<Refusal> {
         let fingerprint = &self.job.fingerprint;
