--- a/coordination/src/dissemination.rs
+++ b/coordination/src/dissemination.rs
@@ -23,6 +23,7 @@
 pub mod codec;
 mod counts;
 mod crash_news;
+pub mod demands;
 pub mod ledger;
 mod members;
 pub mod moves;
@@ -30,6 +31,7 @@
 mod node;
 pub mod roster;
 
+pub use demands::AccountDemand;
 pub use ledger::{Count, Summary};
 pub use moves::MoveReport;
 pub use node::{Identity, Node, Own};
@@ -143,6 +145,8 @@
     pub demands: Vec<(Arc<str>, Demand)>,
     /// Requests that it has counted.
     pub counts: Option<usage::Report>,
+    /// What its callers ask for, of services whose capacity is nearly used up.
+    pub account_demand: AccountDemand,
 }
 
 /// State of failure domains.
@@ -162,6 +166,9 @@
     pub calls: Crashes,
     /// What servers said of their limits, and how long ago.
     pub limits: Vec<(ServerLimit, Duration)>,
+    /// What callers ask for, of services whose capacity is nearly used up: in the sender's failure domain, or
+    /// for its members in all.
+    pub account_demand: AccountDemand,
     /// Entries of the sender's failure domain that can be its hubs.
     pub contacts: Vec<Contact>,
     /// Requests that the entries of the sender's failure domain have counted.
--- a/coordination/src/dissemination/codec.rs
+++ b/coordination/src/dissemination/codec.rs
@@ -12,9 +12,11 @@
 use crate::history::Revision;
 use crate::quarantine::{Loss, Part};
 use crate::retry_budget::Usage;
+use crate::room;
 use crate::server_limit::Named;
 use crate::usage;
 
+use super::demands::{self, AccountDemand};
 use super::{
     Contact, Content, Count, Crashes, Digest, Message, MoveReport, Report, Sender, ServerLimit,
     Successor, Summary, Tag,
@@ -123,6 +125,7 @@
             server_limits: encode_limits(&report.limits),
             demands: texts(report.demands, encode_demand),
             usage_counts: report.counts.map(Into::into),
+            account_demands: texts(report.account_demand, encode_account_demand),
         }
     }
 }
@@ -142,6 +145,7 @@
             limits: decode_limits(report.server_limits)?,
             demands: texts(report.demands, decode_demand),
             counts: report.usage_counts.map(TryInto::try_into).transpose()?,
+            account_demand: decode_account_demand(report.account_demands)?,
         })
     }
 }
@@ -170,6 +174,7 @@
             call_losses: texts(digest.calls.losses, encode_loss),
             call_answers: texts(digest.calls.answers, encode_answer),
             server_limits: encode_limits(&digest.limits),
+            account_demands: texts(digest.account_demand, encode_account_demand),
             contacts: texts(digest.contacts, contact),
             updates: None,
             usage_counts: digest.counts.map(Into::into),
@@ -212,6 +217,7 @@
             limits: decode_limits(digest.server_limits)?,
             counts: digest.usage_counts.map(TryInto::try_into).transpose()?,
             usage_settled: digest.usage_settled,
+            account_demand: decode_account_demand(digest.account_demands)?,
             contacts: digest
                 .contacts
                 .into_iter()
@@ -440,6 +446,39 @@
     }
 }
 
+fn encode_account_demand(
+    (service, demands): (Arc<str>, Vec<room::Demand>),
+) -> peers::ServiceDemand {
+    let keys = demands.iter().map(|demand| demand.key);
+    peers::ServiceDemand {
+        service: service.to_string(),
+        accounts: keys.clone().map(|key| key.account).collect(),
+        priorities: keys.map(|key| u32::from(key.priority)).collect(),
+        rates: demands.iter().map(|demand| demand.rate).collect(),
+    }
+}
+
+fn decode_account_demand(services: Vec<peers::ServiceDemand>) -> Result<AccountDemand, Invalid> {
+    let decode = |service: peers::ServiceDemand| {
+        let length = service.accounts.len();
+        if service.priorities.len() != length || service.rates.len() != length {
+            return Err(Invalid::Lengths { part: "demands" });
+        }
+        let keys = service.accounts.into_iter().zip(service.priorities);
+        let demands = keys.zip(service.rates).take(demands::KEYS);
+        let demands = demands.map(|((account, priority), rate)| room::Demand {
+            key: room::Key {
+                priority: u8::try_from(priority).unwrap_or(u8::MAX),
+                account,
+            },
+            rate,
+        });
+        Ok((Arc::from(service.service), demands.collect()))
+    };
+    let services = services.into_iter().take(demands::SERVICES);
+    services.map(decode).collect()
+}
+
 impl From<Successor> for peers::Successor {
     fn from(successor: Successor) -> Self {
         Self {
--- a/coordination/src/dissemination/node.rs
+++ b/coordination/src/dissemination/node.rs
@@ -10,9 +10,11 @@
 use crate::quarantine::{Kind, Loss, Part};
 use crate::reader_election::{Election, Rank};
 use crate::retry_budget::{Others, Usage};
+use crate::room;
 
 use super::counts::Exchange;
 use super::crash_news::CrashNews;
+use super::demands::{AccountDemand, Demands};
 use super::ledger::{Count, Ledger, Summary};
 use super::members::{Change, Members};
 use super::moves::{MoveReport, Reports};
@@ -56,6 +58,8 @@
     pub usage: Vec<(Arc<str>, Usage)>,
     /// Its demand, by service whose servers are scaled.
     pub demands: Vec<(Arc<str>, Demand)>,
+    /// What its callers ask for, of services whose capacity is nearly used up.
+    pub account_demand: AccountDemand,
     /// Revision of the store up to which it knows all changes.
     pub revision: Revision,
     /// Whether it reads the store and its last call succeeded.
@@ -105,6 +109,7 @@
     limits: news::News<ServerLimit>,
     /// Counts of requests; `None` if this entry does not count any.
     counts: Option<Exchange>,
+    account_demands: Demands,
     election: Election,
     sent: [Sent; Scope::COUNT],
     hub: bool,
@@ -142,6 +147,7 @@
             calls: CrashNews::default(),
             limits: news::News::with_capacity(LIMITS),
             counts: None,
+            account_demands: Demands::default(),
             sent: [Sent::default(); Scope::COUNT],
             hub: false,
             started_at: now,
@@ -228,6 +234,12 @@
         demands
     }
 
+    /// Returns what is asked for of a service at the other entries, as far as they say so.
+    #[must_use]
+    pub fn others_demand(&self, service: &str, now: Duration) -> Vec<room::Demand> {
+        self.account_demands.of_others(service, self.hub, now)
+    }
+
     /// Returns the number of known entries, this one included.
     #[must_use]
     pub fn entries(&self) -> u32 {
@@ -376,6 +388,7 @@
         self.prompts.expire(now);
         self.calls.expire(now);
         self.limits.expire(now);
+        self.account_demands.expire(now);
         let change = self.members.expire(now);
         self.update_sums(change, now);
         self.ledger.expire(now);
--- a/coordination/src/dissemination/node/receiving.rs
+++ b/coordination/src/dissemination/node/receiving.rs
@@ -56,6 +56,8 @@
         self.joined |= changed.joined;
         self.changed_reports += u32::from(changed.streams);
         self.update_sums(changed, now);
+        self.account_demands
+            .record_member(&sender.entry, report.account_demand, now);
         let received = Received {
             lost: report.lost,
             successors: report.successors,
@@ -99,6 +101,13 @@
                 self.ledger.apply(summary, now);
             }
         }
+        if usable && local {
+            self.account_demands
+                .record_total(digest.account_demand, now);
+        } else if usable {
+            self.account_demands
+                .record_domain(&sender.failure_domain, digest.account_demand, now);
+        }
         let Digest {
             lost,
             successors,
--- a/coordination/src/dissemination/node/sending.rs
+++ b/coordination/src/dissemination/node/sending.rs
@@ -87,6 +87,12 @@
             Scope::Report if self.heard_at.is_none() && self.roster().responds() => {
                 FIRST_REPORT_INTERVAL
             }
+            Scope::Report
+                if !self.own.account_demand.is_empty()
+                    || !self.reported.account_demand.is_empty() =>
+            {
+                DIGEST_INTERVAL
+            }
             Scope::Report => REPORT_INTERVAL,
             Scope::Members | Scope::Hubs => DIGEST_INTERVAL,
         };
@@ -219,12 +225,16 @@
             limits: self.limits.batch(Scope::Report, periodic, now),
             demands: self.own.demands.clone(),
             counts: counts.and_then(|(counts, wall_ms)| counts.report(leaving, wall_ms, now)),
+            account_demand: self.own.account_demand.clone(),
         };
         self.reported = self.own.clone();
         let streams = report.streams.iter().copied();
         self.ledger
             .set_reported(streams, report.usage.iter().cloned(), now);
         let entry = Arc::clone(&self.identity.contact.entry);
+        self.account_demands.set_reported(&report.account_demand);
+        self.account_demands
+            .record_member(&entry, report.account_demand.clone(), now);
         let changed = self.members.record(&entry, None, &report, now);
         self.update_sums(changed, now);
         report
@@ -241,6 +251,10 @@
             prompts: self.prompts.batch(scope, periodic, now),
             calls: self.calls.batch(scope, periodic, now),
             limits: self.limits.batch(scope, periodic, now),
+            account_demand: match scope {
+                Scope::Hubs => self.account_demands.of_domain(now),
+                _ => self.account_demands.of_all(now),
+            },
             contacts: if periodic {
                 self.contacts()
             } else {
--- a/relay/src/attempt.rs
+++ b/relay/src/attempt.rs
@@ -23,6 +23,7 @@
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
 
+use crate::admission;
 use crate::codec::{Codec, Command, Dispatch, Health, Reply, Report};
 use crate::state::{self, Backend, Relay};
 
@@ -259,6 +260,7 @@
     if let Some(report) = reply.load {
         backend.record_report(report, now);
         backend.connections(|known| known.record_report(report.requests(), report.waiting, now));
+        admission::record_report(relay, backend, report);
     }
     if reply.matches {
         relay.record_limit(backend, reply.limit);
--- a/relay/src/ingress.rs
+++ b/relay/src/ingress.rs
@@ -205,6 +205,7 @@
     }
     relay.count_request(&service);
     relay.count_demand(&service, head.prompt_tokens.unwrap_or(0));
+    relay.record_probed_request();
     let cohort = relay.assign_cohort(&service);
     let original = Original {
         request_id: Arc::clone(&head.request_id),
--- a/relay/src/metrics.rs
+++ b/relay/src/metrics.rs
@@ -15,10 +15,12 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::{Metric, Registry};
 
+mod admission;
 mod connections;
 mod duties;
 mod labels;
 
+pub use admission::Admission;
 pub use connections::Connections;
 pub use labels::{CauseLabels, EndLabels, KindLabels, RouteLabels, ServiceLabels, StoreCall};
 
@@ -119,6 +121,8 @@
     pub messages_rejected: Counter,
     /// Tasks that ended unexpectedly and were started again, by name.
     pub task_restarts: Family<KindLabels, Counter>,
+    /// Admission to services whose servers report slowness.
+    pub admission: Admission,
     /// Whether this entry is a hub of its failure domain: 1 or 0.
     pub hub: Gauge,
     /// Version of the configuration in force.
@@ -177,12 +181,7 @@
                 "Time to the answer or first event",
                 latencies(),
             ),
-            service_first: add(
-                new,
-                "service_first_seconds",
-                "The same by service",
-                latencies(),
-            ),
+            service_first: add(new, "service_first_seconds", "By service", latencies()),
             resumed: add(
                 new,
                 "resumes",
@@ -220,6 +219,7 @@
                 "Tasks started again",
                 Family::default(),
             ),
+            admission: Admission::new(new),
             hub: add(new, "hub", "Whether the entry is a hub", gauge()),
             configuration: add(new, "configuration", "Version in force", gauge()),
             connections: Connections::new(new),
--- a/relay/src/state.rs
+++ b/relay/src/state.rs
@@ -8,6 +8,7 @@
 
 use medlarfall_coordination::dissemination::{Contact, Identity, Node};
 use medlarfall_coordination::duty::Duties;
+use medlarfall_coordination::probe_budget::Budget;
 use medlarfall_coordination::retry_budget::Bounds;
 use medlarfall_coordination::routing::{Limits, Table};
 use medlarfall_coordination::{canary, liveness};
@@ -15,6 +16,7 @@
 use medlarfall_runtime::clock::{BootClock, Clock, wall_ms};
 use tokio::sync::{Notify, watch};
 
+use crate::admission;
 use crate::changelog::Changelog;
 use crate::codec::Codec;
 use crate::duty;
@@ -30,6 +32,7 @@
 mod peers;
 mod placement;
 mod quarantine;
+mod rooms;
 mod servers;
 mod view;
 
@@ -108,6 +111,10 @@
     /// Wakes the tasks that do duties.
     pub duties_changed: watch::Sender<u64>,
     duties: Option<Mutex<Duties>>,
+    /// Admission to services whose servers report slowness.
+    pub admission: admission::Services,
+    /// Probes of servers that report slowness.
+    probes: Mutex<Budget>,
     view: Mutex<View>,
     changelog: Mutex<Changelog>,
     catching_up: AtomicBool,
@@ -157,6 +164,8 @@
             moves_changed: Notify::new(),
             quarantine_changed: Notify::new(),
             reads_store: AtomicBool::new(false),
+            admission: admission::Services::default(),
+            probes: Mutex::new(Budget::new(clock.now())),
             view: Mutex::new(View::new(node)),
             changelog: Mutex::default(),
             catching_up: AtomicBool::new(false),
@@ -167,6 +176,21 @@
         act(&mut self.view.lock().unwrap_or_else(PoisonError::into_inner))
     }
 
+    /// Counts a request towards the budget of probes.
+    pub fn record_probed_request(&self) {
+        let now = self.clock.now();
+        let mut budget = self.probes.lock().unwrap_or_else(PoisonError::into_inner);
+        budget.record_request(now);
+    }
+
+    /// Takes up to `wanted` probes from the budget; returns how many may be sent.
+    #[must_use]
+    pub fn take_probes(&self, wanted: usize) -> usize {
+        let now = self.clock.now();
+        let mut budget = self.probes.lock().unwrap_or_else(PoisonError::into_inner);
+        budget.take(u32::try_from(wanted).unwrap_or(u32::MAX), now) as usize
+    }
+
     /// Reads or changes the log of the store's changes.
     pub fn changelog<T>(&self, act: impl FnOnce(&mut Changelog) -> T) -> T {
         act(&mut self
--- a/relay/src/state/peers.rs
+++ b/relay/src/state/peers.rs
@@ -12,6 +12,7 @@
 use medlarfall_coordination::retry_budget::Usage;
 use medlarfall_runtime::clock::wall_ms;
 
+use crate::admission;
 use crate::codec::Codec;
 
 use super::Relay;
@@ -92,6 +93,7 @@
         let streams = self.own_streams();
         let scales = self.scales();
         let counts = self.settings.duties.is_some_and(|it| it.usage_reporting);
+        let account_demand = admission::demand(self);
         let (was_hub, outgoing) = self.view(|view| {
             let own = Own {
                 streams,
@@ -101,6 +103,7 @@
                 } else {
                     Vec::new()
                 },
+                account_demand,
                 revision,
                 reads_store,
                 store_available: view.registry.store_available(),
--- a/relay/src/state/placement.rs
+++ b/relay/src/state/placement.rs
@@ -26,9 +26,12 @@
         horizon: Duration,
     },
     /// By streams of this entry and of its peers.
-    Streams,
-    /// By streams, and by the memory that these and backups occupy.
-    StreamsAndMemory(server_memory::Demand),
+    Streams {
+        /// Length of the prompt, in tokens, if it is stated.
+        prompt_tokens: Option<u64>,
+        /// Memory that the stream needs, if servers are placed by it too.
+        memory: Option<server_memory::Demand>,
+    },
     /// By the memory that a backup finds.
     BackupMemory(server_memory::Demand),
 }
@@ -198,9 +201,7 @@
             if fitting.is_empty() {
                 fitting = backends.iter().filter(fits).collect();
             }
-            let timed = matches!(criteria.measure, Measure::Calls { .. })
-                && expected_time::applies(&fitting);
-            if timed {
+            if expected_time::applies(&fitting, criteria.measure) {
                 let usual = view.usual.get(criteria.service).copied();
                 let usual = usual.unwrap_or_default();
                 let (chosen, usual) =
@@ -235,6 +236,14 @@
         })
     }
 
+    /// Returns the work ahead of a stream at a server, in prompt tokens.
+    #[must_use]
+    pub fn tokens_ahead(&self, backend: &Backend) -> f64 {
+        let now = self.clock.now();
+        let peers = self.view(|view| view.node.streams_at(backend.tag(), now));
+        backend.estimate(|estimate| estimate.tokens_ahead(peers, now))
+    }
+
     /// Returns the load of streams at a server, in prompts in prefill.
     #[must_use]
     pub fn stream_load(&self, backend: &Backend) -> f64 {
--- a/relay/src/stream.rs
+++ b/relay/src/stream.rs
@@ -12,6 +12,7 @@
 use medlarfall_coordination::server_memory;
 use tokio::time::Instant;
 
+use crate::admission;
 use crate::answer::{Content, Reason, Refusal};
 use crate::attempt::socket::Transmission;
 use crate::attempt::{self, Answer, Failure};
@@ -23,7 +24,7 @@
 use crate::state::{Backend, Criteria, Measure, Measurement, Relay};
 
 use self::meter::Meter;
-use self::occupancy::Occupancy;
+use self::occupancy::{Occupancy, Prompt};
 use self::silence::Silence;
 
 mod backups;
@@ -117,7 +118,14 @@
 pub async fn answer<C: Codec>(relay: &Arc<Relay<C>>, job: Job) -> Response<Content> {
     let deadline = relay.clock.instant(job.deadline);
     let mut stream = Stream::new(Arc::clone(relay), job);
-    let opened = tokio::time::timeout_at(deadline, stream.open()).await;
+    let opening = async {
+        // A stream that a caller resumes has had its prompt processed: to reject it would waste that.
+        if stream.job.head.last_event.is_none() {
+            admission::admit(relay, &stream.job).await?;
+        }
+        stream.open().await
+    };
+    let opened = tokio::time::timeout_at(deadline, opening).await;
     let opened = opened.unwrap_or_else(|_| {
         stream.record_unsent();
         Err(match stream.ran {
@@ -190,9 +198,10 @@
             excluded: &self.excluded,
             avoided_domains,
             remote_penalty: REMOTE_PENALTY,
-            measure: self
-                .memory_demand()
-                .map_or(Measure::Streams, Measure::StreamsAndMemory),
+            measure: Measure::Streams {
+                prompt_tokens: self.job.head.prompt_tokens,
+                memory: self.memory_demand(),
+            },
             cohort: if self.arrivals == 0 && self.excluded.is_empty() {
                 self.job.cohort
             } else {
@@ -221,7 +230,7 @@
             let (chosen, resume_from) = next.ok_or_else(|| self.refusal())?;
             let Some(backend) = self.confirm_server(&chosen, resume_from.as_ref()).await else {
                 refusals += 1;
-                if refusals >= REFUSAL_LIMIT {
+                if refusals >= self.refusal_limit() {
                     return Err(self.refusal());
                 }
                 continue;
@@ -239,7 +248,7 @@
                     refusals += 1;
                 }
             }
-            if refusals >= REFUSAL_LIMIT || (self.ran > 0 && !self.may_retry()) {
+            if refusals >= self.refusal_limit() || (self.ran > 0 && !self.may_retry()) {
                 return Err(self.refusal());
             }
         }
@@ -291,8 +300,11 @@
                 self.retry_withdrawn = true;
                 self.avoid(&backend.server.failure_domain);
             }
-            Failure::NotRun { .. } => {
+            Failure::NotRun { status, .. } => {
                 self.ran -= 1;
+                if *status == 503 {
+                    admission::record_rejection(&self.relay, &self.job);
+                }
                 if !self.relay.is_paused(backend) {
                     self.refused_by.push(Arc::clone(&backend.server.id));
                 }
@@ -354,11 +366,14 @@
         );
         let prefilling = !cached && dispatch.resume_from.is_none();
         let idle = prefilling && self.relay.measures_prefill(backend);
+        let prompt = prefilling.then_some(Prompt {
+            tokens: self.job.head.prompt_tokens,
+        });
         let mut run = Run {
             backend: Arc::clone(backend),
             subscription: monitor::subscribe(&self.relay, backend),
             lost_at: None,
-            occupancy: Occupancy::start(&self.relay, backend, prefilling),
+            occupancy: Occupancy::start(&self.relay, backend, prompt),
             meter: Meter::new(began),
             idle_prompt: self.job.head.prompt_tokens.filter(|_| idle),
         };
--- a/relay/src/stream/backups.rs
+++ b/relay/src/stream/backups.rs
@@ -72,14 +72,14 @@
         excluded.push(Arc::clone(&primary.server.id));
         let mut avoided_domains = vec![Arc::clone(&primary.server.failure_domain)];
         avoided_domains.extend(self.avoided_domains.iter().cloned());
+        let criteria = self.criteria(&avoided_domains);
+        let by_memory = self.memory_demand().map(Measure::BackupMemory);
         let criteria = Criteria {
             excluded: &excluded,
             version: Some(&primary.server.version),
             request_hash: self.job.request_hash().rotate_left(17),
-            measure: self
-                .memory_demand()
-                .map_or(Measure::Streams, Measure::BackupMemory),
-            ..self.criteria(&avoided_domains)
+            measure: by_memory.unwrap_or(criteria.measure),
+            ..criteria
         };
         let backup = self.relay.choose(Criteria {
             remote_penalty: 0.0,
--- a/relay/src/stream/forwarding.rs
+++ b/relay/src/stream/forwarding.rs
@@ -240,6 +240,9 @@
                         self.relay.record_prefill(&source.run.backend, tokens, took);
                     }
                     let backend = &source.run.backend;
+                    if let Some(gap) = measurement.gap {
+                        backend.estimate(|estimate| estimate.record_event_gap(gap, now));
+                    }
                     self.relay
                         .record_measurement(backend, &self.job.route.name, measurement);
                 }
--- a/relay/tests/datagram.rs
+++ b/relay/tests/datagram.rs
@@ -53,6 +53,7 @@
             }],
         }),
         usage_settled: Some(355_999_999),
+        account_demand: Vec::new(),
         summaries: vec![Summary {
             failure_domain: Arc::from("cage-b"),
             entries: 49,
