--- a/coordination/src/server_load.rs
+++ b/coordination/src/server_load.rs
@@ -25,9 +25,12 @@
 
 mod mean;
 mod report;
+mod work;
 
 use mean::{Mean, Seen};
 pub use report::Report;
+pub use work::{Usual, Work};
+use work::{plausible_length, tokens};
 
 /// Time within which a reported slowness decays towards the server's mean. Slowness changes many
 /// times a second. In simulations with slowdowns of half a second, 100 ms gave longer waits and 200 ms
@@ -41,18 +44,6 @@
 /// counts as the permanent speed.
 const SLOWNESS_WINDOW: Duration = Duration::from_secs(15);
 
-/// Duration of a call until the first one of the service has ended.
-const INITIAL_CALL: Duration = Duration::from_millis(50);
-
-/// Time to process a prompt token until the first prompt of the service is processed.
-const INITIAL_TOKEN: Duration = Duration::from_micros(200);
-
-/// Length of a prompt, in tokens, until the first one was sent.
-const INITIAL_PROMPT: f64 = 2_000.0;
-
-/// Longest plausible prompt, in tokens.
-const MAX_PROMPT: u64 = 10_000_000;
-
 /// Variance, in requests, of the number of requests at a server beyond that of the reports' age: requests
 /// of other entries are on their way.
 const MIN_VARIANCE: f64 = 1.0;
@@ -70,41 +61,6 @@
 /// Least time between two announcements of one server.
 const ANNOUNCE_INTERVAL: Duration = Duration::from_secs(10);
 
-/// Work of a request.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Work {
-    /// A call.
-    Call,
-    /// A stream.
-    Stream {
-        /// Length of its prompt, in tokens; `None` if it is not stated.
-        prompt_tokens: Option<u64>,
-        /// Streams of other entries at the server.
-        peers: Count,
-    },
-}
-
-/// Usual values of a service, which stand in for those of a server that are not known yet.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Usual {
-    /// Duration of a call at usual slowness, in seconds.
-    pub call: f64,
-    /// Time to process a prompt token at usual slowness, in seconds.
-    pub token: f64,
-    /// Length of a prompt, in tokens.
-    pub prompt: f64,
-}
-
-impl Default for Usual {
-    fn default() -> Self {
-        Self {
-            call: INITIAL_CALL.as_secs_f64(),
-            token: INITIAL_TOKEN.as_secs_f64(),
-            prompt: INITIAL_PROMPT,
-        }
-    }
-}
-
 /// Estimate of one server, as known to this entry.
 #[derive(Clone, Copy, Debug)]
 pub struct Estimate {
@@ -419,17 +375,6 @@
     (-age.as_secs_f64() / time).exp()
 }
 
-/// Returns the length of a prompt, unless it is not stated or implausible.
-fn plausible_length(prompt_tokens: Option<u64>) -> Option<f64> {
-    let length = prompt_tokens.filter(|length| (1..=MAX_PROMPT).contains(length));
-    length.map(tokens)
-}
-
-/// Returns a number of tokens as a float.
-fn tokens(number: u64) -> f64 {
-    f64::from(u32::try_from(number).unwrap_or(u32::MAX))
-}
-
 fn seconds(seconds: f64) -> Duration {
     Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX)
 }
--- a/relay/src/metrics.rs
+++ b/relay/src/metrics.rs
@@ -61,6 +61,9 @@
     pub open: Family<KindLabels, Gauge>,
     /// Time to the response or first event by service, in seconds.
     pub service_first: Family<ServiceLabels, Histogram>,
+    /// Expected time of requests placed by it, by service, in seconds: to be compared with the measured
+    /// time to the response or first event.
+    pub expected: Family<ServiceLabels, Histogram>,
     /// Age of the known `configuration` or `servers`, in seconds.
     pub age: Family<KindLabels, Gauge<f64, AtomicU64>>,
     /// Bytes of request bodies in memory.
@@ -174,6 +177,7 @@
                 "The same by service",
                 latencies(),
             ),
+            expected: add(new, "expected_seconds", "Expected times", latencies()),
             resumed: add(
                 new,
                 "resumes",
@@ -283,6 +287,14 @@
         self.placements.get_or_create(&KindLabels { kind }).inc();
     }
 
+    /// Counts a server that was chosen by expected time.
+    pub fn count_timed_placement(&self, service: &str, expected: f64) {
+        self.count_placement("expected_time");
+        let service = service.to_owned();
+        let labels = ServiceLabels { service };
+        self.expected.get_or_create(&labels).observe(expected);
+    }
+
     /// Counts a probe of a server.
     pub fn count_probe(&self, kind: &'static str) {
         self.probes.get_or_create(&KindLabels { kind }).inc();
--- a/relay/src/state/expected_time.rs
+++ b/relay/src/state/expected_time.rs
@@ -30,19 +30,29 @@
 /// prompt: the stream must move if the failure domains are cut off from each other.
 const REMOTE_STREAM: f64 = 0.5;
 
+/// A chosen server.
+pub(super) struct Choice {
+    /// Its index.
+    pub(super) index: usize,
+    /// The time that the request is expected to take there, in seconds.
+    pub(super) time: f64,
+    /// Usual values of the service.
+    pub(super) usual: Usual,
+}
+
 /// Returns whether requests are placed by expected time: some server reports its slowness.
 pub(super) fn applies(fitting: &[&Arc<Backend>]) -> bool {
     fitting.iter().any(|backend| backend.reports_slowness())
 }
 
-/// Returns the index of the chosen server, and the usual values of the service.
+/// Returns the chosen server.
 pub(super) fn choose(
     fitting: &[&Arc<Backend>],
     criteria: Criteria,
     usual: Usual,
     node: &Node,
     now: Duration,
-) -> Option<(usize, Usual)> {
+) -> Option<Choice> {
     let prompt_time = usual.token * usual.prompt;
     let (usual_time, tolerance, affinity) = match criteria.measure {
         Measure::Calls { .. } => (usual.call, CALL_TOLERANCE, false),
@@ -89,5 +99,9 @@
         affinity,
     };
     let chosen = balance::choose_by_time(&candidates, preference, criteria.request_hash)?;
-    Some((chosen, mean))
+    Some(Choice {
+        index: chosen,
+        time: candidates[chosen].time,
+        usual: mean,
+    })
 }
--- a/relay/src/state/placement.rs
+++ b/relay/src/state/placement.rs
@@ -199,12 +199,12 @@
             if expected_time::applies(&fitting) {
                 let usual = view.usual.get(criteria.service).copied();
                 let usual = usual.unwrap_or_default();
-                let (chosen, usual) =
-                    expected_time::choose(&fitting, criteria, usual, &view.node, now)?;
-                let chosen = Arc::clone(fitting[chosen]);
+                let choice = expected_time::choose(&fitting, criteria, usual, &view.node, now)?;
+                let chosen = Arc::clone(fitting[choice.index]);
                 let service = Arc::clone(&chosen.server.service);
-                view.usual.insert(service, usual);
-                self.metrics.count_placement("expected_time");
+                view.usual.insert(service, choice.usual);
+                self.metrics
+                    .count_timed_placement(criteria.service, choice.time);
                 return Some(chosen);
             }
             let candidates: Vec<Candidate> = fitting
