--- a/coordination/src/group_outage.rs
+++ b/coordination/src/group_outage.rs
@@ -67,6 +67,12 @@
         self.records.remove(group);
     }
 
+    /// Returns whether no group has an unanswered failure.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
     /// Returns whether `group` is ranked behind the others.
     #[must_use]
     pub fn suspect(&self, group: &K, now: Duration) -> bool {
--- a/relay/src/state/backend.rs
+++ b/relay/src/state/backend.rs
@@ -18,6 +18,13 @@
 use super::placement::{Criteria, Measure};
 use super::view::Group;
 
+/// What is known of a server's load and speed, behind one lock: a placement reads both of each server.
+#[derive(Debug)]
+struct Belief {
+    load: Load,
+    estimate: Estimate,
+}
+
 /// A server with its load, monitor and search state.
 #[derive(Debug)]
 pub struct Backend {
@@ -28,8 +35,7 @@
     hash: u64,
     tag: Tag,
     pub(super) proximity: Proximity,
-    load: Mutex<Load>,
-    estimate: Mutex<Estimate>,
+    belief: Mutex<Belief>,
     limit: Mutex<Limit>,
     limited: AtomicBool,
     searching: AtomicBool,
@@ -85,14 +91,18 @@
         result
     }
 
+    fn belief<T>(&self, act: impl FnOnce(&mut Belief) -> T) -> T {
+        act(&mut self.belief.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
     /// Reads or changes the server's load.
     pub fn load<T>(&self, act: impl FnOnce(&mut Load) -> T) -> T {
-        act(&mut self.load.lock().unwrap_or_else(PoisonError::into_inner))
+        self.belief(|belief| act(&mut belief.load))
     }
 
     /// Reads or changes the estimate of the server.
     pub fn estimate<T>(&self, act: impl FnOnce(&mut Estimate) -> T) -> T {
-        act(&mut self.estimate.lock().unwrap_or_else(PoisonError::into_inner))
+        self.belief(|belief| act(&mut belief.estimate))
     }
 
     /// Counts a request sent to the server.
@@ -149,8 +159,10 @@
             proximity,
             server,
             monitor: Monitor::default(),
-            load: Mutex::default(),
-            estimate: Mutex::new(Estimate::new(server_slots)),
+            belief: Mutex::new(Belief {
+                load: Load::default(),
+                estimate: Estimate::new(server_slots),
+            }),
             limit: Mutex::default(),
             limited: AtomicBool::new(false),
             searching: AtomicBool::new(false),
@@ -186,17 +198,16 @@
         work: Work,
         usual: Usual,
     ) -> (TimedCandidate, Usual) {
-        let (time, own) = self.estimate(|estimate| {
+        self.belief(|Belief { load, estimate }| {
             estimate.set_usual(usual);
-            (estimate.expected_time(work, now), estimate.usual(now))
-        });
-        let candidate = self.load(|load| TimedCandidate {
-            hash: self.hash,
-            time: time.as_secs_f64(),
-            failure_rate: load.failure_rate(),
-            suspect: load.suspect(now),
-        });
-        (candidate, own)
+            let candidate = TimedCandidate {
+                hash: self.hash,
+                time: estimate.expected_time(work, now).as_secs_f64(),
+                failure_rate: load.failure_rate(),
+                suspect: load.suspect(now),
+            };
+            (candidate, estimate.usual(now))
+        })
     }
 
     pub(super) fn candidate(&self, now: Duration, criteria: Criteria, peers: Count) -> Candidate {
--- a/relay/src/state/placement.rs
+++ b/relay/src/state/placement.rs
@@ -184,12 +184,13 @@
                 cohort => cohort,
             };
             let fits = |backend: &&Arc<Backend>| allowed(backend, cohort);
+            let no_outage = view.groups.is_empty();
             let preferred = |backend: &&Arc<Backend>| {
                 !criteria
                     .avoided_domains
                     .contains(&backend.server.failure_domain)
                     && !backend.load(|load| load.suspect(now))
-                    && !view.groups.suspect(&backend.group(), now)
+                    && (no_outage || !view.groups.suspect(&backend.group(), now))
             };
             let mut fitting: Vec<&Arc<Backend>> =
                 backends.iter().filter(fits).filter(preferred).collect();
