--- a/coordination/src/server_load.rs
+++ b/coordination/src/server_load.rs
@@ -25,9 +25,12 @@
 
 mod mean;
 mod report;
+mod work;
 
 use mean::{Mean, Seen};
 pub use report::Report;
+pub use work::{Usual, Work};
+use work::{plausible_length, tokens};
 
 /// Time within which a reported slowness decays towards the server's mean. Slowness changes many
 /// times a second. In simulations with slowdowns of half a second, 100 ms gave longer waits and 200 ms
@@ -41,18 +44,6 @@
 /// counts as the permanent speed.
 const SLOWNESS_WINDOW: Duration = Duration::from_secs(15);
 
-/// Duration of a call until the first one of the service has ended.
-const INITIAL_CALL: Duration = Duration::from_millis(50);
-
-/// Time to process a prompt token until the first prompt of the service is processed.
-const INITIAL_TOKEN: Duration = Duration::from_micros(200);
-
-/// Length of a prompt, in tokens, until the first one was sent.
-const INITIAL_PROMPT: f64 = 2_000.0;
-
-/// Longest plausible prompt, in tokens.
-const MAX_PROMPT: u64 = 10_000_000;
-
 /// Variance, in requests, of the number of requests at a server beyond that of the reports' age: requests
 /// of other entries are on their way.
 const MIN_VARIANCE: f64 = 1.0;
@@ -70,41 +61,6 @@
 /// Least time between two announcements of one server.
 const ANNOUNCE_INTERVAL: Duration = Duration::from_secs(10);
 
-/// Work of a request.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Work {
-    /// A call.
-    Call,
-    /// A stream.
-    Stream {
-        /// Length of its prompt, in tokens; `None` if it is not stated.
-        prompt_tokens: Option<u64>,
-        /// Streams of other entries at the server.
-        peers: Count,
-    },
-}
-
-/// Usual values of a service, which stand in for those of a server that are not known yet.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Usual {
-    /// Duration of a call at usual slowness, in seconds.
-    pub call: f64,
-    /// Time to process a prompt token at usual slowness, in seconds.
-    pub token: f64,
-    /// Length of a prompt, in tokens.
-    pub prompt: f64,
-}
-
-impl Default for Usual {
-    fn default() -> Self {
-        Self {
-            call: INITIAL_CALL.as_secs_f64(),
-            token: INITIAL_TOKEN.as_secs_f64(),
-            prompt: INITIAL_PROMPT,
-        }
-    }
-}
-
 /// Estimate of one server, as known to this entry.
 #[derive(Clone, Copy, Debug)]
 pub struct Estimate {
@@ -270,17 +226,17 @@
     /// decay towards their mean over the duration of a call.
     #[must_use]
     pub fn work_ahead(&self, now: Duration) -> f64 {
-        f64::from(self.own_requests) + self.others(now).0
+        let call = self.call.value(self.usual.call, now);
+        f64::from(self.own_requests) + self.others(call, now).0
     }
 
     /// Returns the expected requests of other entries, and their variance.
-    fn others(&self, now: Duration) -> (f64, f64) {
+    fn others(&self, call: f64, now: Duration) -> (f64, f64) {
         let Some(at) = self.reported_at else {
             return (0.0, 0.0);
         };
         let age = now.saturating_sub(at);
-        let call = self.call.value(self.usual.call, now) * self.mean_slowness;
-        let decay_now = decay(age, call.max(1e-3));
+        let decay_now = decay(age, (call * self.mean_slowness).max(1e-3));
         let mean =
             self.mean_other_requests / (1.0 + age.as_secs_f64() / REQUESTS_WINDOW.as_secs_f64());
         let others = mean + (self.other_requests - mean) * decay_now;
@@ -293,8 +249,8 @@
     }
 
     /// Returns the wait for a free slot, in slot times, for a request that is sent now.
-    fn rounds_of_wait(&self, now: Duration) -> f64 {
-        let (others, variance) = self.others(now);
+    fn rounds_of_wait(&self, call: f64, now: Duration) -> f64 {
+        let (others, variance) = self.others(call, now);
         let slots = f64::from(self.slots);
         let excess = f64::from(self.own_requests) + others + 1.0 - slots;
         // Smooth positive part: the number of requests is not known exactly, so that even a server with
@@ -306,7 +262,8 @@
     /// Returns the expected time until a call that is sent now begins to run.
     #[must_use]
     pub fn expected_wait(&self, now: Duration) -> Duration {
-        seconds(self.rounds_of_wait(now) * self.service_time(now))
+        let call = self.call.value(self.usual.call, now);
+        seconds(self.rounds_of_wait(call, now) * call * self.slowness(now))
     }
 
     /// Returns the expected time until a call that is sent now is answered, or until a stream that is
@@ -316,16 +273,22 @@
         seconds(self.expected_seconds(work, now))
     }
 
-    pub(crate) fn expected_seconds(&self, work: Work, now: Duration) -> f64 {
+    /// Returns [`Self::expected_time`] in seconds.
+    #[must_use]
+    pub fn expected_seconds(&self, work: Work, now: Duration) -> f64 {
         match work {
-            Work::Call => (1.0 + self.rounds_of_wait(now)) * self.service_time(now),
+            Work::Call => {
+                let call = self.call.value(self.usual.call, now);
+                (1.0 + self.rounds_of_wait(call, now)) * call * self.slowness(now)
+            }
             Work::Stream {
                 prompt_tokens,
                 peers,
             } => {
-                let usual = self.usual(now);
-                let own = plausible_length(prompt_tokens).unwrap_or(usual.prompt);
-                (self.tokens_ahead(peers, now) + own) * usual.token * self.slowness(now)
+                let token = self.token.value(self.usual.token, now);
+                let prompt = self.prompt.value(self.usual.prompt, now);
+                let own = plausible_length(prompt_tokens).unwrap_or(prompt);
+                (self.tokens_before(peers, prompt) + own) * token * self.slowness(now)
             }
         }
     }
@@ -334,7 +297,10 @@
     /// and the streams that produce events.
     #[must_use]
     pub fn tokens_ahead(&self, peers: Count, now: Duration) -> f64 {
-        let prompt = self.prompt.value(self.usual.prompt, now);
+        self.tokens_before(peers, self.prompt.value(self.usual.prompt, now))
+    }
+
+    fn tokens_before(&self, peers: Count, prompt: f64) -> f64 {
         let streams = f64::from(self.own_requests.saturating_add(peers.streams));
         let peers = f64::from(peers.prefilling);
         tokens(self.prompt_tokens) + (peers + streams * GENERATION_WORK) * prompt
@@ -419,17 +385,6 @@
     (-age.as_secs_f64() / time).exp()
 }
 
-/// Returns the length of a prompt, unless it is not stated or implausible.
-fn plausible_length(prompt_tokens: Option<u64>) -> Option<f64> {
-    let length = prompt_tokens.filter(|length| (1..=MAX_PROMPT).contains(length));
-    length.map(tokens)
-}
-
-/// Returns a number of tokens as a float.
-fn tokens(number: u64) -> f64 {
-    f64::from(u32::try_from(number).unwrap_or(u32::MAX))
-}
-
 fn seconds(seconds: f64) -> Duration {
     Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX)
 }
--- a/relay/src/state/backend.rs
+++ b/relay/src/state/backend.rs
@@ -10,7 +10,7 @@
 use medlarfall_coordination::placement::{Proximity, name_hash};
 use medlarfall_coordination::registry::Server;
 use medlarfall_coordination::server_limit::Limit;
-use medlarfall_coordination::server_load::{Estimate, Report, Usual, Work};
+use medlarfall_coordination::server_load::{Estimate, Report, Work};
 use medlarfall_coordination::server_pause::Start;
 
 use crate::monitor::Monitor;
@@ -19,6 +19,13 @@
 use super::placement::{Criteria, Measure};
 use super::view::Group;
 
+/// What is known of a server's load and speed, behind one lock: a placement reads both of each server.
+#[derive(Debug)]
+struct Belief {
+    load: Load,
+    estimate: Estimate,
+}
+
 /// A server with its load, monitor and search state.
 #[derive(Debug)]
 pub struct Backend {
@@ -29,8 +36,7 @@
     hash: u64,
     tag: Tag,
     pub(super) proximity: Proximity,
-    load: Mutex<Load>,
-    estimate: Mutex<Estimate>,
+    belief: Mutex<Belief>,
     limit: Mutex<Limit>,
     limited: AtomicBool,
     searching: AtomicBool,
@@ -130,14 +136,18 @@
         result
     }
 
+    fn belief<T>(&self, act: impl FnOnce(&mut Belief) -> T) -> T {
+        act(&mut self.belief.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
     /// Reads or changes the server's load.
     pub fn load<T>(&self, act: impl FnOnce(&mut Load) -> T) -> T {
-        act(&mut self.load.lock().unwrap_or_else(PoisonError::into_inner))
+        self.belief(|belief| act(&mut belief.load))
     }
 
     /// Reads or changes the estimate of the server.
     pub fn estimate<T>(&self, act: impl FnOnce(&mut Estimate) -> T) -> T {
-        act(&mut self.estimate.lock().unwrap_or_else(PoisonError::into_inner))
+        self.belief(|belief| act(&mut belief.estimate))
     }
 
     /// Counts a request sent to the server.
@@ -205,8 +215,10 @@
             pair: name_hash(&format!("{} {}", settings.entry, server.id)),
             server,
             monitor: Monitor::default(),
-            load: Mutex::default(),
-            estimate: Mutex::new(Estimate::new(server_slots)),
+            belief: Mutex::new(Belief {
+                load: Load::default(),
+                estimate: Estimate::new(server_slots),
+            }),
             limit: Mutex::default(),
             limited: AtomicBool::new(false),
             searching: AtomicBool::new(false),
@@ -236,25 +248,14 @@
         }
     }
 
-    /// Returns the server for placement by expected time, and its own values. The values that are not
-    /// known yet are the `usual` ones of the service.
-    pub(super) fn timed_candidate(
-        &self,
-        now: Duration,
-        work: Work,
-        usual: Usual,
-    ) -> (TimedCandidate, Usual) {
-        let (time, own) = self.estimate(|estimate| {
-            estimate.set_usual(usual);
-            (estimate.expected_time(work, now), estimate.usual(now))
-        });
-        let candidate = self.load(|load| TimedCandidate {
+    /// Returns the server for placement by expected time.
+    pub(super) fn timed_candidate(&self, now: Duration, work: Work) -> TimedCandidate {
+        self.belief(|Belief { load, estimate }| TimedCandidate {
             hash: self.hash,
-            time: time.as_secs_f64(),
+            time: estimate.expected_seconds(work, now),
             failure_rate: load.failure_rate(),
             suspect: load.suspect(now),
-        });
-        (candidate, own)
+        })
     }
 
     pub(super) fn candidate(&self, now: Duration, criteria: Criteria, peers: Count) -> Candidate {
--- a/relay/src/state/placement.rs
+++ b/relay/src/state/placement.rs
@@ -189,12 +189,13 @@
                 cohort => cohort,
             };
             let fits = |backend: &&Arc<Backend>| allowed(backend, cohort);
+            let no_outage = view.groups.is_empty();
             let preferred = |backend: &&Arc<Backend>| {
                 !criteria
                     .avoided_domains
                     .contains(&backend.server.failure_domain)
                     && !backend.load(|load| load.suspect(now))
-                    && !view.groups.suspect(&backend.group(), now)
+                    && (no_outage || !view.groups.suspect(&backend.group(), now))
             };
             let mut fitting: Vec<&Arc<Backend>> =
                 backends.iter().filter(fits).filter(preferred).collect();
@@ -202,15 +203,13 @@
                 fitting = backends.iter().filter(fits).collect();
             }
             if expected_time::applies(&fitting, criteria.measure) {
-                let usual = view.usual.get(criteria.service).copied();
-                let usual = usual.unwrap_or_default();
-                let (chosen, usual) =
+                let service = Arc::clone(&fitting.first()?.server.service);
+                let usual = view.usual.entry(service).or_default();
+                let usual = usual.refresh(&fitting, now);
+                let (chosen, time) =
                     expected_time::choose(&fitting, criteria, usual, &view.node, now)?;
-                let chosen = Arc::clone(fitting[chosen]);
-                let service = Arc::clone(&chosen.server.service);
-                view.usual.insert(service, usual);
-                self.metrics.count_placement("expected_time");
-                return Some(chosen);
+                self.metrics.count_timed_placement(criteria.service, time);
+                return Some(Arc::clone(fitting[chosen]));
             }
             let candidates: Vec<Candidate> = fitting
                 .iter()
