perf(relay): share the demand once a second only

Reports are sent up to a hundred times a second while streams start and end, and each carried the demand: about 35 bytes for each scaled service, and a loop over all its servers. Reports between the periodic ones leave it out, hubs keep the last one, and entries compute it at most each 250 ms.

--- a/coordination/src/dissemination.rs
+++ b/coordination/src/dissemination.rs
@@ -139,7 +139,7 @@
     pub calls: Crashes,
     /// What servers said of their limits, and how long ago.
     pub limits: Vec<(ServerLimit, Duration)>,
-    /// Its demand, by service whose servers are scaled.
+    /// Its demand, by service whose servers are scaled; empty in reports between the periodic ones.
     pub demands: Vec<(Arc<str>, Demand)>,
     /// Requests that it has counted.
     pub counts: Option<usage::Report>,
--- a/coordination/src/dissemination/members.rs
+++ b/coordination/src/dissemination/members.rs
@@ -36,6 +36,8 @@
     pub(super) servers: Vec<Tag>,
     /// Whether requests or retries may have changed.
     pub(super) usage: bool,
+    /// Demand of all entries, by service, if it may have changed.
+    pub(super) demands: Vec<(Arc<str>, Demand)>,
     /// Whether the entry's streams differ from those that it reported before.
     pub(super) streams: bool,
     /// Whether the entry has reported for the first time, or again after a silence.
@@ -69,9 +71,13 @@
         };
         let before = self.members.insert(Arc::clone(entry), member);
         let joined = before.as_ref().is_none_or(|before| !before.counted);
-        let (before, usage) = before
-            .map(|before| (before.streams, before.usage))
+        let demands = !report.demands.is_empty();
+        let (before, usage, known) = before
+            .map(|before| (before.streams, before.usage, before.demands))
             .unwrap_or_default();
+        if let Some(member) = self.members.get_mut(entry).filter(|_| !demands) {
+            member.demands = known;
+        }
         let changed = before != report.streams;
         for (server, count) in &before {
             let sum = self.sums.entry(*server).or_default();
@@ -88,6 +94,11 @@
         Change {
             servers,
             usage: usage != report.usage,
+            demands: if demands || joined {
+                self.demands()
+            } else {
+                Vec::new()
+            },
             streams: changed,
             joined,
         }
@@ -114,6 +125,9 @@
         }
         self.members
             .retain(|_, member| now.saturating_sub(member.heard_at) < REMEMBERED);
+        if change.usage {
+            change.demands = self.demands();
+        }
         self.sums.retain(|_, sum| sum.streams > 0);
         change
     }
--- a/coordination/src/dissemination/node.rs
+++ b/coordination/src/dissemination/node.rs
@@ -339,7 +339,7 @@
             entries: self.members.counted(),
             streams: Vec::new(),
             usage,
-            demands: self.members.demands(),
+            demands: change.demands,
         };
         self.ledger.apply(summary, now);
     }
@@ -366,6 +366,7 @@
         let change = Change {
             servers,
             usage: true,
+            demands: self.members.demands(),
             ..Change::default()
         };
         self.update_sums(change, now);
--- a/coordination/src/dissemination/node/sending.rs
+++ b/coordination/src/dissemination/node/sending.rs
@@ -215,7 +215,11 @@
             prompts: self.prompts.batch(Scope::Report, periodic, now),
             calls: self.calls.batch(Scope::Report, periodic, now),
             limits: self.limits.batch(Scope::Report, periodic, now),
-            demands: self.own.demands.clone(),
+            demands: if periodic {
+                self.own.demands.clone()
+            } else {
+                Vec::new()
+            },
             counts: counts.and_then(|(counts, wall_ms)| counts.report(wall_ms, now)),
         };
         self.reported = self.own.clone();
--- a/coordination/tests/dissemination.rs
+++ b/coordination/tests/dissemination.rs
@@ -632,8 +632,11 @@
         measured: 4,
         prefill_ns: 800_000,
     };
-    for own in &mut fleet.own {
-        own.demands = vec![(Arc::clone(&service), demand)];
+    // An entry of an earlier version reports no demand.
+    for (entry, own) in fleet.own.iter_mut().enumerate() {
+        if entry != 3 {
+            own.demands = vec![(Arc::clone(&service), demand)];
+        }
     }
     fleet.run(Duration::from_millis(2_500), 1);
     let known = |fleet: &Fleet, domain: usize| {
@@ -648,15 +651,12 @@
         first
     };
     let sum = (0..12).fold(Demand::default(), |sum, _| sum.plus(demand));
-    assert_eq!(
-        [0, 1, 2].map(|domain| known(&fleet, domain)),
-        [Some(sum); 3]
-    );
-    // An entry of an earlier version reports no demand.
-    fleet.own[3].demands.clear();
+    let expected = [None, Some(sum), Some(sum)];
+    assert_eq!([0, 1, 2].map(|domain| known(&fleet, domain)), expected);
+    fleet.own[3].demands = vec![(Arc::clone(&service), demand)];
     fleet.cut.insert(2);
     fleet.run(Duration::from_secs(7), 0);
-    let expected = [None, Some(sum), None];
+    let expected = [Some(sum), Some(sum), None];
     assert_eq!([0, 1, 2].map(|domain| known(&fleet, domain)), expected);
 }
 
--- a/relay/src/state/demand.rs
+++ b/relay/src/state/demand.rs
@@ -12,6 +12,13 @@
 use super::view::View;
 use super::{Backend, Relay};
 
+/// Age up to which a computed demand is shared: messages are polled up to a hundred times a second, and
+/// carry the demand once a second.
+const MAX_AGE: Duration = Duration::from_millis(250);
+
+/// Demand by service.
+pub(super) type Demands = Vec<(Arc<str>, Demand)>;
+
 impl<C: Codec> Relay<C> {
     /// Returns whether servers are scaled in this deployment.
     #[must_use]
@@ -87,7 +94,18 @@
     }
 
     /// Returns this entry's demand for each service whose servers are scaled.
-    pub(super) fn own_demands(&mut self, now: Duration) -> Vec<(Arc<str>, Demand)> {
+    pub(super) fn own_demands(&mut self, now: Duration) -> Demands {
+        match &self.shared_demands {
+            Some((at, demands)) if now.saturating_sub(*at) < MAX_AGE => demands.clone(),
+            _ => {
+                let demands = self.measure_demands(now);
+                self.shared_demands = Some((now, demands.clone()));
+                demands
+            }
+        }
+    }
+
+    fn measure_demands(&mut self, now: Duration) -> Demands {
         let services = self.scaled_services();
         self.demand_meters
             .retain(|name, _| services.iter().any(|(service, _)| service == name));
--- a/relay/src/state/view.rs
+++ b/relay/src/state/view.rs
@@ -17,6 +17,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::demand::Demands;
 use super::{Backend, Settings};
 
 /// Least number of entries that a reserve of retries is divided by: an entry that has just started
@@ -39,6 +40,8 @@
     pub(super) retry_windows: HashMap<Arc<str>, Window>,
     /// Demand for the services whose servers are scaled.
     pub(super) demand_meters: HashMap<Arc<str>, Meter>,
+    /// The demand that is shared, and when it was computed.
+    pub(super) shared_demands: Option<(Duration, Demands)>,
     /// Last ordered move of each service.
     pub(super) canaries: HashMap<Arc<str>, Canary>,
     /// Orders that the store has since a restore and that may be older than the known ones, with their
@@ -85,6 +88,7 @@
             backends: HashMap::new(),
             retry_windows: HashMap::new(),
             demand_meters: HashMap::new(),
+            shared_demands: None,
             canaries: HashMap::new(),
             unsettled_orders: HashMap::new(),
             recorded_moves: HashSet::new(),
