--- a/coordination/src/duty.rs
+++ b/coordination/src/duty.rs
@@ -277,6 +277,9 @@
     retry_at: Duration,
     subjects: BTreeMap<Subject, State>,
     stopping: bool,
+    store_available: bool,
+    /// Time from which the next call to the provider may be sent.
+    next_call_at: Duration,
     events: Vec<Event>,
 }
 
@@ -295,6 +298,8 @@
             retry_at: now,
             subjects: BTreeMap::new(),
             stopping: false,
+            store_available: true,
+            next_call_at: now,
             events: Vec::new(),
         }
     }
@@ -329,6 +334,11 @@
         self.stopping = true;
     }
 
+    /// Sets whether the store responds, as far as is known. No lock is acquired while it does not.
+    pub fn set_store_available(&mut self, available: bool) {
+        self.store_available = available;
+    }
+
     /// Applies the era of the store. In another era the locks and leases of the earlier one are worth
     /// nothing. The first known era may have begun just now.
     pub fn set_era(&mut self, era: u64, now: Duration) {
@@ -410,7 +420,7 @@
                     state.reported = true;
                     self.events.push(Event::Unheld(subject.clone(), unheld_for));
                 }
-                if state.held.is_some() {
+                if state.held.is_some() || !self.store_available {
                     continue;
                 }
                 let turn = CANDIDATE_DELAY * u32::try_from(position).unwrap_or(u32::MAX);
@@ -562,6 +572,14 @@
         }
     }
 
+    /// Reserves a call to the provider, and returns the time until it may be sent. Calls of this entry are sent
+    /// `spacing` apart.
+    pub fn reserve_call(&mut self, spacing: Duration, now: Duration) -> Duration {
+        let at = self.next_call_at.max(now);
+        self.next_call_at = at + spacing;
+        at.saturating_sub(now)
+    }
+
     /// Records that a call for a subject is being sent that ends by `until`.
     pub fn begin_call(&mut self, subject: &Subject, until: Duration) {
         if let Some(held) = self
--- a/relay/src/autoscaling.rs
+++ b/relay/src/autoscaling.rs
@@ -13,7 +13,7 @@
 use tokio::time::{MissedTickBehavior, interval};
 
 use crate::codec::Codec;
-use crate::duty::{CALL_TIMEOUT, Outcome, Permit, Provider, Subject};
+use crate::duty::{self, CALL_TIMEOUT, Outcome, Permit, Provider, Subject};
 use crate::state::Relay;
 
 /// Time between two decisions. Entries report their demand once a second.
@@ -67,29 +67,33 @@
     loop {
         rounds.tick().await;
         let calls = driver.decide();
-        let provider = &driver.provider;
-        let outcomes = join_all(calls.iter().map(|call| send(provider, call))).await;
+        let (relay, provider) = (&driver.relay, &driver.provider);
+        let outcomes = join_all(calls.iter().map(|call| send(relay, provider, call))).await;
         for (call, outcome) in calls.iter().zip(&outcomes) {
             driver.record(call, outcome);
         }
     }
 }
 
-/// Sends an order, if the permit still allows it.
-async fn send<P: Provider>(provider: &P, call: &Call) -> Outcome {
-    if !call.permit.allows(CALL_TIMEOUT) {
-        let reason = "the lease may end before the call does".to_owned();
-        return Outcome::NotSent { reason };
-    }
+/// Sends an order, unless the permit ended while it waited for its turn.
+async fn send<C: Codec, P: Provider>(relay: &Relay<C>, provider: &P, call: &Call) -> Outcome {
     let Call {
         service,
         failure_domain,
-        ..
+        permit,
+        order,
     } = call;
-    let desired = call.order.desired;
-    provider
-        .order_servers(&call.permit, service, failure_domain, desired)
-        .await
+    let sending = async {
+        if !permit.allows(CALL_TIMEOUT) {
+            let reason = "the lease may end before the call does".to_owned();
+            return Outcome::NotSent { reason };
+        }
+        let desired = order.desired;
+        provider
+            .order_servers(permit, service, failure_domain, desired)
+            .await
+    };
+    duty::call(relay, permit, sending).await
 }
 
 impl<C: Codec, P: Provider> Driver<C, P> {
@@ -173,10 +177,6 @@
         } = call;
         let now = self.relay.clock.now();
         let subject = &call.permit.subject;
-        self.relay
-            .metrics
-            .duties
-            .count_call(subject.duty(), outcome.name());
         if let Some(sent) = self.sent.get_mut(subject) {
             let pause = match outcome {
                 Outcome::Accepted => {
