--- a/coordination/src/dissemination/node.rs
+++ b/coordination/src/dissemination/node.rs
@@ -351,7 +351,7 @@
             entries: self.members.counted(),
             streams: Vec::new(),
             usage,
-            demands: self.members.demands(),
+            demands: change.demands,
         };
         self.ledger.apply(summary, now);
     }
@@ -378,6 +378,7 @@
         let change = Change {
             servers,
             usage: true,
+            demands: self.members.demands(),
             ..Change::default()
         };
         self.update_sums(change, now);
