fix(coordination): fewer bytes for the demand that entries share

Cause: with 32 keys of four services in each report and digest, the messages of an entry took 27 KB/s while services were full; 7 KB/s are allowed.

Change: reports name 6 keys of one service, every 550 ms; digests name 10. Tests of what entries know of each other's demand, of the death of 50 of 300 entries (free within 2 s), and of the traffic.

--- a/coordination/src/dissemination/demands.rs
+++ b/coordination/src/dissemination/demands.rs
@@ -4,25 +4,33 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::room::shares::{condense, sum, without};
-use crate::room::{self};
+use crate::room;
+use crate::room::shares::{NAMED, condense, sum, without};
 
 /// What is asked for, by service.
 pub type Demand = Vec<(Arc<str>, Vec<room::Demand>)>;
 
 /// Most services whose demand a message carries: those with the highest.
-pub const SERVICES: usize = 4;
+pub const SERVICES: usize = 1;
 
 /// Most keys of a service that are taken from a message: the named ones, and a sum for each priority.
-pub const KEYS: usize = room::shares::NAMED + 10;
+pub const KEYS: usize = NAMED + 10;
 
-/// Time after which what a silent entry or hub said no longer counts. They send every 400 ms while there is
-/// something to say, and the share of an entry that dies is to be free within 2 s.
-const FRESH: Duration = Duration::from_secs(1);
+/// Time between two reports of an entry with demand. At 400 ms, the messages of an entry exceeded 7 KB/s.
+pub const REPORT_INTERVAL: Duration = Duration::from_millis(550);
+
+/// Shortest time between two reports that carry demand; other reports are sent at any time.
+const INTERVAL: Duration = Duration::from_millis(390);
+
+/// Time after which what a silent entry or hub said no longer counts. It has time for two
+/// reports, and with two digests of 400 ms each the share of an entry that dies is free within 2 s.
+const FRESH: Duration = Duration::from_millis(1_150);
 
 /// What one entry knows of the demand at all.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Demands {
+    /// When this entry reported its demand last.
+    reported_at: Option<Duration>,
     /// As this entry reported last.
     own: HashMap<Arc<str>, Vec<room::Demand>>,
     /// By entry of this failure domain, for a hub.
@@ -34,28 +42,38 @@
 }
 
 impl Demands {
-    /// Records this entry's own report.
-    pub(super) fn set_reported(&mut self, demand: &Demand) {
+    /// Returns what this entry's next report says of its demand, once in [`INTERVAL`]: entries send other
+    /// reports at any time.
+    pub(super) fn report(&mut self, demand: &Demand, now: Duration) -> Option<Demand> {
+        let recently = |at: Duration| now.saturating_sub(at) < INTERVAL;
+        if self.reported_at.is_some_and(recently) {
+            return None;
+        }
+        self.reported_at = Some(now);
         self.own = demand.iter().cloned().collect();
+        Some(demand.clone())
     }
 
     /// Records the report of an entry of this failure domain.
     pub(super) fn record_member(&mut self, entry: &Arc<str>, demand: Demand, now: Duration) {
-        if demand.is_empty() {
-            self.members.remove(entry);
-        } else {
+        // Most reports say nothing of it. Demand that has ended is not repeated.
+        if !demand.is_empty() {
             self.members.insert(Arc::clone(entry), (demand, now));
         }
     }
 
     /// Records what a hub of another failure domain said.
     pub(super) fn record_domain(&mut self, domain: &Arc<str>, demand: Demand, now: Duration) {
-        self.domains.insert(Arc::clone(domain), (demand, now));
+        if !demand.is_empty() {
+            self.domains.insert(Arc::clone(domain), (demand, now));
+        }
     }
 
     /// Records what a hub of this failure domain said.
     pub(super) fn record_total(&mut self, demand: Demand, now: Duration) {
-        self.total = Some((demand, now));
+        if !demand.is_empty() {
+            self.total = Some((demand, now));
+        }
     }
 
     /// Returns the demand at the entries of this failure domain.
@@ -79,7 +97,7 @@
             of_service(&self.of_all(now))
         } else {
             let total = self.total.as_ref();
-            let total = total.filter(|(_, at)| now.saturating_sub(*at) < 2 * FRESH);
+            let total = total.filter(|(_, at)| is_fresh(*at, now));
             total
                 .map(|(demand, _)| of_service(demand))
                 .unwrap_or_default()
@@ -106,7 +124,8 @@
         services.entry(service).or_default().extend(demand);
     }
     let services = services.into_iter();
-    let services = services.map(|(service, demand)| (Arc::clone(service), condense(sum(demand))));
+    let services =
+        services.map(|(service, demand)| (Arc::clone(service), condense(sum(demand), NAMED)));
     limit(services.collect())
 }
 
--- a/coordination/src/dissemination/node/sending.rs
+++ b/coordination/src/dissemination/node/sending.rs
@@ -6,6 +6,7 @@
 
 use crate::reader_election::READER_ANNOUNCE_INTERVAL;
 
+use super::super::demands::{self, Demand};
 use super::super::roster::Contact;
 use super::super::{Content, Digest, Message, Outgoing, Report, Scope, Sender};
 use super::{CONTACTS, Node, Own, Sent};
@@ -84,9 +85,7 @@
             Scope::Report if self.heard_at.is_none() && self.roster().responds() => {
                 FIRST_REPORT_INTERVAL
             }
-            Scope::Report if !self.own.demand.is_empty() || !self.reported.demand.is_empty() => {
-                DIGEST_INTERVAL
-            }
+            Scope::Report if !self.own.demand.is_empty() => demands::REPORT_INTERVAL,
             Scope::Report => REPORT_INTERVAL,
             Scope::Members | Scope::Hubs => DIGEST_INTERVAL,
         };
@@ -208,14 +207,16 @@
             prompts: self.prompts.batch(Scope::Report, periodic, now),
             calls: self.calls.batch(Scope::Report, periodic, now),
             limits: self.limits.batch(Scope::Report, periodic, now),
-            demand: self.own.demand.clone(),
+            demand: self
+                .demands
+                .report(&self.own.demand, now)
+                .unwrap_or_default(),
         };
         self.reported = self.own.clone();
         let streams = report.streams.iter().copied();
         self.ledger
             .set_reported(streams, report.usage.iter().cloned(), now);
         let entry = Arc::clone(&self.identity.contact.entry);
-        self.demands.set_reported(&report.demand);
         self.demands
             .record_member(&entry, report.demand.clone(), now);
         let changed = self.members.record(&entry, None, &report, now);
@@ -235,6 +236,7 @@
             calls: self.calls.batch(scope, periodic, now),
             limits: self.limits.batch(scope, periodic, now),
             demand: match scope {
+                _ if !periodic => Demand::default(),
                 Scope::Hubs => self.demands.of_domain(now),
                 _ => self.demands.of_all(now),
             },
--- a/coordination/src/room.rs
+++ b/coordination/src/room.rs
@@ -208,7 +208,7 @@
         if !self.tight && wanted(&own, others) < rate * SHARED_LOAD {
             return Vec::new();
         }
-        shares::condense(own)
+        shares::condense(own, shares::REPORTED)
     }
 
     /// Divides the capacity anew, if it is time.
@@ -245,7 +245,7 @@
         };
         let wanted: f64 = all.iter().map(Demand::rate).sum();
         self.tight = wanted > rate * TIGHT_LOAD || rejected || queued;
-        self.shares = Shares::divide(rate, &shares::condense(all));
+        self.shares = Shares::divide(rate, &all);
         let spare = (rate - wanted).max(0.0) * own_rate / wanted.max(1e-3);
         self.credits.set_spare(spare);
     }
--- a/coordination/src/room/shares.rs
+++ b/coordination/src/room/shares.rs
@@ -2,9 +2,13 @@
 
 use std::collections::{BTreeMap, HashMap};
 
-/// Most keys of a service that a message names. The demand of the other accounts of a priority is summed
-/// up: only accounts that want more than their share change what the others get.
-pub const NAMED: usize = 32;
+/// Most keys of a service that a digest names. The demand of the other accounts of a priority is summed up:
+/// only accounts that want more than their share change what the others get. With 32, and four services
+/// instead of one, the messages of an entry took 27 KB/s.
+pub const NAMED: usize = 10;
+
+/// Most keys of a service that an entry's report names.
+pub const REPORTED: usize = 6;
 
 /// Account of the sum over the accounts that are not named.
 pub const OTHERS: u32 = 0;
@@ -59,11 +63,11 @@
     sums.map(|(key, rate)| Demand { key, rate }).collect()
 }
 
-/// Returns demands of which only the [`NAMED`] highest are named; the others are summed up by priority.
+/// Returns demands of which only the `named` highest are named; the others are summed up by priority.
 #[must_use]
-pub fn condense(mut demands: Vec<Demand>) -> Vec<Demand> {
+pub fn condense(mut demands: Vec<Demand>, named: usize) -> Vec<Demand> {
     demands.sort_unstable_by_key(|demand| (std::cmp::Reverse(demand.rate), demand.key));
-    let summed = demands.split_off(demands.len().min(NAMED));
+    let summed = demands.split_off(demands.len().min(named));
     let summed = summed.into_iter().map(|demand| Demand {
         key: Key {
             account: OTHERS,
--- a/coordination/tests/dissemination.rs
+++ b/coordination/tests/dissemination.rs
@@ -8,14 +8,16 @@
 
 use medlarfall_coordination::balance::{Candidate, choose};
 use medlarfall_coordination::canary;
+use medlarfall_coordination::dissemination::demands::SERVICES;
 use medlarfall_coordination::dissemination::{
-    Contact, Content, Count, Identity, Message, MoveReport, Node, Own, Scope, Tag, tag,
+    Contact, Content, Count, Demand, Identity, Message, MoveReport, Node, Own, Scope, Tag, tag,
 };
 use medlarfall_coordination::evidence::{Cohort, Observation};
 use medlarfall_coordination::history::Revision;
 use medlarfall_coordination::placement::{Proximity, name_hash};
 use medlarfall_coordination::quarantine::{Kind, Loss, Tracker};
 use medlarfall_coordination::retry_budget::Usage;
+use medlarfall_coordination::room::{self, shares::REPORTED};
 use medlarfall_schema::peers;
 use prost::Message as _;
 use rand::{Rng, SeedableRng};
@@ -677,3 +679,76 @@
     fleet.nodes[hub].receive(address(other), report, now);
     assert_eq!(fleet.nodes[hub].streams_at(1, now), Count::default());
 }
+
+/// Returns the demand of [`REPORTED`] accounts, one request a second each, of as many services as messages carry.
+/// Entries have different accounts, more than a digest names.
+fn full_demand(entry: usize) -> Demand {
+    let demand = |account| room::Demand {
+        key: room::Key {
+            priority: 1,
+            account,
+        },
+        rate: 1_000,
+    };
+    let accounts = u32::try_from(REPORTED).expect("few");
+    let first = 1 + u32::try_from(entry % 3).expect("few") * accounts;
+    let demands: Vec<room::Demand> = (first..first + accounts).map(demand).collect();
+    let services = 0..SERVICES;
+    services
+        .map(|service| (Arc::from(format!("service-{service}")), demands.clone()))
+        .collect()
+}
+
+/// Returns the requests a second for a service that an entry knows the others to get.
+fn others_rate(fleet: &Fleet, entry: usize) -> f64 {
+    let demand = fleet.nodes[entry].others_demand("service-0", fleet.now);
+    demand.iter().map(room::Demand::rate).sum()
+}
+
+/// Starts entries that all have demand for a service.
+fn start_full(entries: usize) -> Fleet {
+    let mut fleet = Fleet::start(entries, 14, 7);
+    fleet.run(Duration::from_secs(2), 0);
+    for (entry, own) in fleet.own.iter_mut().enumerate() {
+        own.demand = full_demand(entry);
+    }
+    fleet.run(Duration::from_secs(2), 0);
+    fleet
+}
+
+/// Guards against an account that gets a share at each entry that it sends to, and an entry whose share is kept
+/// after its death.
+#[test]
+fn all_entries_know_the_demand_at_the_others() {
+    const ENTRIES: usize = 300;
+    let mut fleet = start_full(ENTRIES);
+    let all = number(REPORTED * (ENTRIES - 1));
+    let known = |fleet: &Fleet, entry: usize| others_rate(fleet, entry) / all;
+    for entry in 0..ENTRIES {
+        let part = known(&fleet, entry);
+        assert!((0.98..1.02).contains(&part), "{entry}: {part}");
+    }
+    fleet.alive[200..250].fill(false);
+    fleet.run(Duration::from_secs(2), 0);
+    for entry in 0..200 {
+        let part = known(&fleet, entry);
+        assert!(part < 254.0 / 299.0, "{entry}: {part}");
+    }
+    for own in &mut fleet.own {
+        own.demand.clear();
+    }
+    fleet.run(Duration::from_secs(3), 0);
+    assert!(others_rate(&fleet, 0) < 1.0);
+}
+
+/// Guards against messages that exceed the bound on control traffic while a service is full.
+#[test]
+fn the_traffic_of_an_entry_stays_within_its_bound_while_a_service_is_full() {
+    const SPAN: Duration = Duration::from_secs(4);
+    let mut fleet = start_full(300);
+    fleet.traffic = vec![(0, 0, 0); 300];
+    fleet.run_streams(SPAN, 84.0 / 300.0, 320);
+    let (mean, highest) = fleet.member_rates(SPAN);
+    println!("{mean:.0} B/s, highest {highest:.0} B/s");
+    assert!(highest < BYTES_PER_SECOND, "{highest}");
+}
