--- a/coordination/src/dissemination/node/sending.rs
+++ b/coordination/src/dissemination/node/sending.rs
@@ -7,6 +7,7 @@
 use crate::reader_election::READER_ANNOUNCE_INTERVAL;
 
 use super::super::counts::Exchange;
+use super::super::demands::{self, AccountDemand};
 use super::super::roster::Contact;
 use super::super::{Content, Digest, Message, Outgoing, Report, Scope, Sender};
 use super::{CONTACTS, Node, Own, Sent};
@@ -87,12 +88,7 @@
             Scope::Report if self.heard_at.is_none() && self.roster().responds() => {
                 FIRST_REPORT_INTERVAL
             }
-            Scope::Report
-                if !self.own.account_demand.is_empty()
-                    || !self.reported.account_demand.is_empty() =>
-            {
-                DIGEST_INTERVAL
-            }
+            Scope::Report if !self.own.account_demand.is_empty() => demands::REPORT_INTERVAL,
             Scope::Report => REPORT_INTERVAL,
             Scope::Members | Scope::Hubs => DIGEST_INTERVAL,
         };
@@ -229,14 +225,16 @@
                 Vec::new()
             },
             counts: counts.and_then(|(counts, wall_ms)| counts.report(leaving, wall_ms, now)),
-            account_demand: self.own.account_demand.clone(),
+            account_demand: self
+                .account_demands
+                .report(&self.own.account_demand, now)
+                .unwrap_or_default(),
         };
         self.reported = self.own.clone();
         let streams = report.streams.iter().copied();
         self.ledger
             .set_reported(streams, report.usage.iter().cloned(), now);
         let entry = Arc::clone(&self.identity.contact.entry);
-        self.account_demands.set_reported(&report.account_demand);
         self.account_demands
             .record_member(&entry, report.account_demand.clone(), now);
         let changed = self.members.record(&entry, None, &report, now);
@@ -256,6 +254,7 @@
             calls: self.calls.batch(scope, periodic, now),
             limits: self.limits.batch(scope, periodic, now),
             account_demand: match scope {
+                _ if !periodic => AccountDemand::default(),
                 Scope::Hubs => self.account_demands.of_domain(now),
                 _ => self.account_demands.of_all(now),
             },
