feat(placement): weigh prompts in servers' caches against the wait

A server does not process shared parts of a prompt again while they are in its cache, but placement by expected time ignored this: prompts with the same shared parts were spread at random, since the hash that breaks ties covers the request's own part too.

coordination::kept_prompts records, per server, the shared parts that this entry's requests had it process (at most 128 servers, 256 parts each, the service's memory, and 10 s without use; discarded when the server registers anew). The lengths of parts are decoded into Head::shared_parts. The expected time of a stream is lessened by the saved tokens at the server's present speed, by at most the time of its own prompt; wait and memory count in full. Saved tokens are not ahead of later prompts, and such a prompt is no sample of the server's speed. Services without slowness and requests without parts are placed as before.

--- a/coordination/src/lib.rs
+++ b/coordination/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod group_outage;
 pub mod history;
 pub mod journal;
+pub mod kept_prompts;
 pub mod liveness;
 pub mod membership;
 pub mod memory;
--- a/coordination/src/server_load.rs
+++ b/coordination/src/server_load.rs
@@ -293,6 +293,16 @@
         }
     }
 
+    /// Returns the time that the server saves, in seconds, if it need not process `saved` tokens of a prompt
+    /// of `prompt_tokens`: at most the time for the whole prompt.
+    #[must_use]
+    pub fn saved_seconds(&self, prompt_tokens: Option<u64>, saved: u64, now: Duration) -> f64 {
+        let prompt = self.prompt.value(self.usual.prompt, now);
+        let own = plausible_length(prompt_tokens).unwrap_or(prompt);
+        let token = self.token.value(self.usual.token, now);
+        tokens(saved).min(own) * token * self.slowness(now)
+    }
+
     /// Returns the work ahead of a stream, in prompt tokens: the prompts that wait for their first event,
     /// and the streams that produce events.
     #[must_use]
@@ -306,9 +316,10 @@
         tokens(self.prompt_tokens) + (peers + streams * GENERATION_WORK) * prompt
     }
 
-    /// Counts a prompt that waits for its first event. Returns the tokens that it counts for: its length,
-    /// or the usual one if it is not stated.
-    pub fn prompt_sent(&mut self, prompt_tokens: Option<u64>, now: Duration) -> u64 {
+    /// Counts a prompt that waits for its first event and of which the server need not process `saved`
+    /// tokens. Returns the tokens that it counts for: the rest of its length, or of the usual one if it is
+    /// not stated.
+    pub fn prompt_sent(&mut self, prompt_tokens: Option<u64>, saved: u64, now: Duration) -> u64 {
         if let Some(length) = plausible_length(prompt_tokens) {
             self.prompt.add(length, now);
         }
@@ -318,7 +329,7 @@
             clippy::cast_sign_loss,
             reason = "lengths are positive and bounded"
         )]
-        let counted = length as u64;
+        let counted = (length as u64).saturating_sub(saved);
         self.prompt_tokens = self.prompt_tokens.saturating_add(counted);
         counted
     }
--- a/coordination/tests/server_load.rs
+++ b/coordination/tests/server_load.rs
@@ -186,7 +186,7 @@
             ..Usual::default()
         });
         for _ in 0..60 {
-            let counted = server.prompt_sent(Some(4_000), now);
+            let counted = server.prompt_sent(Some(4_000), 0, now);
             let took = Duration::from_secs_f64(0.8 * factor);
             server.prompt_ended(counted, Some((took, 0.0)), now);
         }
@@ -237,7 +237,7 @@
         } else {
             outcome.short_factors += factors[chosen];
         }
-        let counted = servers[chosen].prompt_sent(Some(length), now);
+        let counted = servers[chosen].prompt_sent(Some(length), 0, now);
         ends.push((
             now + Duration::from_secs_f64(times[chosen]),
             chosen,
@@ -285,9 +285,9 @@
 fn an_implausible_prompt_length_is_treated_as_absent() {
     let mut estimate = known(ms(30));
     let now = 30 * SECOND;
-    let usual = estimate.prompt_sent(None, now);
-    assert_eq!(estimate.prompt_sent(Some(u64::MAX), now), usual);
-    assert_eq!(estimate.prompt_sent(Some(0), now), usual);
+    let usual = estimate.prompt_sent(None, 0, now);
+    assert_eq!(estimate.prompt_sent(Some(u64::MAX), 0, now), usual);
+    assert_eq!(estimate.prompt_sent(Some(0), 0, now), usual);
     for _ in 0..3 {
         estimate.prompt_ended(usual, None, now);
     }
--- a/relay/src/call/placement.rs
+++ b/relay/src/call/placement.rs
@@ -59,6 +59,7 @@
         avoided_domains: &[],
         remote_penalty: REMOTE_PENALTY,
         measure: Measure::Calls { horizon: HORIZON },
+        shared_parts: &[],
         cohort: if progress.tried.is_empty() {
             job.cohort
         } else {
--- a/relay/src/codec.rs
+++ b/relay/src/codec.rs
@@ -11,6 +11,7 @@
 use hyper::http::response::Parts;
 use hyper::{HeaderMap, Method, StatusCode};
 use medlarfall_coordination::duty::Subject;
+use medlarfall_coordination::kept_prompts::Part;
 use medlarfall_coordination::registry::Server;
 use medlarfall_coordination::routing::Table;
 use medlarfall_coordination::server_limit::Named;
@@ -34,6 +35,9 @@
     pub prompt_hash: Option<u64>,
     /// Identifiers of the prompt's parts, in order; requests share all but the last.
     pub prompt_parts: Arc<[u64]>,
+    /// Parts of the prompt but the last one, in order, with their lengths; at most 64. Empty if they are not
+    /// stated or malformed.
+    pub shared_parts: Arc<[Part]>,
     /// Identifier of the last part of the prompt, which no other request shares.
     pub last_part: Option<Arc<str>>,
     /// Length of the prompt in tokens.
--- a/relay/src/metrics.rs
+++ b/relay/src/metrics.rs
@@ -19,10 +19,12 @@
 mod connections;
 mod duties;
 mod labels;
+mod prompts;
 
 pub use admission::Admission;
 pub use connections::Connections;
 pub use labels::{CauseLabels, EndLabels, KindLabels, RouteLabels, ServiceLabels, StoreCall};
+pub use prompts::Prompts;
 
 /// Upper bound of the first latency bucket, in seconds.
 const FIRST_BUCKET: f64 = 0.005;
@@ -96,6 +98,8 @@
     pub probes: Family<KindLabels, Counter>,
     /// Servers that were chosen, by measure: `expected_time` or `load`.
     pub placements: Family<KindLabels, Counter>,
+    /// Tokens of prompts sent to servers.
+    pub prompts: Prompts,
     /// Servers that the monitor declared lost.
     pub servers_lost: Counter,
     /// Retries withdrawn from the budgets.
@@ -195,6 +199,7 @@
             resume_gap: add(new, "resume_gap_seconds", "Pause of a resume", latency()),
             probes: add(new, "questions", "Questions to servers", Family::default()),
             placements: add(new, "placements", "Servers chosen", Family::default()),
+            prompts: Prompts::new(new),
             servers_lost: add(new, "servers_lost", "Servers found lost", counter()),
             retries: add(new, "retries", "Repeats sent", counter()),
             retries_refused: add(new, "retries_refused", "Repeats refused", counter()),
--- a/relay/src/state/expected_time.rs
+++ b/relay/src/state/expected_time.rs
@@ -5,6 +5,7 @@
 
 use medlarfall_coordination::balance::{self, Preference, TimedCandidate};
 use medlarfall_coordination::dissemination::Node;
+use medlarfall_coordination::kept_prompts::Savings;
 use medlarfall_coordination::placement::Proximity;
 use medlarfall_coordination::server_load::{Usual, Work};
 
@@ -40,18 +41,34 @@
     takes_time && fitting.iter().any(|backend| backend.reports_slowness())
 }
 
+/// What is known of the servers apart from their own estimates.
+pub(super) struct Known<'view> {
+    /// Streams of other entries.
+    pub(super) node: &'view Node,
+    /// Tokens of the prompt that servers probably have in their caches.
+    pub(super) savings: Savings,
+    /// Usual values of the service.
+    pub(super) usual: Usual,
+}
+
 /// Returns the index of the chosen server, and the time that the request is expected to take there, in
 /// seconds.
 pub(super) fn choose(
     fitting: &[&Arc<Backend>],
     criteria: Criteria,
-    usual: Usual,
-    node: &Node,
+    known: &Known,
     now: Duration,
 ) -> Option<(usize, f64)> {
+    let Known {
+        node,
+        savings,
+        usual,
+    } = known;
     let prompt_time = usual.token * usual.prompt;
     let (usual_time, tolerance, affinity) = match criteria.measure {
         Measure::Calls { .. } => (usual.call, CALL_TOLERANCE, false),
+        // The time that a common prefix saves is known, and it may be less than the larger tolerance.
+        Measure::Streams { .. } if !savings.is_empty() => (prompt_time, CALL_TOLERANCE, true),
         Measure::Streams { .. } | Measure::BackupMemory(_) => (prompt_time, STREAM_TOLERANCE, true),
     };
     let remote_stream = criteria.remote_penalty * REMOTE_STREAM * prompt_time;
@@ -89,6 +106,14 @@
             }
         };
         let mut candidate = backend.timed_candidate(now, work);
+        if let Measure::Streams { prompt_tokens, .. } = criteria.measure
+            && !savings.is_empty()
+        {
+            let saved = savings.at(backend.tag());
+            let saved =
+                backend.estimate(|estimate| estimate.saved_seconds(prompt_tokens, saved, now));
+            candidate.time = (candidate.time - saved).max(0.0);
+        }
         if let Some(memory) = memory {
             let count = backend.load(|load| load.streams()).plus(peers);
             candidate.time += memory.load(count) * prompt_time;
--- a/relay/src/state/placement.rs
+++ b/relay/src/state/placement.rs
@@ -5,12 +5,14 @@
 
 use medlarfall_coordination::balance::{self, Candidate};
 use medlarfall_coordination::evidence::Cohort;
+use medlarfall_coordination::kept_prompts::Part;
 use medlarfall_coordination::registry::Server;
 use medlarfall_coordination::server_memory;
 
 use crate::codec::Codec;
 
-use super::{Backend, Relay, expected_time};
+use super::expected_time::{self, Known};
+use super::{Backend, Relay};
 
 /// Most servers of a group that one entry searches for at the same time. Entries share the servers
 /// that they find, and thousands of probes a second would fill the links of a large fleet.
@@ -49,6 +51,9 @@
     pub remote_penalty: f64,
     /// How load is measured.
     pub measure: Measure,
+    /// Parts of the prompt that other requests may share. Servers that probably have them in their caches are
+    /// preferred by the time that this saves, if streams are placed by expected time.
+    pub shared_parts: &'request [Part],
     /// Version cohort that the request was assigned to, if the service moved then. A move that has ended
     /// since goes before it.
     pub cohort: Option<Cohort>,
@@ -206,8 +211,12 @@
                 let service = Arc::clone(&fitting.first()?.server.service);
                 let usual = view.usual.entry(service).or_default();
                 let usual = usual.refresh(&fitting, now);
-                let (chosen, time) =
-                    expected_time::choose(&fitting, criteria, usual, &view.node, now)?;
+                let known = Known {
+                    node: &view.node,
+                    savings: view.kept_prompts.saved(criteria.shared_parts, now),
+                    usual,
+                };
+                let (chosen, time) = expected_time::choose(&fitting, criteria, &known, now)?;
                 self.metrics.count_timed_placement(criteria.service, time);
                 return Some(Arc::clone(fitting[chosen]));
             }
@@ -235,6 +244,34 @@
         })
     }
 
+    /// Records that a server processed a prompt with the parts `shared`, if its requests are placed by
+    /// expected time and it has not been started anew since. `memory_tokens` is the server's memory.
+    pub fn record_kept_prompt(
+        &self,
+        backend: &Arc<Backend>,
+        shared: &[Part],
+        memory_tokens: Option<u64>,
+    ) {
+        if shared.is_empty() || !backend.reports_slowness() || !self.lists(backend) {
+            return;
+        }
+        let now = self.clock.now();
+        self.view(|view| {
+            view.kept_prompts
+                .record(backend.tag(), shared, memory_tokens, now);
+        });
+    }
+
+    /// Returns how many tokens of a prompt with the parts `shared` a server probably still has in its cache.
+    #[must_use]
+    pub fn kept_tokens(&self, backend: &Backend, shared: &[Part]) -> u64 {
+        if shared.is_empty() || !backend.reports_slowness() {
+            return 0;
+        }
+        let now = self.clock.now();
+        self.view(|view| view.kept_prompts.saved_at(backend.tag(), shared, now))
+    }
+
     /// Returns the work ahead of a stream at a server, in prompt tokens.
     #[must_use]
     pub fn tokens_ahead(&self, backend: &Backend) -> f64 {
--- a/relay/src/state/view.rs
+++ b/relay/src/state/view.rs
@@ -6,6 +6,7 @@
 use medlarfall_coordination::evidence::Cohort;
 use medlarfall_coordination::group_outage::Groups;
 use medlarfall_coordination::history::Revision;
+use medlarfall_coordination::kept_prompts;
 use medlarfall_coordination::quarantine::{Fingerprint, Trackers};
 use medlarfall_coordination::registry::Registry;
 use medlarfall_coordination::retry_budget::{Bounds, Window};
@@ -68,6 +69,8 @@
     pub(super) returns: HashMap<Arc<str>, Returns>,
     /// Usual values of each service whose servers report their slowness.
     pub(super) usual: HashMap<Arc<str>, expected_time::Service>,
+    /// Prompts that servers probably have in their caches.
+    pub(super) kept_prompts: kept_prompts::Servers,
     /// What this entry shares with the others, and what it knows of them.
     pub(super) node: Node,
 }
@@ -104,6 +107,7 @@
             pauses: Pauses::default(),
             returns: HashMap::new(),
             usual: HashMap::new(),
+            kept_prompts: kept_prompts::Servers::default(),
             node,
         }
     }
@@ -167,6 +171,7 @@
         if backends.iter().all(|backend| backend.server.id != *id) {
             let backend = Backend::new(Arc::clone(server), settings);
             backend.set_max_connections(max_connections);
+            self.kept_prompts.forget(backend.tag());
             backends.push(Arc::new(backend));
         }
     }
--- a/relay/src/stream.rs
+++ b/relay/src/stream.rs
@@ -192,6 +192,15 @@
         )
     }
 
+    /// Records that a server processed the prompt, and so has its shared parts in its cache.
+    fn record_kept_prompt(&self, backend: &Arc<Backend>) {
+        let service = self.job.table.service(&self.job.service);
+        let memory = service.map(|service| service.memory_tokens);
+        let memory = memory.filter(|tokens| *tokens > 0);
+        let shared = &self.job.head.shared_parts;
+        self.relay.record_kept_prompt(backend, shared, memory);
+    }
+
     fn criteria<'this>(&'this self, avoided_domains: &'this [Arc<str>]) -> Criteria<'this> {
         Criteria {
             service: &self.job.service,
@@ -202,6 +211,7 @@
                 prompt_tokens: self.job.head.prompt_tokens,
                 memory: self.memory_demand(),
             },
+            shared_parts: &self.job.head.shared_parts,
             cohort: if self.arrivals == 0 && self.excluded.is_empty() {
                 self.job.cohort
             } else {
@@ -355,19 +365,27 @@
             resume_from,
             last_event: self.last_event,
         };
+        let prefilling = !cached && dispatch.resume_from.is_none();
+        let head = &self.job.head;
+        let saved = self.relay.kept_tokens(backend, &head.shared_parts);
+        if prefilling {
+            let length = head.prompt_tokens.unwrap_or(saved);
+            self.relay.metrics.prompts.count(length, saved);
+        }
         log::info!(
             request = &*self.job.original.request_id, server = &*backend.server.id,
             failure_domain = &*backend.server.failure_domain, version = &*backend.server.version,
+            prompt_tokens = head.prompt_tokens.unwrap_or(0), kept_tokens = saved,
             load = self.relay.stream_load(backend), own = backend.load(|load| load.own_requests()),
             backup = backup.as_ref().map_or("", |backup| &*backup.backend.server.id),
             copy = dispatch.resume_from.as_ref().map_or("", |backup| &*backup.handle),
             last_event = self.last_event.unwrap_or(0);
             "stream sent"
         );
-        let prefilling = !cached && dispatch.resume_from.is_none();
         let idle = prefilling && self.relay.measures_prefill(backend);
         let prompt = prefilling.then_some(Prompt {
-            tokens: self.job.head.prompt_tokens,
+            tokens: head.prompt_tokens,
+            saved,
         });
         let mut run = Run {
             backend: Arc::clone(backend),
@@ -375,7 +393,7 @@
             lost_at: None,
             occupancy: Occupancy::start(&self.relay, backend, prompt),
             meter: Meter::new(began),
-            idle_prompt: self.job.head.prompt_tokens.filter(|_| idle),
+            idle_prompt: head.prompt_tokens.filter(|_| idle && saved == 0),
         };
         let (relay, job) = (Arc::clone(&self.relay), Arc::clone(&self.job));
         self.run_events = 0;
--- a/relay/src/stream/forwarding.rs
+++ b/relay/src/stream/forwarding.rs
@@ -220,7 +220,9 @@
                 }
                 self.run_events += 1;
                 if self.run_events == 1 {
-                    source.run.occupancy.prefill_done();
+                    if source.run.occupancy.prefill_done() {
+                        self.record_kept_prompt(&source.run.backend);
+                    }
                     self.maintain_backup(&source.run.backend);
                 }
                 if self.run_events == ANSWER_EVENTS {
--- a/relay/src/stream/occupancy.rs
+++ b/relay/src/stream/occupancy.rs
@@ -15,6 +15,8 @@
 pub struct Prompt {
     /// Its length in tokens, if it is stated.
     pub tokens: Option<u64>,
+    /// Tokens that the server probably has in its cache.
+    pub saved: u64,
 }
 
 /// A prompt in prefill.
@@ -24,6 +26,9 @@
     began: Duration,
     /// Prompt tokens that were ahead of it.
     ahead: f64,
+    /// Whether its time measures the server's speed: it does not if part of the prompt may be cached, as
+    /// the number of tokens that are processed is uncertain.
+    measures: bool,
 }
 
 /// A stream at a server, counted until this is dropped.
@@ -40,11 +45,13 @@
             let ahead = relay.tokens_ahead(backend);
             let began = relay.clock.now();
             backend.load(Load::prefill_started);
-            let sent = |estimate: &mut Estimate| estimate.prompt_sent(prompt.tokens, began);
+            let sent =
+                |estimate: &mut Estimate| estimate.prompt_sent(prompt.tokens, prompt.saved, began);
             Prefill {
                 counted: backend.estimate(sent),
                 began,
                 ahead,
+                measures: prompt.saved == 0,
             }
         });
         backend.streams.fetch_add(1, Ordering::Relaxed);
@@ -56,9 +63,11 @@
         }
     }
 
-    /// Records the end of prefill with the first event.
-    pub fn prefill_done(&mut self) {
+    /// Records the end of prefill with the first event. Returns whether there was a prompt in prefill.
+    pub fn prefill_done(&mut self) -> bool {
+        let prefilling = self.prefill.is_some();
         self.end_prefill(true);
+        prefilling
     }
 
     fn end_prefill(&mut self, has_event: bool) {
@@ -67,7 +76,7 @@
         };
         let now = self.relay.clock.now();
         let took = now.saturating_sub(prefill.began);
-        let processed = has_event.then_some((took, prefill.ahead));
+        let processed = (has_event && prefill.measures).then_some((took, prefill.ahead));
         self.backend.load(Load::prefill_ended);
         self.backend
             .estimate(|estimate| estimate.prompt_ended(prefill.counted, processed, now));
