--- a/relay/src/stream.rs
+++ b/relay/src/stream.rs
@@ -9,7 +9,6 @@
 
 use hyper::Response;
 use medlarfall_coordination::routing::Kind;
-use medlarfall_coordination::server_memory;
 use tokio::time::Instant;
 
 use crate::admission;
@@ -43,9 +42,6 @@
 /// Retry delay when no server is available or all are at capacity.
 const NO_SERVER_PAUSE: Duration = Duration::from_millis(300);
 
-/// Part of a prompt's length that the generated events usually take in memory.
-const GENERATED_PART: u64 = 7;
-
 /// Consecutive attempts that reached no server or were refused by one, after which the search ends.
 const REFUSAL_LIMIT: u32 = 6;
 
@@ -179,19 +175,6 @@
         self.resumable() && service.is_some_and(|service| service.backups)
     }
 
-    /// Returns the memory that the stream needs, if the service's servers are scaled to their load and have
-    /// little spare memory.
-    fn memory_demand(&self) -> Option<server_memory::Demand> {
-        let service = self.job.table.service(&self.job.service)?;
-        let prompt_tokens = self.job.head.prompt_tokens?;
-        (service.autoscaling.is_some() && service.memory_tokens > 0).then_some(
-            server_memory::Demand {
-                request_tokens: prompt_tokens + prompt_tokens / GENERATED_PART,
-                memory_tokens: service.memory_tokens,
-            },
-        )
-    }
-
     /// Records that a server processed the prompt, and so has its shared parts in its cache.
     fn record_kept_prompt(&self, backend: &Arc<Backend>) {
         let service = self.job.table.service(&self.job.service);
--- a/relay/src/stream/backups.rs
+++ b/relay/src/stream/backups.rs
@@ -1,14 +1,32 @@
-//! Backups of a run's KV cache: which server holds one, and when it is used.
+//! Backups of a run's KV cache: which server holds one, when it is used, and the memory that a run needs.
 
 use std::sync::Arc;
 
+use medlarfall_coordination::server_memory;
+
 use crate::backup::{self, Holder};
 use crate::codec::{Backup, Codec};
 use crate::state::{Backend, Criteria, Measure};
 
 use super::Stream;
 
+/// Part of a prompt's length that the generated events usually take in memory.
+const GENERATED_PART: u64 = 7;
+
 impl<C: Codec> Stream<C> {
+    /// Returns the memory that the stream needs, if the service's servers are scaled to their load and have
+    /// little spare memory.
+    pub(super) fn memory_demand(&self) -> Option<server_memory::Demand> {
+        let service = self.job.table.service(&self.job.service)?;
+        let prompt_tokens = self.job.head.prompt_tokens?;
+        (service.autoscaling.is_some() && service.memory_tokens > 0).then_some(
+            server_memory::Demand {
+                request_tokens: prompt_tokens + prompt_tokens / GENERATED_PART,
+                memory_tokens: service.memory_tokens,
+            },
+        )
+    }
+
     /// Removes and returns the run's backup and its holder, if the holder is still listed, not paused,
     /// and of a version that is in use. A run that has sent no event has no usable backup.
     pub(super) fn take_backup(&mut self) -> Option<(Arc<Backend>, Option<Backup>)> {
