fix(relay): small savings of a prompt do not move streams from their usual servers

Cause: where a server had any part of a prompt, servers counted as equal within 5% instead of 25% of a prompt's time.

Change: the smaller tolerance holds from a quarter of the prompt on.

--- a/coordination/src/kept_prompts.rs
+++ b/coordination/src/kept_prompts.rs
@@ -113,6 +113,12 @@
         self.0.is_empty()
     }
 
+    /// Returns the most tokens that any server saves.
+    #[must_use]
+    pub fn most(&self) -> u64 {
+        self.0.iter().map(|(_, tokens)| *tokens).max().unwrap_or(0)
+    }
+
     /// Returns the tokens that a server need not process.
     #[must_use]
     pub fn at(&self, server: Tag) -> u64 {
--- a/relay/src/state/expected_time.rs
+++ b/relay/src/state/expected_time.rs
@@ -27,6 +27,9 @@
 /// common prefix reach the same servers.
 const STREAM_TOLERANCE: f64 = 0.25;
 
+/// Part (1/n) of a prompt from which servers that save it are preferred with the tolerance of calls.
+const LEAST_SAVING: u64 = 4;
+
 /// Time that a server in another failure domain adds to a stream, as a share of the usual time of a
 /// prompt: the stream must move if the failure domains are cut off from each other.
 const REMOTE_STREAM: f64 = 0.5;
@@ -67,8 +70,12 @@
     let prompt_time = usual.token * usual.prompt;
     let (usual_time, tolerance, affinity) = match criteria.measure {
         Measure::Calls { .. } => (usual.call, CALL_TOLERANCE, false),
-        // The time that a common prefix saves is known, and it may be less than the larger tolerance.
-        Measure::Streams { .. } if !savings.is_empty() => (prompt_time, CALL_TOLERANCE, true),
+        // A saving of most of the prompt goes before the affinity of prompts with a common prefix. A small one
+        // does not: streams that left their usual servers for a fortieth of a prompt were late more often.
+        Measure::Streams {
+            prompt_tokens: Some(tokens),
+            ..
+        } if savings.most() > tokens / LEAST_SAVING => (prompt_time, CALL_TOLERANCE, true),
         Measure::Streams { .. } | Measure::BackupMemory(_) => (prompt_time, STREAM_TOLERANCE, true),
     };
     let remote_stream = criteria.remote_penalty * REMOTE_STREAM * prompt_time;
