perf(relay): backups at servers are counted without a lock of each server

Cause: each round of messages locked every server of the entry's view to see whether it holds a backup, and each backup started a round of its own.

Change: an atomic count beside that of streams; backups go with the messages of their streams. Not measured yet.

--- a/relay/src/backup.rs
+++ b/relay/src/backup.rs
@@ -3,6 +3,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use tokio::sync::watch;
@@ -21,53 +22,50 @@
 const COPY_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// The server that holds the backup of a stream, counted there until this is dropped.
-pub struct Holder<C: Codec> {
+pub struct Holder {
     /// The server.
     pub backend: Arc<Backend>,
-    relay: Arc<Relay<C>>,
     counted: bool,
 }
 
-impl<C: Codec> Holder<C> {
-    /// Returns the holder of a backup, which is counted if `counted`.
-    pub fn start(relay: &Arc<Relay<C>>, backend: Arc<Backend>, counted: bool) -> Self {
+impl Holder {
+    /// Returns the holder of a backup, which is counted if `counted`. The other entries hear of it with the
+    /// next change of streams, which follows at once.
+    #[must_use]
+    pub fn start(backend: Arc<Backend>, counted: bool) -> Self {
         if counted {
             backend.load(Load::backup_started);
-            relay.streams_changed.notify_one();
-        }
-        Self {
-            backend,
-            relay: Arc::clone(relay),
-            counted,
+            backend.backups.fetch_add(1, Ordering::Relaxed);
         }
+        Self { backend, counted }
     }
 }
 
-impl<C: Codec> Drop for Holder<C> {
+impl Drop for Holder {
     fn drop(&mut self) {
         if self.counted {
             self.backend.load(Load::backup_ended);
-            self.relay.streams_changed.notify_one();
+            self.backend.backups.fetch_sub(1, Ordering::Relaxed);
         }
     }
 }
 
 /// A backup that is refreshed until this is dropped.
-pub struct Replacement<C: Codec> {
+pub struct Replacement {
     /// Server that holds the backup.
-    pub holder: Holder<C>,
+    pub holder: Holder,
     source: SocketAddr,
     handle: watch::Receiver<Option<Arc<str>>>,
     task: AbortHandle,
 }
 
-impl<C: Codec> Drop for Replacement<C> {
+impl Drop for Replacement {
     fn drop(&mut self) {
         self.task.abort();
     }
 }
 
-impl<C: Codec> Replacement<C> {
+impl Replacement {
     /// Returns the backup, once it is made.
     #[must_use]
     pub fn backup(&self) -> Option<Backup> {
@@ -79,7 +77,7 @@
     }
 
     /// Frees the backup at both servers.
-    pub fn free(self, relay: &Arc<Relay<C>>) {
+    pub fn free<C: Codec>(self, relay: &Arc<Relay<C>>) {
         let Some(handle) = self.handle.borrow().clone() else {
             return;
         };
@@ -100,8 +98,8 @@
     relay: &Arc<Relay<C>>,
     request_id: &Arc<str>,
     source: &Arc<Backend>,
-    holder: Holder<C>,
-) -> Replacement<C> {
+    holder: Holder,
+) -> Replacement {
     let (sender, handle) = watch::channel(None);
     let source = source.server.address;
     let target = holder.backend.server.address;
--- a/relay/src/state/backend.rs
+++ b/relay/src/state/backend.rs
@@ -49,6 +49,8 @@
     pair: u64,
     /// Number of streams of this entry at the server.
     pub streams: AtomicUsize,
+    /// Number of backups of this entry's streams that the server holds, if they are counted.
+    pub backups: AtomicUsize,
 }
 
 impl Backend {
@@ -227,6 +229,7 @@
             connections: Mutex::default(),
             max_connections: AtomicU32::new(0),
             streams: AtomicUsize::new(0),
+            backups: AtomicUsize::new(0),
         }
     }
 
--- a/relay/src/state/peers.rs
+++ b/relay/src/state/peers.rs
@@ -74,12 +74,12 @@
     pub fn own_streams(&self) -> Vec<(Tag, Count)> {
         self.view(|view| {
             let backends = view.backends.values().flatten();
-            let counts = backends.map(|backend| {
-                let count = backend.load(|load| load.streams());
-                let busy = backend.streams.load(Ordering::Relaxed) > 0 || count.backups > 0;
-                busy.then_some((backend.tag(), count))
+            let busy = backends.filter(|backend| {
+                backend.streams.load(Ordering::Relaxed) > 0
+                    || backend.backups.load(Ordering::Relaxed) > 0
             });
-            counts.flatten().collect()
+            busy.map(|backend| (backend.tag(), backend.load(|load| load.streams())))
+                .collect()
         })
     }
 
--- a/relay/src/stream.rs
+++ b/relay/src/stream.rs
@@ -80,8 +80,8 @@
     refused_by: Vec<Arc<str>>,
     /// Failure domains in which the stream lost a server or could not reach one.
     avoided_domains: Vec<Arc<str>>,
-    backup: Option<Holder<C>>,
-    replacement: Option<Replacement<C>>,
+    backup: Option<Holder>,
+    replacement: Option<Replacement>,
     /// Events that arrived from the current run.
     run_events: u32,
     /// Whether a server has begun to answer the prompt.
--- a/relay/src/stream/backups.rs
+++ b/relay/src/stream/backups.rs
@@ -77,8 +77,8 @@
     }
 
     /// Counts a backup of the stream at the server that holds it.
-    pub(super) fn hold_backup(&self, backend: Arc<Backend>) -> Holder<C> {
-        Holder::start(&self.relay, backend, self.memory_demand().is_some())
+    pub(super) fn hold_backup(&self, backend: Arc<Backend>) -> Holder {
+        Holder::start(backend, self.memory_demand().is_some())
     }
 
     /// Chooses a server in another failure domain to hold a backup.
