review: foreign entries in the list of servers remove live servers

Cause: a registration drops all others with its address before it is known whether the configuration names its service.

--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -5,6 +5,7 @@
 mod big_configuration;
 mod deployment;
 mod entry;
+mod foreign_entry;
 mod http;
 mod json;
 mod record;
@@ -34,6 +35,7 @@
     record.line(&format!("case {case}, disruption {}", if trouble { "on" } else { "off" }));
     let outcome = match case.as_str() {
         "big-configuration" => big_configuration::play(trouble, &record),
+        "foreign-entry" => foreign_entry::play(trouble, &record),
         _ => Outcome::NotRun("no such case".to_owned()),
     };
     let (text, code) = match outcome {
