review: removed servers get requests while both readers of the store are cut off

Cause: the two entries that read the store notice a silent cut after 2.06 s, and only then do others step in.

--- a/review/standin-2/deployment.rs
+++ b/review/standin-2/deployment.rs
@@ -7,6 +7,7 @@
 
 use crate::entry::Entry;
 use crate::http::{self, Message};
+use crate::proxy::Proxy;
 use crate::record::Record;
 use crate::replica::{Replica, Run, Runs};
 use crate::store::Store;
@@ -24,6 +25,8 @@
 pub struct Deployment {
     pub store: Store,
     pub entries: Vec<Entry>,
+    /// Proxies between the entries and the store, in the same order.
+    pub proxies: Vec<Proxy>,
     pub runs: Runs,
     pub record: Record,
     folder: PathBuf,
@@ -40,12 +43,15 @@
         let folder = std::env::temp_dir().join(format!("medlarfall-review-{process}"));
         std::fs::create_dir_all(&folder).expect("a temporary folder");
         let store = Store::start(&format!("{network}.250"));
-        let entries = (0..entries).map(|number| {
+        let proxies = (0..entries).map(|number| Proxy::start(&format!("{network}.{}", 10 + number), store.address));
+        let proxies: Vec<Proxy> = proxies.collect();
+        let entries = proxies.iter().enumerate().map(|(number, proxy)| {
             let ip = format!("{network}.{}", 10 + number);
-            Entry::new(number, ZONES[number % ZONES.len()], &ZONES, &ip, &store, &folder)
+            Entry::new(number, ZONES[number % ZONES.len()], &ZONES, &ip, proxy.address, &folder)
         });
         Self {
             entries: entries.collect(),
+            proxies,
             store,
             runs: Arc::new(Mutex::new(Vec::new())),
             record: record.clone(),
--- a/review/standin-2/entry.rs
+++ b/review/standin-2/entry.rs
@@ -6,7 +6,6 @@
 use std::time::{Duration, Instant};
 
 use crate::http;
-use crate::store::Store;
 
 /// The command of the deploy file.
 const PROGRAM: &str = "target/release/medlarfall-relay";
@@ -23,7 +22,7 @@
 
 impl Entry {
     /// Writes the settings file of an entry in `zone` at `ip`, as DEPLOY.md describes it.
-    pub fn new(number: usize, zone: &str, zones: &[&str], ip: &str, store: &Store, folder: &Path) -> Self {
+    pub fn new(number: usize, zone: &str, zones: &[&str], ip: &str, store: SocketAddr, folder: &Path) -> Self {
         let name = format!("edge-{zone}-{number}");
         let settings = folder.join(format!("{name}.yaml"));
         let listed: Vec<String> = zones.iter().map(|zone| format!("  {zone}: \"bc-interior\"")).collect();
@@ -38,7 +37,7 @@
              address: \"{}\"\n  form: \"kv\"\n  writes_per_s: 400\n  reads_per_s: 2000\n  retention_s: 20\n  \
              value_bytes: 1048576\n  ttl_min_ms: 1000\n",
             listed.join("\n"),
-            store.address
+            store
         );
         std::fs::write(&settings, text).expect("a settings file");
         Self {
@@ -65,13 +64,6 @@
         self.process = Some(process);
     }
 
-    /// Sends a signal to the process.
-    pub fn signal(&self, signal: &str) {
-        if let Some(process) = &self.process {
-            let _ = Command::new("kill").args([signal, &process.id().to_string()]).status();
-        }
-    }
-
     /// Kills the process and waits for its end.
     pub fn kill(&mut self) {
         if let Some(mut process) = self.process.take() {
@@ -80,12 +72,6 @@
         }
     }
 
-    /// Returns whether the process has ended by itself.
-    pub fn has_ended(&mut self) -> bool {
-        let process = self.process.as_mut();
-        process.is_some_and(|process| !matches!(process.try_wait(), Ok(None)))
-    }
-
     /// Returns the answer to the platform's question whether the entry is ready; 0 if there is none.
     pub fn readiness(&self) -> u16 {
         let host = self.ready.to_string();
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -8,6 +8,8 @@
 mod foreign_entry;
 mod http;
 mod json;
+mod proxy;
+mod readers_cut;
 mod record;
 mod replica;
 mod store;
@@ -35,6 +37,7 @@
     record.line(&format!("case {case}, disruption {}", if trouble { "on" } else { "off" }));
     let outcome = match case.as_str() {
         "big-configuration" => big_configuration::play(trouble, &record),
+        "readers-cut" => readers_cut::play(trouble, &record),
         "foreign-entry" => foreign_entry::play(trouble, &record),
         _ => Outcome::NotRun("no such case".to_owned()),
     };
--- a/review/standin-2/replica.rs
+++ b/review/standin-2/replica.rs
@@ -2,9 +2,10 @@
 //! answers each request that is meant for it.
 
 use std::net::{SocketAddr, TcpListener};
+use std::thread;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use crate::http::{self, Connection, Message};
 use crate::record::Record;
@@ -30,12 +31,12 @@
     pub id: String,
     pub service: String,
     pub address: SocketAddr,
-    zone: String,
+    pub zone: String,
     born: u64,
     work: Duration,
     running: Arc<AtomicU64>,
-    /// Set while the process of the replica is down.
-    pub down: Arc<AtomicBool>,
+    /// Set when the replica exits: its port closes, and its connections end.
+    pub ended: Arc<AtomicBool>,
     runs: Runs,
     record: Record,
 }
@@ -58,15 +59,35 @@
             born: now_ms(),
             work,
             running: Arc::default(),
-            down: Arc::default(),
+            ended: Arc::default(),
             runs: Arc::clone(runs),
             record: record.clone(),
         };
+        listener.set_nonblocking(true).expect("a listener that can be closed");
         let serving = replica.clone();
-        http::listen(listener, move |connection| serving.serve(connection));
+        thread::spawn(move || serving.accept(&listener));
         replica
     }
 
+    /// Accepts connections until the replica exits.
+    fn accept(&self, listener: &TcpListener) {
+        while !self.ended.load(Ordering::Relaxed) {
+            let Ok((stream, _)) = listener.accept() else {
+                thread::sleep(Duration::from_millis(1));
+                continue;
+            };
+            let _ = stream.set_nonblocking(false);
+            let serving = self.clone();
+            thread::spawn(move || serving.serve(Connection::new(stream)));
+        }
+    }
+
+    /// Ends the process of the replica. What runs there is lost.
+    pub fn exit(&self) {
+        self.ended.store(true, Ordering::Relaxed);
+        self.record.line(&format!("replica {} exits", self.id));
+    }
+
     /// Returns the replica's entry in the store.
     pub fn entry(&self, state: &str) -> String {
         format!(
@@ -84,30 +105,30 @@
 
     fn serve(&self, mut connection: Connection) {
         while let Ok(request) = connection.message() {
-            if self.down.load(Ordering::Relaxed) {
+            let Some(response) = self.reply(&request) else {
                 return;
-            }
-            let response = self.reply(&request);
+            };
             if connection.send(&response).is_err() {
                 return;
             }
         }
     }
 
-    fn reply(&self, request: &Message) -> Vec<u8> {
+    /// Returns the answer to a request, or `None` if the replica exits before it is made.
+    fn reply(&self, request: &Message) -> Option<Vec<u8>> {
         let load = format!("{},0,{SLOTS}", self.running.load(Ordering::Relaxed));
         let own = [("Medlarfall-Replica-Id", self.id.as_str()), ("Medlarfall-Replica-Load", load.as_str())];
         if request.target().starts_with("/health") {
-            return http::response(200, &own, "");
+            return Some(http::response(200, &own, ""));
         }
         if request.target().starts_with("/report") {
-            return http::response(200, &own, "{\"queued\":0,\"running\":0,\"models\":[]}");
+            return Some(http::response(200, &own, "{\"queued\":0,\"running\":0,\"models\":[]}"));
         }
         let Some(id) = request.header("Medlarfall-Request-Id") else {
-            return http::response(400, &[("Medlarfall-Not-Executed", "1")], "");
+            return Some(http::response(400, &[("Medlarfall-Not-Executed", "1")], ""));
         };
         if request.header("Medlarfall-Target-Replica").is_some_and(|target| target != self.id) {
-            return http::response(421, &own, "");
+            return Some(http::response(421, &own, ""));
         }
         self.running.fetch_add(1, Ordering::Relaxed);
         self.runs.lock().expect("the runs").push(Run {
@@ -116,14 +137,21 @@
             service: self.service.clone(),
         });
         self.record.line(&format!("run {id} at {} of {}", self.id, self.service));
-        std::thread::sleep(self.work);
+        let ends = Instant::now() + self.work;
+        while Instant::now() < ends && !self.ended.load(Ordering::Relaxed) {
+            thread::sleep(Duration::from_millis(2));
+        }
         self.running.fetch_sub(1, Ordering::Relaxed);
+        if self.ended.load(Ordering::Relaxed) {
+            self.record.line(&format!("cut {id} at {}", self.id));
+            return None;
+        }
         let body = format!("{{\"ran\":\"{id}\",\"by\":\"{}\"}}", self.id);
         let headers = [
             ("Medlarfall-Request-Id", id),
             ("Medlarfall-Response-Signature", "3e1b.07.5a2"),
             ("Medlarfall-Replica-Load", load.as_str()),
         ];
-        http::response(200, &headers, &body)
+        Some(http::response(200, &headers, &body))
     }
 }
--- a/review/standin-2/store.rs
+++ b/review/standin-2/store.rs
@@ -125,14 +125,6 @@
         });
     }
 
-    /// Returns the value of an item.
-    pub fn get(&self, key: &str) -> Option<String> {
-        self.change(|content| {
-            let item = content.items.get(key)?;
-            Some(String::from_utf8_lossy(&item.value).into_owned())
-        })
-    }
-
     fn serve(&self, mut connection: Connection) {
         while let Ok(request) = connection.message() {
             let (status, body) = self.reply(&request);
