--- a/review/standin-2/big_configuration.rs
+++ b/review/standin-2/big_configuration.rs
@@ -70,7 +70,7 @@
 
 pub fn play(trouble: bool, record: &Record) -> Outcome {
     let small = Size { routes: 8, tenants: 9, keys: 2 };
-    let large = Size { routes: 1_400, tenants: 4_900, keys: 3 };
+    let large = Size { routes: 350, tenants: 9, keys: 2_200 };
     let mut deployment = Deployment::new(6, record);
     let _old = deployment.replicas("app-old", 0, 4);
     let _new = deployment.replicas("app-new", 10, 4);
