fix(relay): changes of the store of any size reach every entry in time

Cause: an entry that does not read the store fetched changes from peers with attempt::fetch, which is made for backend servers and gives up on responses of more than 256 KiB. The entry had no other way to get a change: it asked the same peer again with each message, for ever.

Evidence: "catching up from a peer failed", "length limit exceeded", four times a second in the log of each of the four, and nothing else; the two readers were never behind. A time limit of 1 s for the whole response was not exceeded on loopback. It is on links of 10 Mbit/s that several transfers share.

Change: peers' changes have a bound of their own in bytes, and one on silence instead of the whole time. coordination::catch_up decides whom an entry asks: each peer that is ahead once, then the store, after a quarter of the time within which changes must be in force. An entry refuses to send more than half of its link carries in half of that time. Entries that lack different changes share encoded responses. A list or watch of the store that still arrives is not lost: a reader on a link of 10 Mbit/s gave up on a value of 1 MiB again and again. The lag of an entry is a metric, and a log line when it begins and ends.

Why it works: whatever the reason for which peers fail, an entry reads the store while there is time left for its largest value; the store alone can fail it.

Failed before: platform/tests/large_configurations.rs, "third: version 6 is not in force" after 10 s. In a simulation (coordination/tests/catch_up.rs) a change of 1 MiB is at all of 9, 75 and 300 entries, most of them with links of 10 Mbit/s, within 3 s; with two attempts at each peer it took 3.2 s at 300.

--- a/coordination/src/lib.rs
+++ b/coordination/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod autoscaling;
 pub mod balance;
 pub mod canary;
+pub mod catch_up;
 pub mod claim;
 pub mod connections;
 pub mod detector;
@@ -29,6 +30,7 @@
 pub mod placement;
 pub mod planned_stop;
 pub mod probe_budget;
+pub mod propagation;
 pub mod quarantine;
 pub mod reader_election;
 pub mod registry;
--- a/relay/src/attempt.rs
+++ b/relay/src/attempt.rs
@@ -9,7 +9,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
@@ -40,8 +40,8 @@
 /// reset before a byte is written certainly did not run, and a few milliseconds are little for a call.
 const RESET_WATCH: Duration = Duration::from_millis(5);
 
-/// Largest status report of a server, or response of a peer, in bytes.
-const REPORT_LIMIT: usize = 256 << 10;
+/// Largest response of a server to a control request, in bytes.
+const CONTROL_LIMIT: usize = 256 << 10;
 
 /// Largest read buffer of a connection, in bytes.
 const READ_BUFFER: usize = 64 << 10;
@@ -306,12 +306,29 @@
     })
 }
 
-/// Sends a control request to a server or a peer, and returns the whole response.
+/// Sends a control request to a server, and returns the whole response. An ill server may send without end:
+/// callers bound the time.
 ///
 /// # Errors
 ///
 /// Returns why there is no valid response.
 pub async fn fetch(address: SocketAddr, command: Command) -> Result<(Parts, Bytes), String> {
+    fetch_up_to(address, command, CONTROL_LIMIT, Duration::MAX).await
+}
+
+/// Sends a control request to a server or a peer, and returns the whole response of up to `limit` bytes. No
+/// part of it may take longer than `silence`.
+///
+/// # Errors
+///
+/// Returns why there is no valid response.
+pub async fn fetch_up_to(
+    address: SocketAddr,
+    command: Command,
+    limit: usize,
+    silence: Duration,
+) -> Result<(Parts, Bytes), String> {
+    let silent = |_| format!("no byte for {} ms", silence.as_millis());
     let stream = connect(address).await.map_err(|error| error.to_string())?;
     let (mut sender, connection) = start(stream, Transmission::default()).await?;
     let request = Request::builder()
@@ -320,12 +337,17 @@
         .header(HOST, address.to_string())
         .body(Full::new(command.body))
         .map_err(|error| error.to_string())?;
-    let response = sender.send_request(request).await;
+    let response = timeout(silence, sender.send_request(request)).await;
+    let response = response.map_err(silent)?;
     let (parts, body) = response.map_err(|error| error.to_string())?.into_parts();
-    let body = Limited::new(body, REPORT_LIMIT).collect().await;
-    let body = body.map_err(|error| error.to_string())?.to_bytes();
+    let mut body = Limited::new(body, limit);
+    let mut content = BytesMut::new();
+    while let Some(frame) = timeout(silence, body.frame()).await.map_err(silent)? {
+        let data = frame.map_err(|error| error.to_string())?.into_data();
+        content.extend_from_slice(&data.unwrap_or_default());
+    }
     drop(connection);
-    Ok((parts, body))
+    Ok((parts, content.freeze()))
 }
 
 fn get(path: &str) -> Command {
--- a/relay/src/broadcast.rs
+++ b/relay/src/broadcast.rs
@@ -16,7 +16,6 @@
 use tokio::net::UdpSocket;
 use tokio::time::sleep;
 
-use crate::changelog;
 use crate::codec::Codec;
 use crate::datagram::{self, Updates};
 use crate::peer_updates;
@@ -74,13 +73,7 @@
     if confirmed && !behind {
         relay.confirm_servers();
     }
-    if behind && !relay.begin_catching_up() {
-        let relay = Arc::clone(relay);
-        tokio::spawn(async move {
-            changelog::catch_up(Arc::clone(&relay), from, revision).await;
-            relay.end_catching_up();
-        });
-    }
+    relay.record_peer_revision(from, revision);
 }
 
 /// Returns the changes since `sent_revision`, if they fit into a message.
@@ -90,8 +83,7 @@
     }
     let current = relay.changelog(|changelog| changelog.revision());
     let changes = relay.changelog(|changelog| changelog.changes_since(sent_revision));
-    let length = |change: &Change| change.key.len() + change.value.as_ref().map_or(0, String::len);
-    let bytes: usize = changes.changes.iter().map(length).sum();
+    let bytes: usize = changes.changes.iter().map(Change::size).sum();
     let fits = current > sent_revision && bytes <= UPDATES_LIMIT;
     fits.then_some(Updates {
         after: if sent_revision.era == current.era {
--- a/relay/src/changelog.rs
+++ b/relay/src/changelog.rs
@@ -1,38 +1,26 @@
 //! Keeps the newest known change of each store key, and serves the changes to the other entries.
 //!
-//! An entry catches up from a peer if it is cut off from the store, its watch has fallen silent, or
-//! it started while the store was unavailable. Messages between entries carry the revision that
-//! each has read. One that stays behind for `CATCH_UP_DELAY` fetches the changes from the sender.
+//! An entry catches up from a peer ([`crate::catch_up`]) if it does not read the store, misses a message, or
+//! the changes are too large for one. Messages between entries carry the revision that each has read.
 //! Every value carries the store's revision, so a newer value is never replaced by an older one. All
 //! changes belong to one era of the store: a restore begins another.
 
-use std::collections::{HashMap, HashSet};
-use std::net::SocketAddr;
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::sync::Arc;
-use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
-use hyper::{Method, Request, Response, StatusCode};
+use hyper::{Request, StatusCode};
 use medlarfall_coordination::history::Revision;
 use medlarfall_runtime::store::{Change, Changes, Listing};
 use tokio::net::TcpListener;
-use tokio::time::{sleep, timeout};
 
-use crate::attempt;
-use crate::codec::{Codec, Command};
+use crate::codec::Codec;
 use crate::encoding;
 use crate::internal_http;
-use crate::peer_updates;
 use crate::state::Relay;
 
-/// Time that an entry waits for the changes to arrive by message before it fetches them.
-const CATCH_UP_DELAY: Duration = Duration::from_millis(60);
-
-/// Longest wait for a peer's response.
-const RESPONSE_TIMEOUT: Duration = Duration::from_secs(1);
-
 /// Removed keys that are kept. If more are removed, a peer that is far behind does not receive all
 /// removals and keeps some removed keys until it reads the store itself.
 const REMOVED_LIMIT: usize = 4_096;
@@ -43,6 +31,25 @@
 /// Query that names the era of that revision.
 const ERA_QUERY: &str = "era=";
 
+/// Responses that are kept. Entries that are behind are mostly behind by the same changes.
+const RESPONSES: usize = 4;
+
+/// Content of a response from which it also serves entries that lack only a part of it, as long as that is
+/// [`REUSED_PART`] of it or more.
+const REUSED_PART: usize = 2;
+
+/// An encoded response to a peer.
+#[derive(Clone, Debug)]
+struct Response {
+    /// The revision after which it has all changes.
+    after: Revision,
+    /// The revision up to which it has them.
+    revision: Revision,
+    /// Size of its keys and values.
+    size: usize,
+    encoded: Bytes,
+}
+
 /// The newest known change of each key.
 #[derive(Debug, Default)]
 pub struct Changelog {
@@ -50,9 +57,8 @@
     revision: Revision,
     /// Whether all keys were read once, in this era or an earlier one.
     complete: bool,
-    /// The last response to a peer, with the revisions that it covers: entries that are behind are
-    /// mostly behind by the same changes.
-    response: Option<(Revision, Revision, Bytes)>,
+    /// The last responses to peers.
+    responses: VecDeque<Response>,
 }
 
 impl Changelog {
@@ -167,28 +173,56 @@
 }
 
 impl Changelog {
-    /// Returns the encoded changes after a revision.
-    fn encoded_since(&mut self, after: Revision) -> Result<Bytes, encoding::Error> {
+    /// Returns the size of the keys and values of the changes after a revision, in bytes.
+    fn size_since(&self, after: Revision) -> usize {
+        let all = after.is_of_earlier_era(self.revision);
+        let changes = self.changes.values();
+        let changes = changes.filter(|change| all || change.revision > after.number);
+        changes.map(Change::size).sum()
+    }
+
+    /// Returns the encoded changes after a revision, possibly with some before it.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if they can't be encoded.
+    pub fn encoded_since(&mut self, after: Revision) -> Result<Bytes, encoding::Error> {
         let revision = self.revision;
-        match &self.response {
-            Some((first, last, encoded)) if (*first, *last) == (after, revision) => {
-                Ok(encoded.clone())
-            }
-            _ => {
-                let encoded = Bytes::from(encoding::encode(&self.changes_since(after))?);
-                self.response = Some((after, revision, encoded.clone()));
-                Ok(encoded)
-            }
+        self.responses.retain(|it| it.revision == revision);
+        let size = self.size_since(after);
+        let serves = |it: &&Response| {
+            let covers = it.after.era == after.era && it.after <= after;
+            covers && it.size <= size.saturating_mul(REUSED_PART)
+        };
+        if let Some(response) = self.responses.iter().find(serves) {
+            return Ok(response.encoded.clone());
+        }
+        let encoded = Bytes::from(encoding::encode(&self.changes_since(after))?);
+        if self.responses.len() == RESPONSES {
+            self.responses.pop_front();
         }
+        self.responses.push_back(Response {
+            after,
+            revision,
+            size,
+            encoded: encoded.clone(),
+        });
+        Ok(encoded)
     }
 }
 
+/// Returns the path and query of the changes after a revision.
+#[must_use]
+pub fn path_after(after: Revision) -> String {
+    format!("{CHANGES_PATH}{}?{ERA_QUERY}{}", after.number, after.era)
+}
+
 /// Serves the changes to the other entries.
 pub async fn serve<C: Codec>(relay: Arc<Relay<C>>, listener: TcpListener) {
     internal_http::serve(listener, move |request| reply(&relay, request)).await;
 }
 
-fn reply<C: Codec>(relay: &Relay<C>, request: &Request<Incoming>) -> Response<Full<Bytes>> {
+fn reply<C: Codec>(relay: &Relay<C>, request: &Request<Incoming>) -> hyper::Response<Full<Bytes>> {
     let after = request.uri().path().strip_prefix(CHANGES_PATH);
     let after = after.and_then(|after| after.parse().ok());
     let era = request.uri().query();
@@ -199,9 +233,19 @@
         number,
     });
     let body = after.map(|after| relay.changelog(|changelog| changelog.encoded_since(after)));
-    let mut response = Response::new(Full::from(Bytes::new()));
+    let mut response = hyper::Response::new(Full::from(Bytes::new()));
     match body {
-        Some(Ok(body)) => *response.body_mut() = Full::from(body),
+        // The link would carry it too late: the peer asks another one or the store.
+        Some(Ok(body)) if !relay.may_transfer(body.len()) => {
+            log::info!(bytes = body.len(); "changes not sent to a peer: the link is busy with others");
+            relay.metrics.catch_up.refused.inc();
+            *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+        }
+        Some(Ok(body)) => {
+            let bytes = u64::try_from(body.len()).unwrap_or(u64::MAX);
+            relay.metrics.catch_up.sent_bytes.inc_by(bytes);
+            *response.body_mut() = Full::from(body);
+        }
         Some(Err(error)) => {
             log::error!(reason = error.to_string().as_str(); "changes for a peer not encoded");
             *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
@@ -210,41 +254,3 @@
     }
     response
 }
-
-/// Catches up from a peer that has read up to `revision`, if this entry is still behind after a
-/// short delay.
-pub async fn catch_up<C: Codec>(relay: Arc<Relay<C>>, peer: SocketAddr, revision: Revision) {
-    let own = || relay.changelog(|changelog| changelog.revision());
-    if own().number > 0 {
-        sleep(CATCH_UP_DELAY).await;
-    }
-    let after = own();
-    if after >= revision {
-        return;
-    }
-    let command = Command {
-        method: Method::GET,
-        path: format!("{CHANGES_PATH}{}?{ERA_QUERY}{}", after.number, after.era),
-        body: Bytes::new(),
-    };
-    let response = timeout(RESPONSE_TIMEOUT, attempt::fetch(peer, command)).await;
-    let changes = match response {
-        Ok(Ok((_, body))) => encoding::decode::<Changes>(&body).map_err(|e| e.to_string()),
-        Ok(Err(error)) => Err(error),
-        Err(_) => Err("no answer in time".to_owned()),
-    };
-    let peer = peer.to_string();
-    match changes {
-        Ok(changes) => {
-            log::info!(
-                peer = peer.as_str(), era = changes.era, after = after.number,
-                revision = changes.revision, changes = changes.changes.len();
-                "caught up from a peer"
-            );
-            peer_updates::apply_fetched(&relay, after, changes);
-        }
-        Err(reason) => {
-            log::info!(peer = peer.as_str(), reason = reason.as_str(); "catching up from a peer failed");
-        }
-    }
-}
--- a/relay/src/daemon.rs
+++ b/relay/src/daemon.rs
@@ -18,8 +18,8 @@
 use crate::duty::Provider;
 use crate::state::Relay;
 use crate::{
-    autoscaling, broadcast, changelog, duty, internal_http, lapses, listener, moves, quarantine,
-    rediscover, registration, store_watch, supervisor, usage,
+    autoscaling, broadcast, catch_up, changelog, duty, internal_http, lapses, listener, moves,
+    quarantine, rediscover, registration, store_watch, supervisor, usage,
 };
 
 /// Time from the stop signal until idle connections are closed. The platform polls readiness once a
@@ -71,6 +71,10 @@
                 supervise(&relay, "broadcast", move || {
                     broadcast::run(Arc::clone(&exchanging.0), Arc::clone(&exchanging.1))
                 });
+                let catching_up = (Arc::clone(&relay), store.clone());
+                supervise(&relay, "catch_up", move || {
+                    catch_up::run(Arc::clone(&catching_up.0), catching_up.1.clone())
+                });
                 let registering = (Arc::clone(&relay), store.clone());
                 supervise(&relay, "registration", move || {
                     let (relay, store) = registering.clone();
--- a/relay/src/encoding.rs
+++ b/relay/src/encoding.rs
@@ -14,6 +14,9 @@
 /// megabyte.
 const CONTENT_LIMIT: u64 = 16 << 20;
 
+/// Largest encoded size, in bytes: content that does not compress grows by a few bytes for each block.
+pub const SIZE_LIMIT: usize = (16 << 20) + (64 << 10);
+
 /// Why a value can't be encoded or decoded.
 #[derive(Debug, Snafu)]
 pub enum Error {
--- a/relay/src/lib.rs
+++ b/relay/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod backup;
 pub mod broadcast;
 pub mod call;
+pub mod catch_up;
 pub mod changelog;
 pub mod codec;
 pub mod daemon;
--- a/relay/src/metrics.rs
+++ b/relay/src/metrics.rs
@@ -5,6 +5,7 @@
 use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
+use medlarfall_coordination::catch_up::Lag;
 use medlarfall_coordination::dissemination::Scope;
 use medlarfall_coordination::quarantine::Kind;
 use medlarfall_runtime::logging::Losses;
@@ -16,14 +17,18 @@
 use prometheus_client::registry::{Metric, Registry};
 
 mod admission;
+mod catch_up;
 mod connections;
 mod duties;
 mod labels;
 mod prompts;
 
 pub use admission::Admission;
+pub use catch_up::CatchUp;
 pub use connections::Connections;
-pub use labels::{CauseLabels, EndLabels, KindLabels, RouteLabels, ServiceLabels, StoreCall};
+pub use labels::{
+    CauseLabels, EndLabels, KindLabels, RouteLabels, ServiceLabels, SourceLabels, StoreCall,
+};
 pub use prompts::Prompts;
 
 /// Upper bound of the first latency bucket, in seconds.
@@ -61,6 +66,8 @@
     pub limited_servers: usize,
     /// Connections to servers, by service.
     pub connections: Vec<(String, u32)>,
+    /// How far this entry is behind the others.
+    pub lag: Lag,
 }
 
 /// The metrics.
@@ -120,6 +127,8 @@
     pub connections: Connections,
     /// Calls to the store by kind.
     pub store_calls: Family<KindLabels, Counter>,
+    /// How far this entry is behind the others, and how it catches up.
+    pub catch_up: CatchUp,
     /// Messages sent to other entries by kind; one to several entries counts for each.
     pub messages: Family<KindLabels, Counter>,
     /// Their bytes.
@@ -209,6 +218,7 @@
             calls_lost: add(new, "calls_lost", "Calls that got no answer", counter()),
             calls_blocked: add(new, "calls_blocked", "Calls blocked", counter()),
             store_calls: add(new, "store_calls", "Calls to the store", Family::default()),
+            catch_up: CatchUp::new(new),
             messages: add(
                 new,
                 "messages",
@@ -372,6 +382,7 @@
         self.entries.set(signed(gauges.entries));
         self.limited_servers.set(signed(gauges.limited_servers));
         self.hub.set(i64::from(gauges.hub));
+        self.catch_up.set_lag(&gauges.lag);
         for (service, count) in &gauges.servers {
             let service = service.clone();
             let gauge = self
--- a/relay/src/metrics/labels.rs
+++ b/relay/src/metrics/labels.rs
@@ -34,6 +34,15 @@
     pub kind: &'static str,
 }
 
+/// Labels of an attempt to fetch changes.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct SourceLabels {
+    /// Whom they were fetched from.
+    pub source: &'static str,
+    /// What came of it.
+    pub outcome: &'static str,
+}
+
 /// Label of a service. A configuration has few of them.
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 pub struct ServiceLabels {
--- a/relay/src/state.rs
+++ b/relay/src/state.rs
@@ -2,16 +2,19 @@
 
 use std::collections::HashMap;
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::AtomicBool;
 use std::sync::{Arc, Mutex, OnceLock, PoisonError};
 use std::time::Duration;
 
+use medlarfall_coordination::catch_up::CatchUp;
 use medlarfall_coordination::dissemination::{Contact, Identity, Node};
 use medlarfall_coordination::duty::Duties;
+use medlarfall_coordination::history::Revision;
+use medlarfall_coordination::pacing::Transfers;
 use medlarfall_coordination::probe_budget::Budget;
 use medlarfall_coordination::retry_budget::Bounds;
 use medlarfall_coordination::routing::{Limits, Table};
-use medlarfall_coordination::{canary, liveness};
+use medlarfall_coordination::{canary, liveness, propagation};
 use medlarfall_runtime::budget;
 use medlarfall_runtime::clock::{BootClock, Clock, wall_ms};
 use tokio::sync::{Notify, watch};
@@ -71,6 +74,10 @@
     pub grace: Duration,
     /// Duties towards the platform's provider; `None` if the deployment has none.
     pub duties: Option<duty::Settings>,
+    /// Time within which a change of the store must be in force.
+    pub propagation: propagation::Budget,
+    /// Calls a second that the store takes from all entries together.
+    pub store_calls_per_s: f64,
 }
 
 /// The relay of one entry.
@@ -117,7 +124,10 @@
     probes: Mutex<Budget>,
     view: Mutex<View>,
     changelog: Mutex<Changelog>,
-    catching_up: AtomicBool,
+    catch_up: Mutex<CatchUp>,
+    transfers: Mutex<Transfers>,
+    /// Wakes the task that fetches the changes that this entry lacks.
+    pub behind: Notify,
 }
 
 impl<C: Codec> Relay<C> {
@@ -136,6 +146,8 @@
         };
         let mut node = Node::new(identity, clock.now());
         let boot_clock = BootClock::start();
+        let transfers = Transfers::new(settings.link_mbps);
+        let catch_up = CatchUp::new(settings.propagation, rand::random());
         let duties = settings.duties.map(|duties| {
             let policy = duty::policy(&duties);
             let entry = Arc::clone(&settings.entry);
@@ -168,7 +180,9 @@
             probes: Mutex::new(Budget::new(clock.now())),
             view: Mutex::new(View::new(node)),
             changelog: Mutex::default(),
-            catching_up: AtomicBool::new(false),
+            catch_up: Mutex::new(catch_up),
+            transfers: Mutex::new(transfers),
+            behind: Notify::new(),
         }
     }
 
@@ -199,14 +213,22 @@
             .unwrap_or_else(PoisonError::into_inner))
     }
 
-    /// Marks this entry as catching up from a peer; returns whether it already was.
-    pub fn begin_catching_up(&self) -> bool {
-        self.catching_up.swap(true, Ordering::Relaxed)
+    /// Reads or changes the state of catching up with the other entries, given the revision that this entry
+    /// knows and the time.
+    pub fn catch_up<T>(&self, act: impl FnOnce(&mut CatchUp, Revision, Duration) -> T) -> T {
+        let own = self.changelog(|changelog| changelog.revision());
+        let mut catch_up = self.catch_up.lock().unwrap_or_else(PoisonError::into_inner);
+        act(&mut catch_up, own, self.clock.now())
     }
 
-    /// Marks the end of catching up, with or without success.
-    pub fn end_catching_up(&self) {
-        self.catching_up.store(false, Ordering::Relaxed);
+    /// Returns whether this entry's link carries a response of `bytes` to a peer in time, and counts it if so.
+    pub fn may_transfer(&self, bytes: usize) -> bool {
+        let now = self.clock.now();
+        let mut transfers = self
+            .transfers
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        transfers.begin(bytes, self.settings.propagation.transfer(), now)
     }
 
     /// Returns the configuration in force.
--- a/relay/src/state/gauges.rs
+++ b/relay/src/state/gauges.rs
@@ -19,6 +19,7 @@
     #[must_use]
     pub fn metrics_text(&self) -> String {
         let now = self.clock.now();
+        let lag = self.catch_up(|state, own, now| state.lag(own, now));
         let gauges = self.view(|view| Gauges {
             configuration_age: now.saturating_sub(view.table_at),
             servers_age: now.saturating_sub(view.servers_confirmed_at),
@@ -46,6 +47,7 @@
                 .iter()
                 .map(|(service, backends)| (service.to_string(), backends.len()))
                 .collect(),
+            lag,
         });
         self.metrics.set_gauges(&gauges, logging::losses());
         self.metrics.text()
--- a/relay/src/state/peers.rs
+++ b/relay/src/state/peers.rs
@@ -43,6 +43,12 @@
         self.view(|view| view.node.must_register())
     }
 
+    /// Returns the number of known entries, this one included.
+    #[must_use]
+    pub fn entries(&self) -> u32 {
+        self.view(|view| view.node.entries())
+    }
+
     /// Returns whether this entry is a hub of its failure domain.
     #[must_use]
     pub fn is_hub(&self) -> bool {
--- a/relay/src/store_watch.rs
+++ b/relay/src/store_watch.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use rand::Rng;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout, timeout_at};
 
 use medlarfall_coordination::canary::Order;
 use medlarfall_coordination::history::Revision;
@@ -41,6 +41,9 @@
 /// and several entries may read it at once after all were restarted.
 const LIST_TIME: Duration = Duration::from_secs(3);
 
+/// Time that a response may take beyond that as long as it arrives.
+const TRANSFER_TIME: Duration = Duration::from_secs(10);
+
 /// Time between two checks whether this entry has to read the store.
 const READER_CHECK: Duration = Duration::from_millis(100);
 
@@ -214,10 +217,10 @@
             // An entry that starts may use an older list: the watch returns what changed since.
             let listing = if position == Position::Unknown {
                 relay.metrics.count_store_call(StoreCall::CachedList);
-                with_timeout(LIST_TIME, store.list_cached("")).await?
+                while_receiving(store, LIST_TIME, store.list_cached("")).await?
             } else {
                 relay.metrics.count_store_call(StoreCall::List);
-                with_timeout(LIST_TIME, store.list("")).await?
+                while_receiving(store, LIST_TIME, store.list("")).await?
             };
             let known = relay.changelog(|changelog| changelog.revision());
             let read = Revision {
@@ -238,7 +241,7 @@
                 changes,
                 revision: number,
                 era,
-            } = with_timeout(limits.response, watching).await?;
+            } = while_receiving(store, limits.response, watching).await?;
             let read = Revision { era, number }.or_era(revision.era);
             if read.is_of_earlier_era(revision) {
                 return Err(outdated());
@@ -258,6 +261,32 @@
     }
 }
 
+/// Reads the store once, up to its newest revision.
+///
+/// # Errors
+///
+/// Returns why it was not read.
+pub async fn catch_up<C: Codec, S: Store>(relay: &Relay<C>, store: &S) -> Result<(), String> {
+    let mut position =
+        Position::Unknown.at_least(relay.changelog(|changelog| changelog.revision()));
+    let limits = Limits {
+        wait: FIRST_WATCH_TIME,
+        response: relay.settings.propagation.bound(),
+    };
+    loop {
+        let read = step(relay, store, position, limits).await;
+        match (position, read) {
+            (Position::At(_), Ok(Position::At(revision))) => {
+                log::info!(era = revision.era, revision = revision.number; "caught up from the store");
+                return Ok(());
+            }
+            (_, Ok(next)) => position = next,
+            (_, Err(Error::HistoryGone)) => position = Position::Gone,
+            (_, Err(error)) => return Err(error.to_string()),
+        }
+    }
+}
+
 /// Returns the newest change of each key, oldest first. A value that was replaced or removed since has no
 /// effect, not even for a moment.
 fn newest(changes: &[Change]) -> Vec<&Change> {
@@ -316,6 +345,31 @@
     })
 }
 
+/// Bounds a list or a watch that itself waits up to `wait`. As long as its response arrives, it may take up to
+/// [`TRANSFER_TIME`] longer: a large value takes a second on a narrow link.
+async fn while_receiving<S: Store, T>(
+    store: &S,
+    wait: Duration,
+    call: impl Future<Output = Result<T, Error>>,
+) -> Result<T, Error> {
+    let mut call = std::pin::pin!(call);
+    let mut received = store.received();
+    let mut ends = Instant::now() + wait + RESPONSE_TIMEOUT;
+    let last = ends + TRANSFER_TIME;
+    loop {
+        if let Ok(answer) = timeout_at(ends, &mut call).await {
+            return answer;
+        }
+        let before = std::mem::replace(&mut received, store.received());
+        if received == before || ends >= last {
+            return Err(Error::Lost {
+                reason: "no answer in time".to_owned(),
+            });
+        }
+        ends += RESPONSE_TIMEOUT;
+    }
+}
+
 /// Applies the registration of an entry, or its end.
 fn record_entry<C: Codec>(relay: &Relay<C>, name: &Arc<str>, value: Option<&str>) {
     let registration = match value
--- a/relay/tests/changelog.rs
+++ b/relay/tests/changelog.rs
@@ -55,3 +55,30 @@
     }
     assert!(changelog.changes_since(at(0)).changes.len() <= 4_096);
 }
+
+/// Entries that lack different changes made their peer encode a large one for each of them.
+#[test]
+fn entries_that_lack_a_large_change_and_others_share_a_response() {
+    let mut changelog = Changelog::default();
+    for revision in 1..=100 {
+        changelog.insert(
+            ERA,
+            &change(&format!("k{revision}"), Some("small"), revision),
+        );
+    }
+    let large = "large".repeat(100_000);
+    changelog.insert(ERA, &change("configuration", Some(&large), 101));
+    changelog.mark_complete(at(101));
+    let mut encoded = |after| changelog.encoded_since(at(after)).expect("encoded");
+    let first = encoded(90);
+    assert_eq!(encoded(95).as_ptr(), first.as_ptr());
+    assert_eq!(encoded(100).as_ptr(), first.as_ptr());
+    // It lacks more than the response has.
+    assert_ne!(encoded(50).as_ptr(), first.as_ptr());
+    // Only little is missing: the large change would be sent in vain.
+    changelog.insert(ERA, &change("k1", Some("smaller"), 102));
+    changelog.mark_complete(at(102));
+    let all = changelog.encoded_since(at(50)).expect("encoded");
+    let little = changelog.encoded_since(at(101)).expect("encoded");
+    assert!(little.len() < 200 && all.len() > little.len());
+}
--- a/relay/tests/panics.rs
+++ b/relay/tests/panics.rs
@@ -9,7 +9,7 @@
 use hyper::{HeaderMap, StatusCode};
 use medlarfall_coordination::duty::Subject;
 use medlarfall_coordination::retry_budget::Bounds;
-use medlarfall_coordination::{canary, liveness};
+use medlarfall_coordination::{canary, liveness, propagation};
 use medlarfall_relay::codec::{
     Codec, Command, Dispatch, Head, Health, Invalid, Record, Reply, Report,
 };
@@ -137,6 +137,8 @@
         peer_address: None,
         grace: Duration::from_secs(8),
         duties: None,
+        propagation: propagation::Budget::default(),
+        store_calls_per_s: 2_000.0,
     }
 }
 
--- a/runtime/src/http.rs
+++ b/runtime/src/http.rs
@@ -2,6 +2,7 @@
 //! may have received.
 
 use std::error::Error as _;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -142,14 +143,28 @@
     /// Fails if no response arrived; the error states whether the server may have received the
     /// request.
     pub async fn fetch(&self, request: Request<Full<Bytes>>) -> Result<(Parts, Bytes), Failure> {
+        self.fetch_counting(request, &AtomicU64::new(0)).await
+    }
+
+    /// Does the same as [`Self::fetch`], and adds the bytes of the body to `received` as they arrive.
+    async fn fetch_counting(
+        &self,
+        request: Request<Full<Bytes>>,
+        received: &AtomicU64,
+    ) -> Result<(Parts, Bytes), Failure> {
         let (parts, body) = self.send(request).await?.into_parts();
-        let body = Limited::new(body, FETCH_LIMIT).collect().await;
-        match body {
-            Ok(body) => Ok((parts, body.to_bytes())),
-            Err(error) => Err(Failure::Lost {
+        let mut body = Limited::new(body, FETCH_LIMIT);
+        let mut content = BytesMut::new();
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(|error| Failure::Lost {
                 reason: error.to_string(),
-            }),
+            })?;
+            let data = frame.into_data().unwrap_or_default();
+            let length = u64::try_from(data.len()).unwrap_or(u64::MAX);
+            received.fetch_add(length, Ordering::Relaxed);
+            content.extend_from_slice(&data);
         }
+        Ok((parts, content.freeze()))
     }
 
     /// Sends a request to the only server that this pool is used for, and reads the whole response. If none
@@ -164,9 +179,25 @@
     pub async fn fetch_or_reconnect(
         &self,
         request: Request<Full<Bytes>>,
+    ) -> Result<(Parts, Bytes), Failure> {
+        self.fetch_or_reconnect_counting(request, &AtomicU64::new(0))
+            .await
+    }
+
+    /// Does the same as [`Self::fetch_or_reconnect`], and adds the bytes of the body to `received` as they
+    /// arrive.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no response arrived; the error states whether the server may have received the
+    /// request.
+    pub async fn fetch_or_reconnect_counting(
+        &self,
+        request: Request<Full<Bytes>>,
+        received: &AtomicU64,
     ) -> Result<(Parts, Bytes), Failure> {
         let mut unanswered = Unanswered { pool: Some(self) };
-        let response = self.fetch(request).await?;
+        let response = self.fetch_counting(request, received).await?;
         unanswered.pool = None;
         Ok(response)
     }
--- a/runtime/src/store.rs
+++ b/runtime/src/store.rs
@@ -44,6 +44,14 @@
     pub revision: u64,
 }
 
+impl Change {
+    /// Returns the size of the key and the value, in bytes.
+    #[must_use]
+    pub fn size(&self) -> usize {
+        self.key.len() + self.value.as_ref().map_or(0, String::len)
+    }
+}
+
 impl From<Item> for Change {
     fn from(item: Item) -> Self {
         Self {
@@ -203,6 +211,12 @@
         timeout: Duration,
     ) -> impl Future<Output = Result<Changes, Error>> + Send;
 
+    /// Returns the bytes of the responses to lists and watches so far, those under way included: while they
+    /// arrive, a call is not lost.
+    fn received(&self) -> u64 {
+        0
+    }
+
     /// Requests a lease that expires after `ttl` unless it is renewed.
     fn grant(&self, ttl: Duration) -> impl Future<Output = Result<Lease, Error>> + Send;
 
