fix(relay): changes of the store are in force in time whenever its readers fail

What callers saw: both entries that read the store for the others were cut off from it just after they had begun a watch, while a server's registration was removed.

Cause: the watch of 1.2 s, its response, the call that confirms its loss, the wait of those who step in and their first call followed one another, 2.2 to 2.4 s in all at this moment. Each was a constant of its own.

Evidence: with the cut 0.6 to 1 s after the watch began the case held, so what is left of the watch decides. The entries that stepped in logged "gone", not "lapsed", so the removal was not taken for a lapse.

Change: coordination::propagation divides the shorter of apply_ms and drain_ms among noticing the failure, handing over, and passing on. A reader whose watch is overdue says so at once and confirms meanwhile. Silent entries leave their ranks to those behind them, and an entry without hubs that knows the store up to a revision no longer waits up to 1.5 s before it asks for changes.

Why it works: the parts are fractions of one time, and no step is outside of it.

--- a/coordination/src/dissemination/node.rs
+++ b/coordination/src/dissemination/node.rs
@@ -7,6 +7,7 @@
 
 use crate::autoscaling::Demand;
 use crate::history::Revision;
+use crate::propagation::Budget;
 use crate::quarantine::{Kind, Loss, Part};
 use crate::reader_election::{Election, Rank};
 use crate::retry_budget::{Others, Usage};
@@ -26,13 +27,10 @@
 mod receiving;
 mod sending;
 
-/// Time without a digest after which an entry no longer relies on the hubs for the changes of the
-/// store.
-const HUB_TIMEOUT: Duration = Duration::from_millis(1_250);
-
-/// Additional time, up to which it waits by a hash of its name, so that a failure domain without hubs
-/// does not read the store all at once.
-const MAX_READ_DELAY: Duration = Duration::from_millis(1_500);
+/// Time, by a hash of its name, up to which an entry without hubs that knows nothing waits longer before it
+/// reads the store, so that a failure domain does not read all keys at once. One that knows most of them only
+/// asks for changes.
+const MAX_FIRST_READ_DELAY: Duration = Duration::from_millis(1_500);
 
 /// Contacts that digests name and that are registered in the store, for each failure domain.
 const CONTACTS: usize = 4;
@@ -79,6 +77,7 @@
     repeated_at: Option<Duration>,
     sequence: u64,
     revision: Revision,
+    reads_store: bool,
     store_available: bool,
     leaving: bool,
 }
@@ -87,6 +86,7 @@
 #[derive(Clone, Debug)]
 pub struct Node {
     identity: Identity,
+    propagation: Budget,
     rank: Rank,
     own: Own,
     reported: Own,
@@ -122,15 +122,16 @@
 impl Node {
     /// Returns the state of an entry that starts and knows no other entries.
     #[must_use]
-    pub fn new(identity: Identity, now: Duration) -> Self {
+    pub fn new(identity: Identity, propagation: Budget, now: Duration) -> Self {
         let Contact {
             entry, link_mbps, ..
         } = &identity.contact;
         Self {
             rank: identity.contact.rank(),
-            election: Election::new(entry, *link_mbps),
+            election: Election::new(entry, *link_mbps, propagation),
             rosters: BTreeMap::from([(Arc::clone(&identity.failure_domain), Roster::default())]),
             identity,
+            propagation,
             own: Own::default(),
             reported: Own::default(),
             reported_to: Vec::new(),
@@ -254,7 +255,11 @@
         }
         let part = f64::from(u16::try_from(self.rank.1 % 1_000).unwrap_or(0)) / 1_000.0;
         let heard_at = self.heard_at.unwrap_or(self.started_at);
-        now.saturating_sub(heard_at) > HUB_TIMEOUT + MAX_READ_DELAY.mul_f64(part)
+        let delay = match self.own.revision.number {
+            0 => MAX_FIRST_READ_DELAY,
+            _ => self.propagation.hand_over(),
+        };
+        now.saturating_sub(heard_at) > self.propagation.silent_reader() + delay.mul_f64(part)
     }
 
     /// Returns whether another entry reads the store successfully, as far as is known.
--- a/coordination/src/dissemination/node/sending.rs
+++ b/coordination/src/dissemination/node/sending.rs
@@ -116,6 +116,7 @@
         changed
             || sent.leaving != self.own.leaving
             || (sent.store_available != self.own.store_available && scope != Scope::Report)
+            || (sent.reads_store != self.own.reads_store && scope != Scope::Report)
             || self.lost.has_unsent(scope)
             || self.successors.has_unsent(scope)
             || self.moves.has_unsent_verdict(scope)
@@ -173,6 +174,7 @@
             repeated_at: if periodic { Some(now) } else { repeated_at },
             sequence: self.ledger.sequence(),
             revision: self.own.revision,
+            reads_store: self.own.reads_store,
             store_available: self.own.store_available,
             leaving: self.own.leaving,
         };
--- a/coordination/src/propagation.rs
+++ b/coordination/src/propagation.rs
@@ -1,6 +1,16 @@
 //! Divides the time within which a change of the store must be in force at every entry among the steps
 //! that it takes to get there.
 //!
+//! Two entries read the store for all. If both fail, the change is in force after the sum of
+//!
+//! - the time until the failure is noticed: `confirmation` and `overdue` for readers that the store no longer
+//!   answers, `silent_reader` for those that no longer send messages,
+//! - the time until others step in, `hand_over` at most,
+//! - their first call and the messages that pass on its result.
+//!
+//! The first two take 33/40 of the bound at most, so that an eighth and more is left for the last. An entry
+//! that is passed over by a message has the time from [`peers`](Budget::peers) on to catch up.
+//!
 //! ```
 //! use medlarfall_coordination::propagation::Budget;
 //! use std::time::Duration;
@@ -12,9 +22,22 @@
 
 use std::time::Duration;
 
+/// Part of the bound by which a watch may be late before its reader lets others step in.
+const OVERDUE: u32 = 10;
+
+/// Part of the bound over which the entries that can step in do so.
+const HAND_OVER: u32 = 8;
+
 /// Time within which a change must be in force if the settings give none.
 const DEFAULT_BOUND: Duration = Duration::from_secs(2);
 
+/// Shortest and longest time that is divided.
+const MIN_BOUND: Duration = Duration::from_secs(1);
+const MAX_BOUND: Duration = Duration::from_secs(10);
+
+/// Least time without a message after which an entry counts as silent: three messages of a reader.
+const MIN_SILENCE: Duration = Duration::from_millis(1_250);
+
 /// The time for a change to be in force at every entry, and its parts.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Budget {
@@ -28,15 +51,18 @@
 }
 
 impl Budget {
-    /// Divides the time `bound`, counted from the store's acknowledgement.
+    /// Divides the time `bound`, counted from the store's acknowledgement. The parts are those of a time from
+    /// 1 to 10 s: entries send each other messages every 0.4 s, and the store limits the length of a watch.
     #[must_use]
-    pub const fn new(bound: Duration) -> Self {
-        Self { bound }
+    pub fn new(bound: Duration) -> Self {
+        Self {
+            bound: bound.clamp(MIN_BOUND, MAX_BOUND),
+        }
     }
 
     /// Time within which a change must be in force at every entry.
     #[must_use]
-    pub const fn bound(&self) -> Duration {
+    pub fn bound(&self) -> Duration {
         self.bound
     }
 
@@ -64,4 +90,30 @@
     pub fn silence(&self) -> Duration {
         self.bound / 4
     }
+
+    /// Longest time from the end of one watch of a reader until that of the next one, if the store answers at
+    /// once.
+    #[must_use]
+    pub fn confirmation(&self) -> Duration {
+        self.bound * 3 / 5
+    }
+
+    /// Time by which a watch may be late before its reader no longer says that it reads.
+    #[must_use]
+    pub fn overdue(&self) -> Duration {
+        self.bound / OVERDUE
+    }
+
+    /// Time without a message after which a reader, or the hubs of an entry, no longer count. They send one at
+    /// least every 400 ms.
+    #[must_use]
+    pub fn silent_reader(&self) -> Duration {
+        (self.bound * 5 / 8).max(MIN_SILENCE)
+    }
+
+    /// Longest time that an entry leaves to those before it to step in for a reader.
+    #[must_use]
+    pub fn hand_over(&self) -> Duration {
+        self.bound / HAND_OVER
+    }
 }
--- a/coordination/src/reader_election.rs
+++ b/coordination/src/reader_election.rs
@@ -13,26 +13,19 @@
 use std::time::Duration;
 
 use crate::placement::name_hash;
+use crate::propagation::Budget;
 
 /// Number of readers. With two, changes that one misses or announces late come from the other.
 const READERS: usize = 2;
 
-/// Time after which a silent reader no longer counts. Readers send a message at least every
-/// [`READER_ANNOUNCE_INTERVAL`]; three messages in a row are lost only if the sender or the path has
-/// failed. The departure of a server must be known to all entries within 2 s.
-const FRESH: Duration = Duration::from_millis(1_250);
-
 /// Longest interval between two messages of a reader.
 pub const READER_ANNOUNCE_INTERVAL: Duration = Duration::from_millis(400);
 
 /// Additional waiting time per rank before an entry takes over, so that it first receives the
 /// announcements of the entries before it. If the whole fleet took over at the same time, the
-/// announcements would saturate narrow links.
+/// announcements would saturate narrow links. [`Budget::hand_over`] limits the sum.
 const WAIT_PER_RANK: Duration = Duration::from_millis(30);
 
-/// Longest waiting time of an entry in addition to [`FRESH`].
-const MAX_WAIT: Duration = Duration::from_millis(1_500);
-
 /// Longest pause after a failed call. Each call is charged, and an outage lasts seconds.
 const MAX_RETRY_PAUSE: Duration = Duration::from_millis(250);
 
@@ -62,6 +55,7 @@
 #[derive(Clone, Debug)]
 pub struct Election {
     own: Rank,
+    budget: Budget,
     peers: HashMap<Arc<str>, Peer>,
 }
 
@@ -69,6 +63,7 @@
 #[derive(Clone, Copy, Debug)]
 struct Peer {
     rank: Rank,
+    heard_at: Duration,
     /// When it last announced that it reads successfully.
     read_at: Option<Duration>,
 }
@@ -86,25 +81,29 @@
 impl Election {
     /// Returns the view of an entry named `own` that knows no other entries.
     #[must_use]
-    pub fn new(own: &str, link_mbps: u32) -> Self {
+    pub fn new(own: &str, link_mbps: u32, budget: Budget) -> Self {
         Self {
             own: rank(own, link_mbps),
+            budget,
             peers: HashMap::new(),
         }
     }
 
     /// Records another entry's announcement of whether it reads successfully, and its link speed.
     pub fn record(&mut self, entry: &Arc<str>, link_mbps: u32, reads: bool, now: Duration) {
+        let silent_after = self.budget.silent_reader();
         let peer = self.peers.entry(Arc::clone(entry)).or_insert(Peer {
             rank: rank(entry, link_mbps),
+            heard_at: now,
             read_at: None,
         });
         peer.rank = rank(entry, link_mbps);
+        peer.heard_at = now;
         match (reads, peer.read_at) {
             (true, _) => peer.read_at = Some(now),
             // It has just stopped reading: the waiting time of the entries behind it begins now.
-            (false, Some(at)) if now.saturating_sub(at) <= FRESH => {
-                peer.read_at = Some(now.saturating_sub(FRESH));
+            (false, Some(at)) if now.saturating_sub(at) <= silent_after => {
+                peer.read_at = Some(now.saturating_sub(silent_after));
             }
             (false, _) => {}
         }
@@ -113,16 +112,23 @@
     /// Returns whether any other entry reads successfully, whatever its rank.
     #[must_use]
     pub fn others_read(&self, now: Duration) -> bool {
-        self.reading(FRESH, now).next().is_some()
+        self.reading(self.budget.silent_reader(), now)
+            .next()
+            .is_some()
     }
 
     /// Returns whether this entry must read the store.
     #[must_use]
     pub fn must_read(&self, now: Duration) -> bool {
-        let before = self.peers.values().filter(|peer| peer.rank < self.own);
+        let silent_after = self.budget.silent_reader();
+        // Those that are silent leave their places to the others.
+        let before = self.peers.values().filter(|peer| {
+            peer.rank < self.own && now.saturating_sub(peer.heard_at) <= silent_after
+        });
         let position = u32::try_from(before.count()).unwrap_or(u32::MAX);
-        let wait = WAIT_PER_RANK.saturating_mul(position).min(MAX_WAIT);
-        let reading = self.reading(FRESH + wait, now);
+        let wait = WAIT_PER_RANK.saturating_mul(position);
+        let wait = wait.min(self.budget.hand_over());
+        let reading = self.reading(silent_after + wait, now);
         reading.filter(|peer| peer.rank < self.own).count() < READERS
     }
 
--- a/coordination/tests/balance.rs
+++ b/coordination/tests/balance.rs
@@ -7,6 +7,7 @@
 use medlarfall_coordination::dissemination::ledger::{FRESH, Ledger};
 use medlarfall_coordination::dissemination::{Count, tag};
 use medlarfall_coordination::placement::{Proximity, name_hash};
+use medlarfall_coordination::propagation::Budget;
 use medlarfall_coordination::reader_election::{Election, retry_pause};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -182,7 +183,10 @@
     let names: Vec<Arc<str>> = (0..entries)
         .map(|n| Arc::from(format!("entry-{n}")))
         .collect();
-    let mut fleet: Vec<Election> = names.iter().map(|name| Election::new(name, 100)).collect();
+    let mut fleet: Vec<Election> = names
+        .iter()
+        .map(|name| Election::new(name, 100, Budget::default()))
+        .collect();
     let mut silent: Vec<usize> = Vec::new();
     let (mut max, mut recovery) = (0, None);
     for tick in 0..60_u64 {
@@ -228,8 +232,8 @@
 /// A reader announces each change to the fleet, which saturates a narrow link if the fleet is large.
 #[test]
 fn entries_with_narrow_links_leave_reading_to_others() {
-    let mut narrow = Election::new("a", 10);
-    let mut wide = Election::new("b", 200);
+    let mut narrow = Election::new("a", 10, Budget::default());
+    let mut wide = Election::new("b", 200, Budget::default());
     for name in ["c", "d", "e"] {
         narrow.record(&Arc::from(name), 100, true, Duration::ZERO);
         wide.record(&Arc::from(name), 100, true, Duration::ZERO);
@@ -240,7 +244,7 @@
 
 #[test]
 fn an_entry_refused_by_the_store_knows_that_others_read() {
-    let mut first = Election::new("a", 200);
+    let mut first = Election::new("a", 200, Budget::default());
     assert!(!first.others_read(Duration::ZERO));
     first.record(&Arc::from("b"), 10, true, Duration::ZERO);
     assert!(first.must_read(Duration::ZERO));
@@ -250,7 +254,7 @@
 
 #[test]
 fn an_entry_without_announcements_from_others_reads() {
-    let election = Election::new("entry-0", 100);
+    let election = Election::new("entry-0", 100, Budget::default());
     assert!(election.must_read(Duration::from_secs(1)));
 }
 
--- a/coordination/tests/counts.rs
+++ b/coordination/tests/counts.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use medlarfall_coordination::dissemination::{Contact, Content, Identity, Node, Own};
+use medlarfall_coordination::propagation::Budget;
 use medlarfall_coordination::usage::Counts;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -78,7 +79,7 @@
             contact: contact(index),
             failure_domain: domain(index),
         };
-        let mut node = Node::new(identity, at(now_ms));
+        let mut node = Node::new(identity, Budget::default(), at(now_ms));
         if counting {
             let incarnation = self.random.random();
             node.enable_counts(incarnation, WINDOW, self.wall_ms(index, now_ms));
--- a/coordination/tests/dissemination.rs
+++ b/coordination/tests/dissemination.rs
@@ -17,6 +17,7 @@
 use medlarfall_coordination::evidence::{Cohort, Observation};
 use medlarfall_coordination::history::Revision;
 use medlarfall_coordination::placement::{Proximity, name_hash};
+use medlarfall_coordination::propagation::Budget;
 use medlarfall_coordination::quarantine::{Kind, Loss, Tracker};
 use medlarfall_coordination::retry_budget::Usage;
 use medlarfall_coordination::room::{self, shares::REPORTED};
@@ -129,7 +130,7 @@
             random: ChaCha8Rng::seed_from_u64(seed),
             now: START,
             nodes: (0..entries)
-                .map(|entry| Node::new(identity(entry, domain_of[entry]), START))
+                .map(|entry| Node::new(identity(entry, domain_of[entry]), Budget::default(), START))
                 .collect(),
             own: vec![Own::default(); entries],
             domains: domain_of,
@@ -416,7 +417,11 @@
     let entry = (0..60)
         .find(|entry| !fleet.nodes[*entry].is_hub())
         .expect("members");
-    fleet.nodes[entry] = Node::new(identity(entry, fleet.domains[entry]), fleet.now);
+    fleet.nodes[entry] = Node::new(
+        identity(entry, fleet.domains[entry]),
+        Budget::default(),
+        fleet.now,
+    );
     fleet.run(Duration::from_millis(1_500), 0);
     assert!(!fleet.nodes[entry].must_read(fleet.now));
     assert_eq!(fleet.nodes[entry].entries(), 60);
@@ -429,7 +434,11 @@
     let mut fleet = Fleet::start(300, 6, 37);
     fleet.run(Duration::from_secs(2), 0);
     for entry in 0..300 {
-        fleet.nodes[entry] = Node::new(identity(entry, fleet.domains[entry]), fleet.now);
+        fleet.nodes[entry] = Node::new(
+            identity(entry, fleet.domains[entry]),
+            Budget::default(),
+            fleet.now,
+        );
     }
     // The contacts arrive after the first report was due.
     fleet.run(Duration::from_millis(20), 0);
--- a/relay/src/broadcast.rs
+++ b/relay/src/broadcast.rs
@@ -4,6 +4,7 @@
 //! Messages are datagrams on a port used only by entries. An entry that misses changes of the store
 //! fetches them from the sender of a message that is ahead.
 
+use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -27,19 +28,41 @@
 /// Most bytes of changes in a message. An entry that misses more fetches them from the sender.
 const UPDATES_LIMIT: usize = 30_000;
 
+/// Carries the messages between entries.
+pub trait Datagrams: Send + Sync + 'static {
+    /// Sends a message to an address; it may be lost.
+    fn send(&self, bytes: &[u8], to: SocketAddr) -> impl Future<Output = io::Result<usize>> + Send;
+
+    /// Receives a message; returns its length and the address that it came from.
+    fn receive(
+        &self,
+        buffer: &mut [u8],
+    ) -> impl Future<Output = io::Result<(usize, SocketAddr)>> + Send;
+}
+
+impl Datagrams for UdpSocket {
+    async fn send(&self, bytes: &[u8], to: SocketAddr) -> io::Result<usize> {
+        self.send_to(bytes, to).await
+    }
+
+    async fn receive(&self, buffer: &mut [u8]) -> io::Result<(usize, SocketAddr)> {
+        self.recv_from(buffer).await
+    }
+}
+
 /// Sends and receives messages until the task is aborted.
-pub async fn run<C: Codec>(relay: Arc<Relay<C>>, socket: Arc<UdpSocket>) {
+pub async fn run<C: Codec, D: Datagrams>(relay: Arc<Relay<C>>, socket: Arc<D>) {
     tokio::join!(
-        send_messages(&relay, &socket),
-        receive_messages(&relay, &socket)
+        send_messages(&relay, &*socket),
+        receive_messages(&relay, &*socket)
     );
 }
 
 /// Applies messages as they arrive.
-async fn receive_messages<C: Codec>(relay: &Arc<Relay<C>>, socket: &UdpSocket) {
+async fn receive_messages<C: Codec, D: Datagrams>(relay: &Arc<Relay<C>>, socket: &D) {
     let mut buffer = vec![0; datagram::SIZE_LIMIT];
     loop {
-        match socket.recv_from(&mut buffer).await {
+        match socket.receive(&mut buffer).await {
             Ok((length, from)) => receive(relay, &buffer[..length], from),
             Err(error) => {
                 log::debug!(reason = error.to_string().as_str(); "message of a peer not received");
@@ -96,7 +119,7 @@
 }
 
 /// Sends messages when they are due.
-async fn send_messages<C: Codec>(relay: &Relay<C>, socket: &UdpSocket) {
+async fn send_messages<C: Codec, D: Datagrams>(relay: &Relay<C>, socket: &D) {
     let mut sent_revisions = [Revision::default(); Scope::COUNT];
     loop {
         tokio::select! {
@@ -124,9 +147,9 @@
 }
 
 /// Sends one message to its recipients; returns the pause that the link needs after it.
-async fn send<C: Codec>(
+async fn send<C: Codec, D: Datagrams>(
     relay: &Relay<C>,
-    socket: &UdpSocket,
+    socket: &D,
     outgoing: Outgoing,
     updates: Option<Updates>,
 ) -> Duration {
@@ -147,7 +170,7 @@
         .metrics
         .count_messages(scope, recipients.len(), bytes.len());
     for peer in &recipients {
-        if let Err(error) = socket.send_to(&bytes, *peer).await {
+        if let Err(error) = socket.send(&bytes, *peer).await {
             log::debug!(reason = error.to_string().as_str(); "message to a peer not sent");
         }
     }
--- a/relay/src/state.rs
+++ b/relay/src/state.rs
@@ -144,7 +144,7 @@
             },
             failure_domain: Arc::clone(&settings.failure_domain),
         };
-        let mut node = Node::new(identity, clock.now());
+        let mut node = Node::new(identity, settings.propagation, clock.now());
         let boot_clock = BootClock::start();
         let transfers = Transfers::new(settings.link_mbps);
         let catch_up = CatchUp::new(settings.propagation, rand::random());
--- a/relay/src/store_watch.rs
+++ b/relay/src/store_watch.rs
@@ -14,6 +14,7 @@
 
 use medlarfall_coordination::canary::Order;
 use medlarfall_coordination::history::Revision;
+use medlarfall_coordination::propagation::Budget;
 use medlarfall_coordination::reader_election::retry_pause;
 use medlarfall_coordination::store_outage::{Detector, Outcome, State};
 use medlarfall_runtime::store::{Change, Changes, Error, Listing, Store};
@@ -25,11 +26,6 @@
 use crate::registration;
 use crate::state::Relay;
 
-/// Longest time that a watch waits for changes. A configuration has to be in force within 2 s of
-/// its acceptance, even if a watch falls silent. This time, the response timeout and another call
-/// add up to 1.7 s.
-const WATCH_TIME: Duration = Duration::from_millis(1_200);
-
 /// Time that a watch waits for changes while it is not known whether the store responds. The era of a store
 /// that was restored and has the known revision again appears only in the response.
 const FIRST_WATCH_TIME: Duration = Duration::from_millis(20);
@@ -37,6 +33,9 @@
 /// Time that a call may take on top of its own wait.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// The same while the store is known not to respond: it may be slow.
+const SLOW_RESPONSE_TIMEOUT: Duration = Duration::from_millis(1_600);
+
 /// Additional time for a list of all keys: a configuration with a thousand routes takes half a megabyte,
 /// and several entries may read it at once after all were restarted.
 const LIST_TIME: Duration = Duration::from_secs(3);
@@ -45,7 +44,7 @@
 const TRANSFER_TIME: Duration = Duration::from_secs(10);
 
 /// Time between two checks whether this entry has to read the store.
-const READER_CHECK: Duration = Duration::from_millis(100);
+const READER_CHECK: Duration = Duration::from_millis(50);
 
 /// Pause after a response, so that the next one carries several changes: servers that fail together
 /// are restarted together, and each store call has a cost.
@@ -56,20 +55,25 @@
 struct Limits {
     /// Time that the store may wait for a change.
     wait: Duration,
-    /// Time until its response, in addition to [`RESPONSE_TIMEOUT`].
+    /// Time that its response may take in addition.
     response: Duration,
 }
 
 impl Limits {
-    fn of(state: State, reads_store: bool) -> Self {
+    /// Returns the limits of the next watch. `delay` is the time by which the last response was late.
+    fn of(state: State, reads_store: bool, budget: &Budget, delay: Duration) -> Self {
         let wait = match state {
-            State::Available if reads_store => WATCH_TIME,
+            State::Available if reads_store => budget.confirmation().saturating_sub(COALESCE),
             _ => FIRST_WATCH_TIME,
         };
         let response = match state {
+            // Others step in for a reader whose watch is overdue, unless the store is as slow to all.
+            State::Available => (delay * 2)
+                .max(budget.overdue())
+                .min(RESPONSE_TIMEOUT.max(budget.overdue())),
             // A live store answers a new connection at once.
-            State::Unconfirmed => wait,
-            _ => WATCH_TIME,
+            State::Unconfirmed => RESPONSE_TIMEOUT,
+            State::Unavailable => SLOW_RESPONSE_TIMEOUT,
         };
         Self { wait, response }
     }
@@ -105,6 +109,7 @@
     let mut detector = Detector::default();
     let mut contacts_known = relay.settings.peer_address.is_none();
     let mut failures = 0_u32;
+    let mut delay = Duration::ZERO;
     loop {
         if !contacts_known && relay.changelog(|changelog| changelog.revision().number) == 0 {
             contacts_known = read_contacts(&relay, &store).await;
@@ -123,8 +128,14 @@
         // Peers may have sent changes that this entry has not read itself.
         position = position.at_least(relay.changelog(|changelog| changelog.revision()));
         let reads_store = relay.reads_store.load(Ordering::Relaxed);
-        let limits = Limits::of(detector.state(), reads_store);
+        let budget = &relay.settings.propagation;
+        let limits = Limits::of(detector.state(), reads_store, budget, delay);
+        let began = relay.clock.now();
         let step = step(&relay, &store, position, limits).await;
+        let took = relay.clock.now().saturating_sub(began);
+        if step.is_ok() && took > limits.wait {
+            delay = took.saturating_sub(limits.wait);
+        }
         let outcome = outcome(&step);
         let state = detector.record(outcome, relay.clock.now());
         let (next, reason) = match step {
@@ -135,6 +146,10 @@
         position = next;
         let reason = reason.as_deref().unwrap_or("");
         if state == State::Unconfirmed {
+            // The others step in unless the next call confirms soon that this entry has all changes.
+            if relay.reads_store.swap(false, Ordering::Relaxed) {
+                relay.streams_changed.notify_one();
+            }
             log::info!(dependency = "store", reason; "call to the store lost; another one follows on a new connection");
             tokio::time::sleep(jittered(retry_pause(1, false))).await;
             continue;
@@ -241,7 +256,7 @@
                 changes,
                 revision: number,
                 era,
-            } = while_receiving(store, limits.response, watching).await?;
+            } = while_receiving(store, limits.wait + limits.response, watching).await?;
             let read = Revision { era, number }.or_era(revision.era);
             if read.is_of_earlier_era(revision) {
                 return Err(outdated());
@@ -345,16 +360,16 @@
     })
 }
 
-/// Bounds a list or a watch that itself waits up to `wait`. As long as its response arrives, it may take up to
-/// [`TRANSFER_TIME`] longer: a large value takes a second on a narrow link.
+/// Bounds a list or a watch. As long as its response arrives, it may take up to [`TRANSFER_TIME`] longer: a
+/// large value takes a second on a narrow link.
 async fn while_receiving<S: Store, T>(
     store: &S,
-    wait: Duration,
+    limit: Duration,
     call: impl Future<Output = Result<T, Error>>,
 ) -> Result<T, Error> {
     let mut call = std::pin::pin!(call);
     let mut received = store.received();
-    let mut ends = Instant::now() + wait + RESPONSE_TIMEOUT;
+    let mut ends = Instant::now() + limit;
     let last = ends + TRANSFER_TIME;
     loop {
         if let Ok(answer) = timeout_at(ends, &mut call).await {
