fix(registry): entries of another writer take no address from a server

Another writer had left registrations of a service that is not configured at their addresses.

Cause: the registry dropped every other record at the address of the one that it added, and kept out those that had started earlier, before anything had asked whether the configuration names the service. A record that was dropped came back only with a new revision of its registration, which a live server need not write.

Evidence: the list of servers says "joined" for the foreign entries and never names the servers, whichever came first in the list; nothing was sent to the foreign ones, whose service has no route.

Change: the registry keeps all registrations, and derives from them and the configured services which one holds an address: the last to claim it, unless one before it started later. A value of more than 16 KiB under a server's key is neither decoded nor passed on. Registrations that are not in use are a metric.

An address that is given to another configured service still goes to the later server.

--- a/coordination/src/registry.rs
+++ b/coordination/src/registry.rs
@@ -1,6 +1,8 @@
 //! This entry's view of the registered backend servers, from a list in the store that lags and is
 //! unavailable during outages of the store.
 //!
+//! Of several registrations at an address, one is in use at most ([`Registry::holder`]).
+//!
 //! A server that has registered as leaving, that says in an answer that it leaves, or whose
 //! registration was removed while the store was available, gets no new requests. A registration that
 //! lapsed during an outage does not mean that its server has failed: the server is kept until
@@ -13,8 +15,11 @@
 
 use crate::history::Revision;
 
+mod addresses;
 mod removed;
 
+use addresses::Addresses;
+pub use addresses::Unused;
 pub use removed::COPY_GRACE;
 use removed::Removed;
 
@@ -57,6 +62,10 @@
     server: Arc<Server>,
     sequence: u64,
     revision: Revision,
+    /// Revision by which it claims its address; a later one goes first.
+    claim: Revision,
+    /// Whether it was found at its address, and has not registered.
+    found: bool,
     lapsed: bool,
 }
 
@@ -91,6 +100,9 @@
 #[derive(Clone, Debug, Default)]
 pub struct Registry {
     records: HashMap<Arc<str>, Record>,
+    addresses: Addresses,
+    /// Services that are configured; `None` if that is not known.
+    services: Option<HashSet<Arc<str>>>,
     removed: HashMap<Arc<str>, Removed>,
     departures: HashMap<Arc<str>, Departure>,
     store_down: bool,
@@ -111,6 +123,8 @@
     Joined,
     /// Another property of the server changed.
     Changed,
+    /// The registration is not in use: its service is not configured, or another server holds its address.
+    Unused,
     /// The server is leaving.
     Leaving,
     /// The server has gone.
@@ -178,26 +192,31 @@
         {
             return Effect::Stale;
         }
-        if self.superseded(&server, revision) {
-            return Effect::Stale;
-        }
         let restarted = known.is_none_or(|record| record.server.started_ms != server.started_ms);
-        let effect = match server.leaving {
-            true => Effect::Leaving,
-            false if restarted => Effect::Joined,
-            false => Effect::Changed,
-        };
+        // A restored store gives its registrations other revisions: these are no new claims.
+        let restored = known.filter(|known| {
+            let same = known.age() == (server.started_ms, sequence);
+            same && known.server.address == server.address
+                && known.revision.is_of_earlier_era(revision)
+        });
+        let claim = restored.map_or(revision, |known| known.claim);
+        let leaving = server.leaving;
         self.removed.remove(&server.id);
-        self.records
-            .retain(|id, other| *id == server.id || other.server.address != server.address);
-        let record = Record {
+        let id = Arc::clone(&server.id);
+        self.insert(Record {
             sequence,
             revision,
+            claim,
+            found: false,
             lapsed: false,
             server: Arc::new(server),
-        };
-        self.records.insert(Arc::clone(&record.server.id), record);
-        effect
+        });
+        match leaving {
+            _ if self.get(&id).is_none() => Effect::Unused,
+            true => Effect::Leaving,
+            false if restarted => Effect::Joined,
+            false => Effect::Changed,
+        }
     }
 
     /// Records that a server that started at `started_ms` said itself that it leaves. Whatever the store has
@@ -232,17 +251,6 @@
         departure.is_some_and(|departure| departure.applies_to(started_ms))
     }
 
-    /// Returns whether a server that started later than `server` is registered at its address.
-    fn superseded(&self, server: &Server, revision: Revision) -> bool {
-        self.records.iter().any(|(id, other)| {
-            let later = match (other.server.started_ms, server.started_ms) {
-                (Some(other), Some(own)) => other > own,
-                _ => other.revision > revision,
-            };
-            *id != server.id && other.server.address == server.address && later
-        })
-    }
-
     /// Adds a server that was discovered at the address of a known one while the store does not
     /// respond. It is removed unless it registers within the grace period after the store's recovery.
     pub fn adopt(&mut self, server: Server) -> Effect {
@@ -250,16 +258,27 @@
         if known || self.said_to_leave(&server.id, server.started_ms) {
             return Effect::Stale;
         }
-        self.records
-            .retain(|_, record| record.server.address != server.address);
         let record = Record {
             sequence: 0,
             revision: Revision::default(),
+            claim: self.latest_claim(server.address),
+            found: true,
             lapsed: true,
             server: Arc::new(server),
         };
-        self.records.insert(Arc::clone(&record.server.id), record);
-        Effect::Joined
+        // Another server answers there: those that are registered there have ended, unless they register again.
+        for id in self.neighbours_at(record.server.address) {
+            if let Some(ended) = self.records.get_mut(&id) {
+                ended.lapsed = true;
+            }
+        }
+        let joins = self.is_configured(&record.server.service);
+        self.insert(record);
+        if joins {
+            Effect::Joined
+        } else {
+            Effect::Unused
+        }
     }
 
     /// Returns whether the store responds.
@@ -300,9 +319,10 @@
             at: now,
             listed: None,
         };
-        self.records.remove(id);
+        let used = self.get(id).is_some();
+        self.take(id);
         self.removed.insert(Arc::from(id), removed);
-        Effect::Gone
+        if used { Effect::Gone } else { Effect::Unused }
     }
 
     /// Applies a complete list, read at `revision`, that contains only the servers of `listed`.
@@ -344,7 +364,7 @@
             .map(|(id, _)| Arc::clone(id))
             .collect();
         for id in &expired {
-            self.records.remove(id);
+            self.take(id);
         }
         expired
     }
@@ -356,32 +376,33 @@
         (self.expiry_due && !self.store_down).then_some(self.settled_from)
     }
 
-    /// Returns the registration of a server.
+    /// Returns the registration of a server that is in use: its service is configured, and it holds its
+    /// address.
     #[must_use]
     pub fn get(&self, id: &str) -> Option<&Arc<Server>> {
-        self.records.get(id).map(|record| &record.server)
+        let record = self.records.get(id).filter(|record| self.holds(record));
+        record.map(|record| &record.server)
     }
 
     /// Returns the servers of a service that accept new requests.
     pub fn ready(&self, service: &str) -> impl Iterator<Item = &Arc<Server>> {
-        self.records
-            .values()
-            .map(|record| &record.server)
+        self.iter()
             .filter(move |server| &*server.service == service && !server.leaving)
     }
 
-    /// Returns all known servers.
+    /// Returns all servers in use.
     pub fn iter(&self) -> impl Iterator<Item = &Arc<Server>> {
-        self.records.values().map(|record| &record.server)
+        let used = self.records.values().filter(|record| self.holds(record));
+        used.map(|record| &record.server)
     }
 
-    /// Returns the number of known servers.
+    /// Returns the number of registrations, those included that are not in use.
     #[must_use]
     pub fn len(&self) -> usize {
         self.records.len()
     }
 
-    /// Returns whether no server is known.
+    /// Returns whether nothing is registered.
     #[must_use]
     pub fn is_empty(&self) -> bool {
         self.records.is_empty()
--- a/coordination/src/registry/removed.rs
+++ b/coordination/src/registry/removed.rs
@@ -42,6 +42,8 @@
                     server: Arc::new(server.clone()),
                     sequence,
                     revision,
+                    claim: revision,
+                    found: false,
                     lapsed: false,
                 });
             }
--- a/relay/src/metrics.rs
+++ b/relay/src/metrics.rs
@@ -8,6 +8,7 @@
 use medlarfall_coordination::catch_up::Lag;
 use medlarfall_coordination::dissemination::Scope;
 use medlarfall_coordination::quarantine::Kind;
+use medlarfall_coordination::registry::Unused;
 use medlarfall_runtime::logging::Losses;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
@@ -22,6 +23,7 @@
 mod duties;
 mod labels;
 mod prompts;
+mod registrations;
 
 pub use admission::Admission;
 pub use catch_up::CatchUp;
@@ -30,6 +32,7 @@
     CauseLabels, EndLabels, KindLabels, RouteLabels, ServiceLabels, SourceLabels, StoreCall,
 };
 pub use prompts::Prompts;
+pub use registrations::Registrations;
 
 /// Upper bound of the first latency bucket, in seconds.
 const FIRST_BUCKET: f64 = 0.005;
@@ -68,6 +71,8 @@
     pub connections: Vec<(String, u32)>,
     /// How far this entry is behind the others.
     pub lag: Lag,
+    /// Registrations of servers that are not in use.
+    pub unused: Unused,
 }
 
 /// The metrics.
@@ -88,6 +93,8 @@
     pub entries: Gauge,
     /// Servers that accept requests, by service.
     pub servers: Family<ServiceLabels, Gauge>,
+    /// Registrations of servers that are not in use.
+    pub registrations: Registrations,
     /// Log lines that were not written, by kind: `folded` or `dropped`.
     pub log_lines_lost: Family<KindLabels, Counter>,
     /// Ended requests by route, status and reason.
@@ -259,6 +266,7 @@
                 "Servers that take requests",
                 Family::default(),
             ),
+            registrations: Registrations::new(new),
             log_lines_lost: add(
                 new,
                 "log_lines_lost",
@@ -383,6 +391,7 @@
         self.limited_servers.set(signed(gauges.limited_servers));
         self.hub.set(i64::from(gauges.hub));
         self.catch_up.set_lag(&gauges.lag);
+        self.registrations.set_unused(gauges.unused);
         for (service, count) in &gauges.servers {
             let service = service.clone();
             let gauge = self
--- a/relay/src/state.rs
+++ b/relay/src/state.rs
@@ -260,6 +260,9 @@
                 let limits = table.limits;
                 self.limits
                     .send_if_modified(|known| std::mem::replace(known, limits) != limits);
+                if view.registry.set_services(table.services()) {
+                    view.update_all_backends(&self.settings);
+                }
                 view.table = Some(Arc::new(table));
                 view.table_at = now;
                 view.limit_connections();
--- a/relay/src/state/gauges.rs
+++ b/relay/src/state/gauges.rs
@@ -48,6 +48,7 @@
                 .map(|(service, backends)| (service.to_string(), backends.len()))
                 .collect(),
             lag,
+            unused: view.registry.unused(),
         });
         self.metrics.set_gauges(&gauges, logging::losses());
         self.metrics.text()
--- a/relay/src/state/servers.rs
+++ b/relay/src/state/servers.rs
@@ -37,15 +37,14 @@
         let id = Arc::clone(&server.id);
         let now = self.clock.now();
         let effect = self.view(|view| {
-            let start = Start {
-                id: &id,
-                started_ms: server.started_ms,
-            };
-            view.warmups.record(start, warmup, now);
+            let started_ms = server.started_ms;
+            let mut affected = view.registry.neighbours(&id);
             let effect = view.registry.register(server, sequence, revision);
             if effect != Effect::Stale {
-                view.remove_unlisted();
-                view.update_backends(&self.settings, &id);
+                let id = &id;
+                view.warmups.record(Start { id, started_ms }, warmup, now);
+                affected.extend(view.registry.neighbours(id));
+                view.update_servers(&self.settings, &affected);
             }
             effect
         });
@@ -56,8 +55,9 @@
     pub fn remove_server(&self, id: &Arc<str>, revision: Revision) {
         let now = self.clock.now();
         let effect = self.view(|view| {
+            let affected = view.registry.neighbours(id);
             let effect = view.registry.remove(id, revision, now);
-            view.update_backends(&self.settings, id);
+            view.update_servers(&self.settings, &affected);
             effect
         });
         self.registry_changed(effect, id, Source::Store, revision);
@@ -146,8 +146,8 @@
         let (expired, accepted) = self.view(|view| {
             let expired = view.registry.expire(now);
             let accepted = view.registry.accept_listed(now);
-            for id in expired.iter().chain(&accepted) {
-                view.update_backends(&self.settings, id);
+            if !expired.is_empty() || !accepted.is_empty() {
+                view.update_all_backends(&self.settings);
             }
             (expired, accepted)
         });
@@ -199,8 +199,8 @@
                 _ if from_peer => {}
                 _ => view.node.add_successor(found, now),
             }
-            view.remove_unlisted();
-            view.update_backends(&self.settings, id);
+            let affected = view.registry.neighbours(id);
+            view.update_servers(&self.settings, &affected);
             effect
         });
         if !from_peer {
--- a/relay/src/state/view.rs
+++ b/relay/src/state/view.rs
@@ -176,6 +176,13 @@
         }
     }
 
+    /// Updates the backends from the registrations of some servers.
+    pub(super) fn update_servers(&mut self, settings: &Settings, ids: &[Arc<str>]) {
+        for id in ids {
+            self.update_backends(settings, id);
+        }
+    }
+
     /// Applies the configured limits on connections to the backends.
     pub(super) fn limit_connections(&self) {
         for (service, backends) in &self.backends {
@@ -187,8 +194,8 @@
         }
     }
 
-    /// Drops the backends that are no longer registered.
-    pub(super) fn remove_unlisted(&mut self) {
+    /// Drops the backends that are no longer in use.
+    fn remove_unlisted(&mut self) {
         let registry = &self.registry;
         for backends in self.backends.values_mut() {
             backends.retain(|backend| registry.get(&backend.server.id).is_some());
--- a/relay/src/store_watch.rs
+++ b/relay/src/store_watch.rs
@@ -43,6 +43,9 @@
 /// Time that a response may take beyond that as long as it arrives.
 const TRANSFER_TIME: Duration = Duration::from_secs(10);
 
+/// Largest registration of a server, in bytes.
+const REGISTRATION_LIMIT: usize = 16 << 10;
+
 /// Time between two checks whether this entry has to read the store.
 const READER_CHECK: Duration = Duration::from_millis(50);
 
@@ -400,6 +403,19 @@
     relay.record_registration(name, registration);
 }
 
+/// Returns a change without its value if that is too large for a server's registration. Other writers may
+/// leave values of any kind under these keys; without this they would be kept and passed on to all entries.
+fn without_oversized_registration<C: Codec>(relay: &Relay<C>, change: &Change) -> Option<Change> {
+    let value = change.value.as_ref()?;
+    let oversized =
+        value.len() > REGISTRATION_LIMIT && relay.codec.server_id(&change.key).is_some();
+    oversized.then(|| Change {
+        key: change.key.clone(),
+        value: Some(String::new()),
+        revision: change.revision,
+    })
+}
+
 /// Applies one change of an era of the store. A change of another era than the one known is ignored: after a
 /// restore all keys are read anew. So is one that a newer change of its key has replaced: a watch from an
 /// older page of a list returns it again.
@@ -408,6 +424,8 @@
     if change.key.starts_with(&relay.codec.usage_key(None)) {
         return;
     }
+    let oversized = without_oversized_registration(relay, change);
+    let change = oversized.as_ref().unwrap_or(change);
     if !relay.changelog(|changelog| changelog.insert(era, change)) {
         return;
     }
@@ -425,6 +443,7 @@
         }) => relay.register_server(server, warmup, sequence, revision),
         Ok(Record::ServerRemoved { id, problem }) => {
             if let Some(problem) = problem {
+                relay.metrics.registrations.unreadable.inc();
                 log::warn!(server = &*id, problem = problem.as_str(); "registration of a server not decoded");
             }
             relay.remove_server(&id, revision);
