fix(propagation): a lost call to the store is told from an outage at every bound

Where changes must be in force within 3 s, a reader's watch lasted 1.8 s and was given up at 2.1 s.

The parts that follow one another until a call is confirmed are bounded: 1.5 s and 0.4 s.

--- a/coordination/src/propagation.rs
+++ b/coordination/src/propagation.rs
@@ -22,12 +22,6 @@
 
 use std::time::Duration;
 
-/// Part of the bound by which a watch may be late before its reader lets others step in.
-const OVERDUE: u32 = 10;
-
-/// Part of the bound over which the entries that can step in do so.
-const HAND_OVER: u32 = 8;
-
 /// Time within which a change must be in force if the settings give none.
 const DEFAULT_BOUND: Duration = Duration::from_secs(2);
 
@@ -35,8 +29,15 @@
 const MIN_BOUND: Duration = Duration::from_secs(1);
 const MAX_BOUND: Duration = Duration::from_secs(10);
 
-/// Least time without a message after which an entry counts as silent: three messages of a reader.
+/// Longest time between two confirmations, and by which a watch may be late. An outage of the store must be
+/// known, and a lost call told from one, before registrations lapse after three heartbeats of silence.
+const MAX_CONFIRMATION: Duration = Duration::from_millis(1_500);
+const MAX_OVERDUE: Duration = Duration::from_millis(400);
+
+/// Least and longest time without a message after which an entry counts as silent: three messages of a reader,
+/// and what an entry that starts may wait for hubs that are gone.
 const MIN_SILENCE: Duration = Duration::from_millis(1_250);
+const MAX_SILENCE: Duration = Duration::from_secs(2);
 
 /// The time for a change to be in force at every entry, and its parts.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -60,7 +61,7 @@
         }
     }
 
-    /// Time within which a change must be in force at every entry.
+    /// Returns the time that is divided.
     #[must_use]
     pub fn bound(&self) -> Duration {
         self.bound
@@ -95,25 +96,25 @@
     /// once.
     #[must_use]
     pub fn confirmation(&self) -> Duration {
-        self.bound * 3 / 5
+        (self.bound * 3 / 5).min(MAX_CONFIRMATION)
     }
 
     /// Time by which a watch may be late before its reader no longer says that it reads.
     #[must_use]
     pub fn overdue(&self) -> Duration {
-        self.bound / OVERDUE
+        (self.bound / 10).min(MAX_OVERDUE)
     }
 
     /// Time without a message after which a reader, or the hubs of an entry, no longer count. They send one at
     /// least every 400 ms.
     #[must_use]
     pub fn silent_reader(&self) -> Duration {
-        (self.bound * 5 / 8).max(MIN_SILENCE)
+        (self.bound * 5 / 8).clamp(MIN_SILENCE, MAX_SILENCE)
     }
 
     /// Longest time that an entry leaves to those before it to step in for a reader.
     #[must_use]
     pub fn hand_over(&self) -> Duration {
-        self.bound / HAND_OVER
+        self.bound / 8
     }
 }
