fix(catch_up): the log says how long an entry was behind

The line at the end of a lag gave 0 ms and 0 revisions, since the lag was computed after the entry had caught up. tests/catch_up.rs checks that it was behind by something; the lag that is reported counts from the first revision that was missing.

--- a/coordination/src/catch_up.rs
+++ b/coordination/src/catch_up.rs
@@ -136,8 +136,7 @@
 
     /// Records the revision that this entry knows. Returns how far it was behind, if it no longer is.
     pub fn record_own(&mut self, own: Revision, now: Duration) -> Option<Lag> {
-        let before = self.lag(own, now);
-        let behind = !self.announced.is_empty();
+        let before = self.whole_lag(now);
         self.peers.retain(|peer| peer.revision > own);
         let first = self.announced.first().copied();
         self.announced.retain(|(revision, _)| *revision > own);
@@ -150,7 +149,17 @@
                 peer.failures = 0;
             }
         }
-        (behind && self.announced.is_empty()).then_some(before)
+        before.filter(|_| self.announced.is_empty())
+    }
+
+    /// Returns how far it has been behind since all announced revisions were missing.
+    fn whole_lag(&self, now: Duration) -> Option<Lag> {
+        let ((first, since), (newest, _)) = self.announced.first().zip(self.announced.last())?;
+        Some(Lag {
+            revisions: newest.number.saturating_sub(first.number) + 1,
+            time: now.saturating_sub(*since),
+            failures: self.failures,
+        })
     }
 
     /// Records that an attempt gave nothing, with a number from 0 to 1 drawn at random.
--- a/coordination/tests/catch_up.rs
+++ b/coordination/tests/catch_up.rs
@@ -96,7 +96,8 @@
         assert!(lag.time <= STEP * 2, "{lag:?}");
         now += STEP;
     }
-    assert!(state.record_own(at(500), now).is_some());
+    let lag = state.record_own(at(500), now).expect("it was behind");
+    assert!(lag.time <= STEP * 2 && lag.revisions <= 2, "{lag:?}");
     assert_eq!(state.next(at(500), Duration::ZERO, now), Step::Idle);
 }
 
--- a/relay/src/catch_up.rs
+++ b/relay/src/catch_up.rs
@@ -28,11 +28,11 @@
 pub async fn run<C: Codec, S: Store>(relay: Arc<Relay<C>>, store: S) {
     let mut reported = false;
     loop {
-        let entries = relay.catch_up_spread();
+        let spread = relay.catch_up_spread();
         let (caught_up, lag, step) = relay.catch_up(|state, own, now| {
             let lag = state.lag(own, now);
             let caught_up = state.record_own(own, now);
-            (caught_up, lag, state.next(own, entries, now))
+            (caught_up, lag, state.next(own, spread, now))
         });
         if !reported && lag.time >= relay.settings.propagation.peers() {
             reported = true;
