fix(dissemination): an entry convinces itself of an outage of the store

What callers saw: calls lost at removed servers.

Cause: the entry took over the last word of either hub on whether the store is available, without a call of its own. An outage began and ended several times a second, each end began the grace period for lapsed registrations, and a removal in it counted as a lapse. By the same reliance on hubs, an entry whose two hubs are cut off together heard of no change as long as they sent messages.

Change: the store counts as unavailable only if all hubs that are heard say so, and then the entry asks the store itself. A hub vouches for the store only if it reads it or hears of an entry that does.

Why it works: no state of an entry changes by the word of another that knows less, and none relies on hubs that say that they know nothing.

While the store is away each entry that is no hub calls it about once a second.

--- a/coordination/src/dissemination.rs
+++ b/coordination/src/dissemination.rs
@@ -24,6 +24,7 @@
 mod counts;
 mod crash_news;
 pub mod demands;
+mod hub_words;
 pub mod ledger;
 mod members;
 pub mod moves;
--- a/coordination/src/dissemination/node.rs
+++ b/coordination/src/dissemination/node.rs
@@ -16,6 +16,7 @@
 use super::counts::Exchange;
 use super::crash_news::CrashNews;
 use super::demands::{AccountDemand, Demands};
+use super::hub_words::HubWords;
 use super::ledger::{Count, Ledger, Summary};
 use super::members::{Change, Members};
 use super::moves::{MoveReport, Reports};
@@ -114,9 +115,8 @@
     sent: [Sent; Scope::COUNT],
     hub: bool,
     started_at: Duration,
-    /// When a hub of this failure domain was last heard of.
-    heard_at: Option<Duration>,
-    hub_store_available: bool,
+    /// What the hubs of this failure domain said of the store.
+    hub_words: HubWords,
 }
 
 impl Node {
@@ -152,8 +152,7 @@
             sent: [Sent::default(); Scope::COUNT],
             hub: false,
             started_at: now,
-            heard_at: None,
-            hub_store_available: true,
+            hub_words: HubWords::new(propagation.silent_reader()),
         }
     }
 
@@ -254,12 +253,20 @@
             return self.election.must_read(now);
         }
         let part = f64::from(u16::try_from(self.rank.1 % 1_000).unwrap_or(0)) / 1_000.0;
-        let heard_at = self.heard_at.unwrap_or(self.started_at);
-        let delay = match self.own.revision.number {
-            0 => MAX_FIRST_READ_DELAY,
-            _ => self.propagation.hand_over(),
+        let silent = self.propagation.silent_reader();
+        let hand_over = self.propagation.hand_over().mul_f64(part);
+        // Hubs that start have not read the store yet.
+        let (silence, doubt) = match self.own.revision.number {
+            0 => {
+                let silence = silent + MAX_FIRST_READ_DELAY.mul_f64(part);
+                (silence, silence)
+            }
+            _ => (silent + hand_over, hand_over),
         };
-        now.saturating_sub(heard_at) > self.propagation.silent_reader() + delay.mul_f64(part)
+        let heard_at = self.hub_words.heard_at().unwrap_or(self.started_at);
+        let unavailable_since = self.hub_words.unavailable_since();
+        now.saturating_sub(heard_at) > silence
+            || unavailable_since.is_some_and(|since| now.saturating_sub(since) >= doubt)
     }
 
     /// Returns whether another entry reads the store successfully, as far as is known.
@@ -272,7 +279,7 @@
     /// it itself.
     #[must_use]
     pub fn hub_store_available(&self) -> bool {
-        self.hub || self.hub_store_available
+        self.hub || self.hub_words.unavailable_since().is_none()
     }
 
     /// Replaces the state that this entry shares.
--- a/coordination/src/dissemination/node/counting.rs
+++ b/coordination/src/dissemination/node/counting.rs
@@ -107,7 +107,7 @@
             scope: Scope::Hubs,
             recipients: vec![address],
             message: Message {
-                sender: self.sender(false),
+                sender: self.sender(false, now),
                 content: Content::Digest(digest),
             },
             direct: true,
--- a/coordination/src/dissemination/node/receiving.rs
+++ b/coordination/src/dissemination/node/receiving.rs
@@ -89,8 +89,8 @@
             .record(&sender.entry, sender.link_mbps, sender.reads_store, now);
         let local = sender.failure_domain == self.identity.failure_domain;
         if local {
-            self.heard_at = Some(now);
-            self.hub_store_available = sender.store_available;
+            let available = sender.store_available;
+            self.hub_words.record(&sender.entry, available, now);
         } else if !self.hub {
             self.visitors.insert(from, now);
         }
--- a/coordination/src/dissemination/node/sending.rs
+++ b/coordination/src/dissemination/node/sending.rs
@@ -80,12 +80,12 @@
         };
         let interval = match scope {
             _ if idle => REPORT_INTERVAL,
-            _ if self.is_urgent(scope) => MIN_INTERVAL,
+            _ if self.is_urgent(scope, now) => MIN_INTERVAL,
             Scope::Report if counts_changed => MIN_INTERVAL,
             Scope::Members if self.changed_reports >= BURST_REPORTS => BURST_INTERVAL,
             _ if counts_changed => COUNT_INTERVAL,
             Scope::Report if self.moves.has_unsent(scope) => DIGEST_INTERVAL,
-            Scope::Report if self.heard_at.is_none() && self.roster().responds() => {
+            Scope::Report if self.hub_words.heard_at().is_none() && self.roster().responds() => {
                 FIRST_REPORT_INTERVAL
             }
             Scope::Report if !self.own.account_demand.is_empty() => demands::REPORT_INTERVAL,
@@ -101,7 +101,7 @@
     }
 
     /// Returns whether something is unsent in a scope that other entries must know at once.
-    fn is_urgent(&self, scope: Scope) -> bool {
+    fn is_urgent(&self, scope: Scope, now: Duration) -> bool {
         let sent = &self.sent[scope.index()];
         let retries = |own: &Own| -> u32 { own.usage.iter().map(|(_, usage)| usage.retries).sum() };
         let changed = match scope {
@@ -115,7 +115,7 @@
         };
         changed
             || sent.leaving != self.own.leaving
-            || (sent.store_available != self.own.store_available && scope != Scope::Report)
+            || (sent.store_available != self.vouches(now) && scope != Scope::Report)
             || (sent.reads_store != self.own.reads_store && scope != Scope::Report)
             || self.lost.has_unsent(scope)
             || self.successors.has_unsent(scope)
@@ -168,18 +168,18 @@
                 (recipients, Content::Digest(digest))
             }
         };
-        let sent = &mut self.sent[scope.index()];
-        *sent = Sent {
+        let vouches = self.vouches(now);
+        self.sent[scope.index()] = Sent {
             at: Some(now),
             repeated_at: if periodic { Some(now) } else { repeated_at },
             sequence: self.ledger.sequence(),
             revision: self.own.revision,
             reads_store: self.own.reads_store,
-            store_available: self.own.store_available,
+            store_available: vouches,
             leaving: self.own.leaving,
         };
         let message = Message {
-            sender: self.sender(periodic),
+            sender: self.sender(periodic, now),
             content,
         };
         (!recipients.is_empty()).then_some(Outgoing {
@@ -190,7 +190,14 @@
         })
     }
 
-    pub(super) fn sender(&self, periodic: bool) -> Sender {
+    /// Returns whether this entry says that the store is available. A hub that neither reads it nor hears of one
+    /// that does may be cut off.
+    fn vouches(&self, now: Duration) -> bool {
+        let informed = !self.hub || self.own.reads_store || self.others_read(now);
+        self.own.store_available && informed
+    }
+
+    pub(super) fn sender(&self, periodic: bool, now: Duration) -> Sender {
         let Contact {
             entry, link_mbps, ..
         } = &self.identity.contact;
@@ -200,7 +207,7 @@
             link_mbps: *link_mbps,
             revision: self.own.revision,
             reads_store: self.own.reads_store,
-            store_available: self.own.store_available,
+            store_available: self.vouches(now),
             leaving: self.own.leaving,
             wall_ms: self.own.wall_ms.filter(|_| periodic),
         }
--- a/relay/src/store_watch.rs
+++ b/relay/src/store_watch.rs
@@ -53,6 +53,9 @@
 /// are restarted together, and each store call has a cost.
 const COALESCE: Duration = Duration::from_millis(120);
 
+/// Shortest pause after a failed call of an entry that is no hub.
+const MEMBER_PAUSE: Duration = Duration::from_secs(1);
+
 /// Time limits of a watch.
 #[derive(Clone, Copy, Debug)]
 struct Limits {
@@ -124,7 +127,10 @@
         }
         if !relay.must_read() {
             relay.reads_store.store(false, Ordering::Relaxed);
-            relay.set_store_available(relay.hub_store_available());
+            // Of an outage an entry convinces itself.
+            if relay.hub_store_available() {
+                relay.set_store_available(true);
+            }
             tokio::time::sleep(READER_CHECK).await;
             continue;
         }
@@ -173,7 +179,14 @@
             tokio::time::sleep(COALESCE).await;
         } else {
             failures = failures.saturating_add(1);
-            tokio::time::sleep(jittered(retry_pause(failures, others_read))).await;
+            let pause = retry_pause(failures, others_read);
+            // All entries whose hubs say that the store is unavailable ask for themselves.
+            let pause = if relay.is_hub() || relay.settings.peer_address.is_none() {
+                pause
+            } else {
+                pause.max(MEMBER_PAUSE)
+            };
+            tokio::time::sleep(jittered(pause)).await;
         }
     }
 }
