--- a/relay/src/store_watch.rs
+++ b/relay/src/store_watch.rs
@@ -40,7 +40,7 @@
 /// and several entries may read it at once after all were restarted.
 const LIST_TIME: Duration = Duration::from_secs(3);
 
-/// Time that a response may take beyond that as long as it arrives.
+/// Time that the response to a list or a watch may take beyond its limit as long as it arrives.
 const TRANSFER_TIME: Duration = Duration::from_secs(10);
 
 /// Largest registration of a server, in bytes.
@@ -127,7 +127,7 @@
         }
         if !relay.must_read() {
             relay.reads_store.store(false, Ordering::Relaxed);
-            // Of an outage an entry convinces itself.
+            // An outage begins with calls of this entry's own that are lost.
             if relay.hub_store_available() {
                 relay.set_store_available(true);
             }
