perf(relay): entries that are no hub call a store that is away less often

An entry whose hubs are cut off and that reaches the store makes no failed call; readers_cut_off.rs holds.

--- a/coordination/src/dissemination/node.rs
+++ b/coordination/src/dissemination/node.rs
@@ -253,20 +253,20 @@
             return self.election.must_read(now);
         }
         let part = f64::from(u16::try_from(self.rank.1 % 1_000).unwrap_or(0)) / 1_000.0;
-        let silent = self.propagation.silent_reader();
         let hand_over = self.propagation.hand_over().mul_f64(part);
-        // Hubs that start have not read the store yet.
-        let (silence, doubt) = match self.own.revision.number {
-            0 => {
-                let silence = silent + MAX_FIRST_READ_DELAY.mul_f64(part);
-                (silence, silence)
-            }
-            _ => (silent + hand_over, hand_over),
-        };
         let heard_at = self.hub_words.heard_at().unwrap_or(self.started_at);
-        let unavailable_since = self.hub_words.unavailable_since();
-        now.saturating_sub(heard_at) > silence
-            || unavailable_since.is_some_and(|since| now.saturating_sub(since) >= doubt)
+        let knows_nothing = self.own.revision.number == 0;
+        let delay = if knows_nothing {
+            MAX_FIRST_READ_DELAY.mul_f64(part)
+        } else {
+            hand_over
+        };
+        if now.saturating_sub(heard_at) > self.propagation.silent_reader() + delay {
+            return true;
+        }
+        // Hubs that start while the store is away get its content for all, once it is back.
+        let doubted_since = self.hub_words.unavailable_since();
+        !knows_nothing && doubted_since.is_some_and(|since| now.saturating_sub(since) >= hand_over)
     }
 
     /// Returns whether another entry reads the store successfully, as far as is known.
--- a/coordination/src/reader_election.rs
+++ b/coordination/src/reader_election.rs
@@ -36,6 +36,10 @@
 /// serve this entry.
 const REFUSED_PAUSE: Duration = Duration::from_secs(2);
 
+/// Shortest and longest pause after a failed call of an entry that is no hub: all of them ask the store when
+/// their hubs say that it is unavailable, and hear from the hubs when it is back.
+const MEMBER_PAUSES: (Duration, Duration) = (Duration::from_secs(1), Duration::from_secs(8));
+
 /// Consecutive failures from which the store is considered to refuse this entry. One or two may be
 /// a lost response or a silent watch, and the other readers may just have lost theirs as well.
 const REFUSED_FAILURES: u32 = 3;
@@ -51,6 +55,14 @@
     backoff.min(MAX_RETRY_PAUSE)
 }
 
+/// Returns the longest pause of an entry that is no hub after `failures` consecutive failed calls to the store.
+#[must_use]
+pub fn member_retry_pause(failures: u32) -> Duration {
+    let (first, longest) = MEMBER_PAUSES;
+    let backoff = first * 2_u32.pow(failures.saturating_sub(1).min(6));
+    backoff.min(longest)
+}
+
 /// This entry's view of the election.
 #[derive(Clone, Debug)]
 pub struct Election {
--- a/relay/src/store_watch.rs
+++ b/relay/src/store_watch.rs
@@ -15,7 +15,7 @@
 use medlarfall_coordination::canary::Order;
 use medlarfall_coordination::history::Revision;
 use medlarfall_coordination::propagation::Budget;
-use medlarfall_coordination::reader_election::retry_pause;
+use medlarfall_coordination::reader_election::{member_retry_pause, retry_pause};
 use medlarfall_coordination::store_outage::{Detector, Outcome, State};
 use medlarfall_runtime::store::{Change, Changes, Error, Listing, Store};
 
@@ -53,9 +53,6 @@
 /// are restarted together, and each store call has a cost.
 const COALESCE: Duration = Duration::from_millis(120);
 
-/// Shortest pause after a failed call of an entry that is no hub.
-const MEMBER_PAUSE: Duration = Duration::from_secs(1);
-
 /// Time limits of a watch.
 #[derive(Clone, Copy, Debug)]
 struct Limits {
@@ -179,12 +176,13 @@
             tokio::time::sleep(COALESCE).await;
         } else {
             failures = failures.saturating_add(1);
-            let pause = retry_pause(failures, others_read);
-            // All entries whose hubs say that the store is unavailable ask for themselves.
-            let pause = if relay.is_hub() || relay.settings.peer_address.is_none() {
-                pause
+            // An entry that knows the store up to a revision has hubs that tell it when the store is back.
+            let informed = relay.changelog(|changelog| changelog.revision().number) > 0;
+            let member = relay.settings.peer_address.is_some() && !relay.is_hub();
+            let pause = if member && informed {
+                member_retry_pause(failures)
             } else {
-                pause.max(MEMBER_PAUSE)
+                retry_pause(failures, others_read)
             };
             tokio::time::sleep(jittered(pause)).await;
         }
